--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Developers' commands. "make check" is all that CI runs.
+GO ?= go
+SOURCES := $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
+
+.PHONY: check format vet lint test models build demo
+
+check: format vet lint test models
+
+build:
+	$(GO) build -o bin/turmericfield ./cmd/turmericfield
+
+format:
+	@out=$$(gofmt -l $(SOURCES)); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool staticcheck ./...
+
+test:
+	$(GO) test -count=1 ./...
+
+models:
+	@if [ -x spec/check.sh ]; then spec/check.sh; fi
--- /dev/null
+++ b/internal/command/plan.go
@@ -0,0 +1,162 @@
+package command
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/intent"
+)
+
+func newPlan() *cobra.Command {
+	var f clientFlags
+	cmd := &cobra.Command{Use: "plan", Short: "Work out the plan of an intent; nothing changes until it is confirmed"}
+	f.register(cmd)
+	cmd.AddCommand(
+		newPlanDrain(&f, intent.KindDrain), newPlanDrain(&f, intent.KindUndrain),
+		newPlanApply(&f), newPlanShift(&f), newPlanUnshift(&f),
+		newPlanAdmit(&f), newPlanCutOff(&f), newPlanWithdrawKey(&f))
+	return cmd
+}
+
+// submit asks for a plan and prints it.
+func submit(cmd *cobra.Command, f *clientFlags, in intent.Intent) error {
+	client, err := f.client()
+	if err != nil {
+		return err
+	}
+	plan, err := client.Plan(cmd.Context(), in)
+	if err != nil {
+		return err
+	}
+	if err := f.print(cmd.OutOrStdout(), plan, func(w io.Writer) { printPlan(w, plan) }); err != nil {
+		return err
+	}
+	if len(plan.Refusals) > 0 {
+		return errors.Wrapf(errInvalid, "plan %s", plan.ID)
+	}
+	return nil
+}
+
+func printPlan(w io.Writer, p intent.Plan) {
+	fmt.Fprintf(w, "plan %s on version %d\n", p.ID, p.BaseVersion)
+	for _, change := range p.Changes {
+		fmt.Fprintf(w, "  change: %s\n", change)
+	}
+	for _, h := range p.Headroom {
+		fmt.Fprintf(w, "  slots: %s in %s: %d -> %d\n", h.Service, h.Region, h.SlotsBefore, h.SlotsAfter)
+	}
+	for _, refusal := range p.Refusals {
+		fmt.Fprintf(w, "  refused: %s\n", refusal)
+	}
+	if len(p.Refusals) == 0 {
+		fmt.Fprintf(w, "confirm with: turmericfield confirm %s\n", p.ID)
+	}
+}
+
+func newPlanDrain(f *clientFlags, kind intent.Kind) *cobra.Command {
+	short := "Take a site out of service"
+	if kind == intent.KindUndrain {
+		short = "Put a drained site back into service"
+	}
+	return &cobra.Command{
+		Use:   string(kind) + " region|zone|target NAME",
+		Short: short,
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return submit(cmd, f, intent.Intent{Kind: kind, Drain: &config.Drain{Kind: config.DrainKind(args[0]), Name: args[1]}})
+		},
+	}
+}
+
+func newPlanApply(f *clientFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Replace the whole configuration by a file's",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			doc, err := readDocument(args[0])
+			if err != nil {
+				return err
+			}
+			return submit(cmd, f, intent.Intent{Kind: intent.KindApply, Document: doc})
+		},
+	}
+}
+
+func newPlanShift(f *clientFlags) *cobra.Command {
+	var s config.Shift
+	cmd := &cobra.Command{
+		Use:   "shift NAME",
+		Short: "Move a share of a route's requests from one region to another",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s.Name = args[0]
+			return submit(cmd, f, intent.Intent{Kind: intent.KindShift, Shift: &s})
+		},
+	}
+	cmd.Flags().StringVar(&s.Route, "route", "", "route to shift")
+	cmd.Flags().StringVar(&s.From, "from", "", "region that loses requests")
+	cmd.Flags().StringVar(&s.To, "to", "", "region that gains requests")
+	cmd.Flags().Float64Var(&s.Cap, "cap", 0, "largest share that may be moved, 0 to 1")
+	cmd.Flags().Float64Var(&s.Step, "step", 0.05, "share that each ramp step adds, 0 to 1")
+	cmd.Flags().IntVar(&s.StepSeconds, "step-seconds", 30, "seconds between two ramp steps")
+	return cmd
+}
+
+func newPlanUnshift(f *clientFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:   "unshift NAME",
+		Short: "End a shift",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return submit(cmd, f, intent.Intent{Kind: intent.KindUnshift, ShiftName: args[0]})
+		},
+	}
+}
+
+func newPlanAdmit(f *clientFlags) *cobra.Command {
+	var w config.Workspace
+	var keyID, keySHA256 string
+	cmd := &cobra.Command{
+		Use:   "admit WORKSPACE",
+		Short: "Admit a workspace, or replace its rate, burst, routes and key",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			w.Name = args[0]
+			w.Keys = []config.Key{{ID: keyID, SHA256: keySHA256}}
+			return submit(cmd, f, intent.Intent{Kind: intent.KindAdmit, Workspace: &w})
+		},
+	}
+	cmd.Flags().Float64Var(&w.Rate, "rate", 0, "requests per second over the whole fleet")
+	cmd.Flags().IntVar(&w.Burst, "burst", 0, "requests that may come at once")
+	cmd.Flags().StringSliceVar(&w.Routes, "routes", nil, "routes that the workspace may use")
+	cmd.Flags().StringVar(&keyID, "key-id", "", "public part of the key")
+	cmd.Flags().StringVar(&keySHA256, "key-sha256", "", "SHA-256 of the key's secret, in hexadecimal")
+	return cmd
+}
+
+func newPlanCutOff(f *clientFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:   "cut-off WORKSPACE",
+		Short: "Refuse every request of a workspace",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return submit(cmd, f, intent.Intent{Kind: intent.KindCutOff, WorkspaceName: args[0]})
+		},
+	}
+}
+
+func newPlanWithdrawKey(f *clientFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:   "withdraw-key KEY-ID",
+		Short: "Withdraw one key of a workspace",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return submit(cmd, f, intent.Intent{Kind: intent.KindWithdrawKey, KeyID: args[0]})
+		},
+	}
+}
--- /dev/null
+++ b/internal/command/root.go
@@ -0,0 +1,113 @@
+// Package command defines the command line.
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/operator"
+	"github.com/turmericfield/turmericfield/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitOK          = 0
+	exitFailure     = 1 // anything that has no code of its own
+	exitUsage       = 2 // unknown command, flag or malformed setting
+	exitInvalid     = 3 // a configuration or intent has findings, or a plan is refused
+	exitConflict    = 4 // a plan is stale: another change came first
+	exitUnavailable = 5 // the system or its store could not be reached
+	exitUnknown     = 6 // a write may or may not have taken effect
+)
+
+// errUsage marks faults of the command line or of settings.
+var errUsage = errors.New("usage")
+
+// errInvalid marks a refused plan.
+var errInvalid = errors.New("plan is refused")
+
+// Main runs the command line of this process and returns its exit code.
+func Main() int {
+	root := newRoot()
+	err := root.ExecuteContext(context.Background())
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintf(os.Stderr, "turmericfield: %v\n", err)
+	return exitCode(err)
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "turmericfield",
+		Short:         "Global traffic steering system",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
+	root.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
+		return errors.Mark(settings.ReadEnvironment(cmd.Flags()), errUsage)
+	}
+	root.AddCommand(newServe(), newStandin(), newPlan(), newConfirm(), newStatus(), newLookup(), newValidate())
+	document(root)
+	return root
+}
+
+func document(cmd *cobra.Command) {
+	settings.Document(cmd.Flags())
+	settings.Document(cmd.PersistentFlags())
+	for _, c := range cmd.Commands() {
+		document(c)
+	}
+}
+
+func exitCode(err error) int {
+	var findings config.Findings
+	var api *operator.APIError
+	switch {
+	case errors.Is(err, errUsage):
+		return exitUsage
+	case errors.As(err, &findings), errors.Is(err, errInvalid):
+		return exitInvalid
+	case errors.As(err, &api):
+		return apiExitCode(api.Response.Code)
+	}
+	return exitFailure
+}
+
+func apiExitCode(code string) int {
+	switch code {
+	case "conflict":
+		return exitConflict
+	case "refused":
+		return exitInvalid
+	case "store-unavailable":
+		return exitUnavailable
+	case "unknown-outcome":
+		return exitUnknown
+	}
+	return exitFailure
+}
+
+// signals returns a context that ends at the first SIGTERM or interrupt, and
+// one that ends at the second.
+func signals(parent context.Context) (stop, kill context.Context) {
+	stop, cancelStop := context.WithCancel(parent)
+	kill, cancelKill := context.WithCancel(parent)
+	received := make(chan os.Signal, 2)
+	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-received
+		cancelStop()
+		<-received
+		cancelKill()
+	}()
+	return stop, kill
+}
--- /dev/null
+++ b/internal/command/standin.go
@@ -0,0 +1,110 @@
+package command
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/turmericfield/turmericfield/internal/platform"
+	"github.com/turmericfield/turmericfield/internal/settings"
+	standinplatform "github.com/turmericfield/turmericfield/internal/standin/platform"
+	"github.com/turmericfield/turmericfield/internal/standin/target"
+)
+
+func newStandin() *cobra.Command {
+	cmd := &cobra.Command{Use: "standin", Short: "Run a stand-in for an outside system"}
+	cmd.AddCommand(newStandinPlatform(), newStandinTarget())
+	return cmd
+}
+
+func newStandinPlatform() *cobra.Command {
+	var listen string
+	var instances []string
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "Run a stand-in for the platform's store and instance list",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			list, err := parseInstances(instances)
+			if err != nil {
+				return err
+			}
+			listener, err := bindListener("listen", listen)
+			if err != nil {
+				return err
+			}
+			stop, _ := signals(cmd.Context())
+			return standinplatform.New(list).Serve(stop, listener)
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "", "IP:port to serve on")
+	cmd.Flags().StringArrayVar(&instances, "instance", nil, "an instance as name,zone,address,peer-address; may be repeated")
+	return cmd
+}
+
+func newStandinTarget() *cobra.Command {
+	var listen string
+	var o target.Options
+	cmd := &cobra.Command{
+		Use:   "target",
+		Short: "Run a stand-in for a target",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			listener, err := bindListener("listen", listen)
+			if err != nil {
+				return err
+			}
+			stop, kill := signals(cmd.Context())
+			return serveUntil(stop, kill, &http.Server{Handler: target.New(o), ReadHeaderTimeout: 5 * time.Second}, listener)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&listen, "listen", "", "IP:port to serve on")
+	f.StringVar(&o.Name, "name", "target", "name of the target")
+	f.IntVar(&o.Slots, "slots", 6, "requests that run at once")
+	f.DurationVar(&o.ServiceTime, "service-time", 5*time.Millisecond, "time that a request takes")
+	f.IntVar(&o.AnswerBytes, "answer-bytes", 512, "bytes of an answer")
+	return cmd
+}
+
+func parseInstances(values []string) ([]platform.Instance, error) {
+	var p settings.Problems
+	var list []platform.Instance
+	for _, value := range values {
+		parts := strings.Split(value, ",")
+		if len(parts) != 4 {
+			p.Add("instance", "%q is not name,zone,address,peer-address", value)
+			continue
+		}
+		p.Address("instance", parts[2])
+		p.Address("instance", parts[3])
+		list = append(list, platform.Instance{Name: parts[0], AvailabilityZone: parts[1], Address: parts[2], PeerAddress: parts[3], State: platform.InstanceLive})
+	}
+	return list, errors.Mark(p.Err(), errUsage)
+}
+
+func bindListener(flag, address string) (net.Listener, error) {
+	var p settings.Problems
+	p.Address(flag, address)
+	if err := p.Err(); err != nil {
+		return nil, errors.Mark(err, errUsage)
+	}
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Wrapf(err, "--%s", flag)
+}
+
+func serveUntil(stop, kill context.Context, server *http.Server, listener net.Listener) error {
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	select {
+	case err := <-done:
+		return err
+	case <-stop.Done():
+		return server.Shutdown(kill)
+	}
+}
--- /dev/null
+++ b/internal/config/model.go
@@ -0,0 +1,136 @@
+// Package config holds the typed configuration that operators set: its shape,
+// its parsing with places, its validation and the compiled snapshot that the
+// data path reads. It does no I/O.
+package config
+
+import "time"
+
+// Document is one whole configuration, as an operator writes it in YAML and
+// as the store keeps it.
+type Document struct {
+	Regions           []Region           `yaml:"regions" json:"regions"`
+	AvailabilityZones []AvailabilityZone `yaml:"availability_zones" json:"availability_zones"`
+	Services          []Service          `yaml:"services" json:"services"`
+	Routes            []Route            `yaml:"routes" json:"routes"`
+	Workspaces        []Workspace        `yaml:"workspaces" json:"workspaces"`
+	Drains            []Drain            `yaml:"drains,omitempty" json:"drains,omitempty"`
+	Shifts            []Shift            `yaml:"shifts,omitempty" json:"shifts,omitempty"`
+}
+
+// Region is a group of availability zones joined by short links.
+type Region struct {
+	Name string `yaml:"name" json:"name"`
+	// LinkMbps is the capacity of the link to the other regions, each way, in
+	// megabits per second.
+	LinkMbps int `yaml:"link_mbps" json:"link_mbps"`
+	// MaxInFlight bounds the requests that may run in the region at once; 0
+	// means the sum of its targets' slots.
+	MaxInFlight int `yaml:"max_in_flight,omitempty" json:"max_in_flight,omitempty"`
+}
+
+// AvailabilityZone is one failure domain inside a region.
+type AvailabilityZone struct {
+	Name   string `yaml:"name" json:"name"`
+	Region string `yaml:"region" json:"region"`
+}
+
+// Service is a group of interchangeable targets.
+type Service struct {
+	Name string `yaml:"name" json:"name"`
+	// Slots is the number of requests that one target runs at once.
+	Slots int `yaml:"slots" json:"slots"`
+	// MaxConnections bounds the connections to one target from all instances
+	// together.
+	MaxConnections int      `yaml:"max_connections" json:"max_connections"`
+	Targets        []Target `yaml:"targets" json:"targets"`
+}
+
+// Target is one process that runs requests.
+type Target struct {
+	Name             string `yaml:"name" json:"name"`
+	AvailabilityZone string `yaml:"availability_zone" json:"availability_zone"`
+	// Address is the IP:port that serves HTTP.
+	Address string `yaml:"address" json:"address"`
+}
+
+// Class orders requests that compete for links and slots.
+type Class string
+
+// Classes of requests.
+const (
+	ClassInteractive Class = "interactive"
+	ClassBulk        Class = "bulk"
+)
+
+// Route maps requests to a service.
+type Route struct {
+	Name       string   `yaml:"name" json:"name"`
+	Service    string   `yaml:"service" json:"service"`
+	PathPrefix string   `yaml:"path_prefix" json:"path_prefix"`
+	Methods    []string `yaml:"methods" json:"methods"`
+	// Repeatable says that running a request twice does no harm.
+	Repeatable bool `yaml:"repeatable,omitempty" json:"repeatable,omitempty"`
+	// Open says that no key is needed.
+	Open  bool  `yaml:"open,omitempty" json:"open,omitempty"`
+	Class Class `yaml:"class" json:"class"`
+	// TimeoutMillis bounds the whole request, in milliseconds.
+	TimeoutMillis int `yaml:"timeout_ms" json:"timeout_ms"`
+	// TypicalResponseBytes is the expected size of an answer, for link budgets.
+	TypicalResponseBytes int `yaml:"typical_response_bytes,omitempty" json:"typical_response_bytes,omitempty"`
+}
+
+// Timeout returns the bound of the whole request.
+func (r Route) Timeout() time.Duration {
+	return time.Duration(r.TimeoutMillis) * time.Millisecond
+}
+
+// Workspace is one tenant.
+type Workspace struct {
+	Name string `yaml:"name" json:"name"`
+	// Rate is the number of requests per second over the whole fleet.
+	Rate float64 `yaml:"rate" json:"rate"`
+	// Burst is the number of requests that may come at once.
+	Burst int `yaml:"burst" json:"burst"`
+	// Routes names the routes that the workspace may use.
+	Routes []string `yaml:"routes" json:"routes"`
+	Keys   []Key    `yaml:"keys" json:"keys"`
+	// CutOff refuses every request of the workspace.
+	CutOff bool `yaml:"cut_off,omitempty" json:"cut_off,omitempty"`
+}
+
+// Key is one credential of a workspace. The secret itself is never kept.
+type Key struct {
+	ID string `yaml:"id" json:"id"`
+	// SHA256 is the digest of the secret, in lower-case hexadecimal.
+	SHA256 string `yaml:"sha256" json:"sha256"`
+}
+
+// DrainKind says what a drain empties.
+type DrainKind string
+
+// Kinds of drains.
+const (
+	DrainRegion           DrainKind = "region"
+	DrainAvailabilityZone DrainKind = "zone"
+	DrainTarget           DrainKind = "target"
+)
+
+// Drain takes a site out of service: its targets get no new work.
+type Drain struct {
+	Kind DrainKind `yaml:"kind" json:"kind"`
+	Name string    `yaml:"name" json:"name"`
+}
+
+// Shift moves a share of one route's requests from one region to another.
+type Shift struct {
+	Name  string `yaml:"name" json:"name"`
+	Route string `yaml:"route" json:"route"`
+	From  string `yaml:"from" json:"from"`
+	To    string `yaml:"to" json:"to"`
+	// Cap is the largest share that may be moved, 0 to 1.
+	Cap float64 `yaml:"cap" json:"cap"`
+	// Step is the share that each ramp step adds, 0 to 1.
+	Step float64 `yaml:"step" json:"step"`
+	// StepSeconds is the time between two ramp steps, in seconds.
+	StepSeconds int `yaml:"step_seconds" json:"step_seconds"`
+}
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,110 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+)
+
+// MaxFileBytes bounds a configuration file.
+const MaxFileBytes = 64 << 20
+
+var yamlLine = regexp.MustCompile(`line (\d+): `)
+
+// Parse reads a YAML configuration and validates it. The error is Findings
+// with file and line wherever the text is at fault.
+func Parse(file string, text []byte) (*Document, error) {
+	if len(text) > MaxFileBytes {
+		return nil, Findings{{File: file, Path: "file", Message: fmt.Sprintf("has %d bytes, more than %d", len(text), MaxFileBytes)}}
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	decoder.KnownFields(true)
+	doc := &Document{}
+	if err := decoder.Decode(doc); err != nil {
+		return nil, decodeFindings(file, err)
+	}
+	var extra any
+	if err := decoder.Decode(&extra); !errors.Is(err, io.EOF) {
+		return nil, Findings{{File: file, Path: "file", Message: "holds more than one YAML document"}}
+	}
+	findings := Validate(doc)
+	if len(findings) == 0 {
+		return doc, nil
+	}
+	var root yaml.Node
+	if err := yaml.Unmarshal(text, &root); err == nil {
+		locate(&root, findings)
+	}
+	for i := range findings {
+		findings[i].File = file
+	}
+	return nil, findings
+}
+
+func decodeFindings(file string, err error) Findings {
+	if errors.Is(err, io.EOF) {
+		return Findings{{File: file, Path: "file", Message: "is empty"}}
+	}
+	messages := []string{err.Error()}
+	var typeErr *yaml.TypeError
+	if errors.As(err, &typeErr) {
+		messages = typeErr.Errors
+	}
+	findings := make(Findings, 0, len(messages))
+	for _, message := range messages {
+		f := Finding{File: file, Path: "yaml", Message: message}
+		if m := yamlLine.FindStringSubmatch(message); m != nil {
+			f.Line, _ = strconv.Atoi(m[1])
+			f.Message = yamlLine.ReplaceAllString(message, "")
+		}
+		findings = append(findings, f)
+	}
+	return findings
+}
+
+var pathPart = regexp.MustCompile(`([a-z0-9_]+)|\[(\d+)\]`)
+
+// locate fills in the line of each finding from the parsed tree.
+func locate(root *yaml.Node, findings Findings) {
+	for i := range findings {
+		findings[i].Line = lineOf(root, findings[i].Path)
+	}
+}
+
+func lineOf(node *yaml.Node, path string) int {
+	if node.Kind == yaml.DocumentNode && len(node.Content) > 0 {
+		node = node.Content[0]
+	}
+	for _, part := range pathPart.FindAllStringSubmatch(path, -1) {
+		next := child(node, part[1], part[2])
+		if next == nil {
+			return node.Line
+		}
+		node = next
+	}
+	return node.Line
+}
+
+func child(node *yaml.Node, field, index string) *yaml.Node {
+	if index != "" {
+		i, err := strconv.Atoi(index)
+		if err != nil || node.Kind != yaml.SequenceNode || i >= len(node.Content) {
+			return nil
+		}
+		return node.Content[i]
+	}
+	if node.Kind != yaml.MappingNode {
+		return nil
+	}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		if node.Content[i].Value == field {
+			return node.Content[i+1]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/snapshot.go
@@ -0,0 +1,151 @@
+package config
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"slices"
+	"sort"
+	"strings"
+)
+
+// Snapshot is a validated configuration compiled for the data path. It is
+// immutable and safe for concurrent use.
+type Snapshot struct {
+	// Version is the position in the order of accepted configurations, from 1;
+	// 0 is the empty configuration of an instance that knows none.
+	Version  uint64
+	Document *Document
+
+	Regions    map[string]*Region
+	Zones      map[string]*AvailabilityZone
+	Services   map[string]*Service
+	RouteNames map[string]*Route
+	Workspaces map[string]*Workspace
+
+	routes  []*Route // longest prefix first
+	keys    map[string]keyEntry
+	drained map[string]bool // target name
+}
+
+type keyEntry struct {
+	digest    []byte
+	workspace *Workspace
+}
+
+// Compile builds the snapshot of a validated document.
+func Compile(version uint64, doc *Document) *Snapshot {
+	s := &Snapshot{
+		Version: version, Document: doc,
+		Regions: map[string]*Region{}, Zones: map[string]*AvailabilityZone{},
+		Services: map[string]*Service{}, RouteNames: map[string]*Route{},
+		Workspaces: map[string]*Workspace{}, keys: map[string]keyEntry{}, drained: map[string]bool{},
+	}
+	for i := range doc.Regions {
+		s.Regions[doc.Regions[i].Name] = &doc.Regions[i]
+	}
+	for i := range doc.AvailabilityZones {
+		s.Zones[doc.AvailabilityZones[i].Name] = &doc.AvailabilityZones[i]
+	}
+	for i := range doc.Services {
+		s.Services[doc.Services[i].Name] = &doc.Services[i]
+	}
+	s.compileRoutes(doc)
+	s.compileWorkspaces(doc)
+	s.compileDrains(doc)
+	return s
+}
+
+func (s *Snapshot) compileRoutes(doc *Document) {
+	for i := range doc.Routes {
+		s.RouteNames[doc.Routes[i].Name] = &doc.Routes[i]
+		s.routes = append(s.routes, &doc.Routes[i])
+	}
+	sort.SliceStable(s.routes, func(i, j int) bool {
+		return len(s.routes[i].PathPrefix) > len(s.routes[j].PathPrefix)
+	})
+}
+
+func (s *Snapshot) compileWorkspaces(doc *Document) {
+	for i := range doc.Workspaces {
+		w := &doc.Workspaces[i]
+		s.Workspaces[w.Name] = w
+		for _, k := range w.Keys {
+			digest, err := hex.DecodeString(k.SHA256)
+			if err == nil {
+				s.keys[k.ID] = keyEntry{digest: digest, workspace: w}
+			}
+		}
+	}
+}
+
+func (s *Snapshot) compileDrains(doc *Document) {
+	for _, d := range doc.Drains {
+		for _, service := range doc.Services {
+			for _, t := range service.Targets {
+				if s.covers(d, t) {
+					s.drained[t.Name] = true
+				}
+			}
+		}
+	}
+}
+
+func (s *Snapshot) covers(d Drain, t Target) bool {
+	switch d.Kind {
+	case DrainTarget:
+		return d.Name == t.Name
+	case DrainAvailabilityZone:
+		return d.Name == t.AvailabilityZone
+	case DrainRegion:
+		return d.Name == s.RegionOf(t.AvailabilityZone)
+	}
+	return false
+}
+
+// RegionOf returns the region of an availability zone, or "".
+func (s *Snapshot) RegionOf(zone string) string {
+	if z := s.Zones[zone]; z != nil {
+		return z.Region
+	}
+	return ""
+}
+
+// Drained tells whether a target gets no new work.
+func (s *Snapshot) Drained(target string) bool { return s.drained[target] }
+
+// Route finds the route of a request: the longest matching path prefix that
+// allows the method. Nil if there is none.
+func (s *Snapshot) Route(method, path string) *Route {
+	for _, r := range s.routes {
+		if strings.HasPrefix(path, r.PathPrefix) && slices.Contains(r.Methods, method) {
+			return r
+		}
+	}
+	return nil
+}
+
+// WorkspaceOf returns the workspace whose key is presented, or nil. The secret
+// is compared in constant time.
+func (s *Snapshot) WorkspaceOf(key string) *Workspace {
+	id, secret, ok := strings.Cut(key, ".")
+	if !ok {
+		return nil
+	}
+	digest := sha256.Sum256([]byte(secret))
+	entry, found := s.keys[id]
+	if !found {
+		entry.digest = make([]byte, sha256.Size)
+	}
+	equal := subtle.ConstantTimeCompare(digest[:], entry.digest) == 1
+	if !found || !equal {
+		return nil
+	}
+	return entry.workspace
+}
+
+// HashSecret returns the digest that a configuration keeps for a secret.
+func HashSecret(secret string) string {
+	digest := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(digest[:])
+}
--- /dev/null
+++ b/internal/config/validate.go
@@ -0,0 +1,202 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+)
+
+const (
+	maxNameLength  = 64
+	sha256HexChars = 64
+	maxRate        = 1e6
+)
+
+var (
+	nameRule = regexp.MustCompile(`^[a-z0-9][a-z0-9-]*$`)
+	hexRule  = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+type validator struct {
+	findings Findings
+	regions  map[string]bool
+	zones    map[string]bool
+	services map[string]bool
+	routes   map[string]bool
+	targets  map[string]bool
+	keys     map[string]bool
+}
+
+// Validate reports every fault of the document, in document order.
+func Validate(doc *Document) Findings {
+	v := &validator{
+		regions: map[string]bool{}, zones: map[string]bool{}, services: map[string]bool{},
+		routes: map[string]bool{}, targets: map[string]bool{}, keys: map[string]bool{},
+	}
+	v.checkRegions(doc)
+	v.checkZones(doc)
+	v.checkServices(doc)
+	v.checkRoutes(doc)
+	v.checkWorkspaces(doc)
+	v.checkDrains(doc)
+	v.checkShifts(doc)
+	return v.findings
+}
+
+func (v *validator) add(path, format string, args ...any) {
+	v.findings = append(v.findings, Finding{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+func (v *validator) name(path, name string, seen map[string]bool) {
+	switch {
+	case !nameRule.MatchString(name) || len(name) > maxNameLength:
+		v.add(path, "name %q must be lower-case letters, digits and hyphens, at most %d", name, maxNameLength)
+	case seen[name]:
+		v.add(path, "name %q is used twice", name)
+	}
+	seen[name] = true
+}
+
+func (v *validator) known(path, kind, name string, seen map[string]bool) {
+	if !seen[name] {
+		v.add(path, "%s %q does not exist", kind, name)
+	}
+}
+
+func (v *validator) positive(path string, value int) {
+	if value <= 0 {
+		v.add(path, "must be above 0, is %d", value)
+	}
+}
+
+func (v *validator) checkRegions(doc *Document) {
+	if len(doc.Regions) == 0 {
+		v.add("regions", "needs at least one region")
+	}
+	for i, r := range doc.Regions {
+		path := fmt.Sprintf("regions[%d]", i)
+		v.name(path+".name", r.Name, v.regions)
+		v.positive(path+".link_mbps", r.LinkMbps)
+		if r.MaxInFlight < 0 {
+			v.add(path+".max_in_flight", "must not be negative, is %d", r.MaxInFlight)
+		}
+	}
+}
+
+func (v *validator) checkZones(doc *Document) {
+	if len(doc.AvailabilityZones) == 0 {
+		v.add("availability_zones", "needs at least one availability zone")
+	}
+	for i, z := range doc.AvailabilityZones {
+		path := fmt.Sprintf("availability_zones[%d]", i)
+		v.name(path+".name", z.Name, v.zones)
+		v.known(path+".region", "region", z.Region, v.regions)
+	}
+}
+
+func (v *validator) checkServices(doc *Document) {
+	addresses := map[string]string{}
+	for i, s := range doc.Services {
+		path := fmt.Sprintf("services[%d]", i)
+		v.name(path+".name", s.Name, v.services)
+		v.positive(path+".slots", s.Slots)
+		v.positive(path+".max_connections", s.MaxConnections)
+		for j, t := range s.Targets {
+			v.checkTarget(fmt.Sprintf("%s.targets[%d]", path, j), t, addresses)
+		}
+	}
+}
+
+func (v *validator) checkTarget(path string, t Target, addresses map[string]string) {
+	v.name(path+".name", t.Name, v.targets)
+	v.known(path+".availability_zone", "availability zone", t.AvailabilityZone, v.zones)
+	if _, err := netip.ParseAddrPort(t.Address); err != nil {
+		v.add(path+".address", "address %q is not IP:port", t.Address)
+		return
+	}
+	if other, ok := addresses[t.Address]; ok {
+		v.add(path+".address", "address %q is used by target %q already", t.Address, other)
+	}
+	addresses[t.Address] = t.Name
+}
+
+func (v *validator) checkRoutes(doc *Document) {
+	for i, r := range doc.Routes {
+		path := fmt.Sprintf("routes[%d]", i)
+		v.name(path+".name", r.Name, v.routes)
+		v.known(path+".service", "service", r.Service, v.services)
+		if !strings.HasPrefix(r.PathPrefix, "/") {
+			v.add(path+".path_prefix", "path prefix %q must begin with /", r.PathPrefix)
+		}
+		if len(r.Methods) == 0 {
+			v.add(path+".methods", "needs at least one method")
+		}
+		if r.Class != ClassInteractive && r.Class != ClassBulk {
+			v.add(path+".class", "class %q is neither %q nor %q", r.Class, ClassInteractive, ClassBulk)
+		}
+		v.positive(path+".timeout_ms", r.TimeoutMillis)
+	}
+}
+
+func (v *validator) checkWorkspaces(doc *Document) {
+	names := map[string]bool{}
+	for i, w := range doc.Workspaces {
+		path := fmt.Sprintf("workspaces[%d]", i)
+		v.name(path+".name", w.Name, names)
+		if !(w.Rate > 0 && w.Rate <= maxRate) {
+			v.add(path+".rate", "must be above 0 and at most %g, is %g", float64(maxRate), w.Rate)
+		}
+		v.positive(path+".burst", w.Burst)
+		for j, route := range w.Routes {
+			v.known(fmt.Sprintf("%s.routes[%d]", path, j), "route", route, v.routes)
+		}
+		for j, k := range w.Keys {
+			v.checkKey(fmt.Sprintf("%s.keys[%d]", path, j), k)
+		}
+	}
+}
+
+func (v *validator) checkKey(path string, k Key) {
+	v.name(path+".id", k.ID, v.keys)
+	if len(k.SHA256) != sha256HexChars || !hexRule.MatchString(k.SHA256) {
+		v.add(path+".sha256", "must be %d lower-case hexadecimal digits", sha256HexChars)
+	}
+}
+
+func (v *validator) checkDrains(doc *Document) {
+	for i, d := range doc.Drains {
+		path := fmt.Sprintf("drains[%d]", i)
+		switch d.Kind {
+		case DrainRegion:
+			v.known(path+".name", "region", d.Name, v.regions)
+		case DrainAvailabilityZone:
+			v.known(path+".name", "availability zone", d.Name, v.zones)
+		case DrainTarget:
+			v.known(path+".name", "target", d.Name, v.targets)
+		default:
+			v.add(path+".kind", "kind %q is not region, zone or target", d.Kind)
+		}
+	}
+}
+
+func (v *validator) checkShifts(doc *Document) {
+	names := map[string]bool{}
+	for i, s := range doc.Shifts {
+		path := fmt.Sprintf("shifts[%d]", i)
+		v.name(path+".name", s.Name, names)
+		v.known(path+".route", "route", s.Route, v.routes)
+		v.known(path+".from", "region", s.From, v.regions)
+		v.known(path+".to", "region", s.To, v.regions)
+		if s.From == s.To {
+			v.add(path+".to", "must differ from the region %q that is shifted from", s.From)
+		}
+		if !(s.Cap > 0 && s.Cap <= 1) {
+			v.add(path+".cap", "must be above 0 and at most 1, is %g", s.Cap)
+		}
+		if !(s.Step > 0 && s.Step <= 1) {
+			v.add(path+".step", "must be above 0 and at most 1, is %g", s.Step)
+		}
+		v.positive(path+".step_seconds", s.StepSeconds)
+	}
+}
--- /dev/null
+++ b/internal/entry/refusal.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/attempt"
+)
+
+// refusal is an answer that no target gave: the request was not run.
+type refusal struct {
+	status     int
+	reason     string // stable word for programs
+	message    string
+	retryAfter time.Duration
+}
+
+// RefusalBody is the JSON body of an answer that no target gave.
+type RefusalBody struct {
+	// Outcome is not-run or unknown.
+	Outcome attempt.Outcome `json:"outcome"`
+	Reason  string          `json:"reason"`
+	Message string          `json:"message"`
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, no refusal) {
+	h.Log.Info().Str("reason", no.reason).Str("path", r.URL.Path).Msg("entry: refused a request, not run")
+	if no.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(no.retryAfter.Seconds()))))
+	}
+	writeRefusal(w, no.status, RefusalBody{Outcome: attempt.NotRun, Reason: no.reason, Message: no.message})
+}
+
+func writeRefusal(w http.ResponseWriter, status int, body RefusalBody) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.Header().Set(OutcomeHeader, string(body.Outcome))
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/intent/intent.go
@@ -0,0 +1,148 @@
+// Package intent turns what an operator wants into a plan, and a confirmed
+// plan into the next configuration. It is a deterministic core without I/O.
+package intent
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+)
+
+// Kind says what an intent does.
+type Kind string
+
+// Kinds of intents.
+const (
+	KindApply       Kind = "apply"
+	KindDrain       Kind = "drain"
+	KindUndrain     Kind = "undrain"
+	KindShift       Kind = "shift"
+	KindUnshift     Kind = "unshift"
+	KindAdmit       Kind = "admit"
+	KindCutOff      Kind = "cut-off"
+	KindWithdrawKey Kind = "withdraw-key"
+)
+
+// Intent is one wish of an operator. The fields that its kind needs are set.
+type Intent struct {
+	Kind      Kind              `json:"kind"`
+	Drain     *config.Drain     `json:"drain,omitempty"`
+	Shift     *config.Shift     `json:"shift,omitempty"`
+	ShiftName string            `json:"shift_name,omitempty"`
+	Workspace *config.Workspace `json:"workspace,omitempty"`
+	// WorkspaceName is the workspace to cut off.
+	WorkspaceName string           `json:"workspace_name,omitempty"`
+	KeyID         string           `json:"key_id,omitempty"`
+	Document      *config.Document `json:"document,omitempty"`
+}
+
+// Apply returns the document that the intent leads to, or findings that
+// refuse it. The given document is not changed.
+func (in Intent) Apply(current *config.Document) (*config.Document, error) {
+	next, err := clone(current)
+	if err != nil {
+		return nil, err
+	}
+	if err := in.change(next); err != nil {
+		return nil, err
+	}
+	return next, config.Validate(next).Err()
+}
+
+func (in Intent) change(doc *config.Document) error {
+	switch {
+	case in.Kind == KindApply && in.Document != nil:
+		*doc = *in.Document
+		return nil
+	case in.Kind == KindDrain && in.Drain != nil:
+		return addDrain(doc, *in.Drain)
+	case in.Kind == KindUndrain && in.Drain != nil:
+		return removeDrain(doc, *in.Drain)
+	case in.Kind == KindShift && in.Shift != nil:
+		doc.Shifts = append(doc.Shifts, *in.Shift)
+		return nil
+	case in.Kind == KindUnshift && in.ShiftName != "":
+		return removeShift(doc, in.ShiftName)
+	case in.Kind == KindAdmit && in.Workspace != nil:
+		return admit(doc, *in.Workspace)
+	case in.Kind == KindCutOff && in.WorkspaceName != "":
+		return cutOff(doc, in.WorkspaceName)
+	case in.Kind == KindWithdrawKey && in.KeyID != "":
+		return withdrawKey(doc, in.KeyID)
+	}
+	return refuse("kind", "intent %q is unknown or lacks its fields", in.Kind)
+}
+
+func refuse(path, format string, args ...any) error {
+	return config.Findings{{Path: path, Message: fmt.Sprintf(format, args...)}}
+}
+
+func addDrain(doc *config.Document, d config.Drain) error {
+	if slices.Contains(doc.Drains, d) {
+		return refuse("drain", "%s %q is drained already", d.Kind, d.Name)
+	}
+	doc.Drains = append(doc.Drains, d)
+	return nil
+}
+
+func removeDrain(doc *config.Document, d config.Drain) error {
+	i := slices.Index(doc.Drains, d)
+	if i < 0 {
+		return refuse("drain", "%s %q is not drained", d.Kind, d.Name)
+	}
+	doc.Drains = slices.Delete(doc.Drains, i, i+1)
+	return nil
+}
+
+func removeShift(doc *config.Document, name string) error {
+	i := slices.IndexFunc(doc.Shifts, func(s config.Shift) bool { return s.Name == name })
+	if i < 0 {
+		return refuse("shift", "shift %q does not exist", name)
+	}
+	doc.Shifts = slices.Delete(doc.Shifts, i, i+1)
+	return nil
+}
+
+// admit adds a workspace, or replaces the one of that name.
+func admit(doc *config.Document, w config.Workspace) error {
+	i := slices.IndexFunc(doc.Workspaces, func(o config.Workspace) bool { return o.Name == w.Name })
+	if i < 0 {
+		doc.Workspaces = append(doc.Workspaces, w)
+		return nil
+	}
+	doc.Workspaces[i] = w
+	return nil
+}
+
+func cutOff(doc *config.Document, name string) error {
+	i := slices.IndexFunc(doc.Workspaces, func(w config.Workspace) bool { return w.Name == name })
+	if i < 0 {
+		return refuse("workspace", "workspace %q does not exist", name)
+	}
+	doc.Workspaces[i].CutOff = true
+	return nil
+}
+
+func withdrawKey(doc *config.Document, id string) error {
+	for i := range doc.Workspaces {
+		w := &doc.Workspaces[i]
+		j := slices.IndexFunc(w.Keys, func(k config.Key) bool { return k.ID == id })
+		if j >= 0 {
+			w.Keys = slices.Delete(w.Keys, j, j+1)
+			return nil
+		}
+	}
+	return refuse("key", "key %q does not exist", id)
+}
+
+// clone copies a document through its JSON form, which is also its stored form.
+func clone(doc *config.Document) (*config.Document, error) {
+	text, err := json.Marshal(doc)
+	if err != nil {
+		return nil, err
+	}
+	next := &config.Document{}
+	return next, json.Unmarshal(text, next)
+}
--- /dev/null
+++ b/internal/intent/plan.go
@@ -0,0 +1,199 @@
+package intent
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+)
+
+// maxHistory bounds the operations that a record remembers, so that a late
+// retry of a confirm finds its own success.
+const maxHistory = 256
+
+// Errors of a confirmation.
+var (
+	ErrUnknownPlan = errors.New("plan does not exist")
+	ErrStalePlan   = errors.New("plan is stale: the configuration has changed since it was made; make a new plan")
+	ErrRefused     = errors.New("plan was refused and cannot be confirmed")
+)
+
+// Operation is one accepted change.
+type Operation struct {
+	ID      string `json:"id"`
+	Version uint64 `json:"version"`
+}
+
+// Record is the accepted configuration as the store keeps it.
+type Record struct {
+	Version uint64 `json:"version"`
+	// History lists the newest operations, oldest first.
+	History  []Operation      `json:"history"`
+	Document *config.Document `json:"document"`
+}
+
+// VersionOf returns the version that an operation led to.
+func (r Record) VersionOf(operation string) (uint64, bool) {
+	for _, o := range r.History {
+		if o.ID == operation {
+			return o.Version, true
+		}
+	}
+	return 0, false
+}
+
+// Plan shows what an intent will change. Nothing changes until it is confirmed.
+type Plan struct {
+	ID          string    `json:"id"`
+	Intent      Intent    `json:"intent"`
+	BaseVersion uint64    `json:"base_version"`
+	CreatedAt   time.Time `json:"created_at"`
+	// Changes describes each change on a line.
+	Changes []string `json:"changes"`
+	// Headroom gives the slots left of each service and region.
+	Headroom []Headroom `json:"headroom"`
+	// Refusals says why the plan cannot be confirmed; empty if it can.
+	Refusals []string `json:"refusals,omitempty"`
+}
+
+// Headroom is the capacity of a service in a region before and after a plan.
+type Headroom struct {
+	Service     string `json:"service"`
+	Region      string `json:"region"`
+	SlotsBefore int    `json:"slots_before"`
+	SlotsAfter  int    `json:"slots_after"`
+}
+
+// NewPlan works out the plan of an intent on the accepted configuration.
+func NewPlan(id string, in Intent, record Record, now time.Time) Plan {
+	plan := Plan{ID: id, Intent: in, BaseVersion: record.Version, CreatedAt: now}
+	current := record.Document
+	if current == nil {
+		current = &config.Document{}
+	}
+	next, err := in.Apply(current)
+	if err != nil {
+		plan.Refusals = refusals(err)
+		return plan
+	}
+	plan.Changes = describe(in, current, next)
+	plan.Headroom = headroom(current, next)
+	plan.Refusals = exhausted(plan.Headroom)
+	return plan
+}
+
+// Confirm returns the record that a plan leads to. done is true if the plan
+// has taken effect already, at the version returned in the record's history.
+func Confirm(plan Plan, record Record) (next Record, done bool, err error) {
+	if _, ok := record.VersionOf(plan.ID); ok {
+		return record, true, nil
+	}
+	if len(plan.Refusals) > 0 {
+		return record, false, errors.Wrapf(ErrRefused, "%s", plan.Refusals[0])
+	}
+	if record.Version != plan.BaseVersion {
+		return record, false, errors.Wrapf(ErrStalePlan, "made on version %d, now at %d", plan.BaseVersion, record.Version)
+	}
+	current := record.Document
+	if current == nil {
+		current = &config.Document{}
+	}
+	doc, err := plan.Intent.Apply(current)
+	if err != nil {
+		return record, false, errors.Mark(err, ErrRefused)
+	}
+	next = Record{Version: record.Version + 1, Document: doc}
+	next.History = append(slices.Clone(record.History), Operation{ID: plan.ID, Version: next.Version})
+	if extra := len(next.History) - maxHistory; extra > 0 {
+		next.History = next.History[extra:]
+	}
+	return next, false, nil
+}
+
+func refusals(err error) []string {
+	var findings config.Findings
+	if !errors.As(err, &findings) {
+		return []string{err.Error()}
+	}
+	lines := make([]string, len(findings))
+	for i, f := range findings {
+		lines[i] = f.String()
+	}
+	return lines
+}
+
+func describe(in Intent, before, after *config.Document) []string {
+	switch in.Kind {
+	case KindDrain:
+		return []string{fmt.Sprintf("drain %s %s: its targets get no new work", in.Drain.Kind, in.Drain.Name)}
+	case KindUndrain:
+		return []string{fmt.Sprintf("end the drain of %s %s", in.Drain.Kind, in.Drain.Name)}
+	case KindShift:
+		s := in.Shift
+		return []string{fmt.Sprintf("shift at most %g of route %s from %s to %s, %g every %d s", s.Cap, s.Route, s.From, s.To, s.Step, s.StepSeconds)}
+	case KindUnshift:
+		return []string{fmt.Sprintf("end shift %s", in.ShiftName)}
+	case KindAdmit:
+		w := in.Workspace
+		return []string{fmt.Sprintf("admit workspace %s: rate %g/s, burst %d, %d routes, %d keys", w.Name, w.Rate, w.Burst, len(w.Routes), len(w.Keys))}
+	case KindCutOff:
+		return []string{fmt.Sprintf("cut off workspace %s", in.WorkspaceName)}
+	case KindWithdrawKey:
+		return []string{fmt.Sprintf("withdraw key %s", in.KeyID)}
+	}
+	return []string{fmt.Sprintf("replace the configuration: %d services, %d routes, %d workspaces become %d, %d, %d",
+		len(before.Services), len(before.Routes), len(before.Workspaces),
+		len(after.Services), len(after.Routes), len(after.Workspaces))}
+}
+
+func headroom(before, after *config.Document) []Headroom {
+	type place struct{ service, region string }
+	old, next := slotsByPlace(before), slotsByPlace(after)
+	var rows []Headroom
+	for _, s := range after.Services {
+		for _, r := range after.Regions {
+			p := place{s.Name, r.Name}
+			if old[p] == 0 && next[p] == 0 {
+				continue
+			}
+			rows = append(rows, Headroom{Service: s.Name, Region: r.Name, SlotsBefore: old[p], SlotsAfter: next[p]})
+		}
+	}
+	return rows
+}
+
+func slotsByPlace(doc *config.Document) map[struct{ service, region string }]int {
+	snapshot := config.Compile(0, doc)
+	slots := map[struct{ service, region string }]int{}
+	for _, s := range doc.Services {
+		for _, t := range s.Targets {
+			if !snapshot.Drained(t.Name) {
+				slots[struct{ service, region string }{s.Name, snapshot.RegionOf(t.AvailabilityZone)}] += s.Slots
+			}
+		}
+	}
+	return slots
+}
+
+// exhausted refuses a plan that leaves a service without any slot.
+func exhausted(rows []Headroom) []string {
+	before, after := map[string]int{}, map[string]int{}
+	var names []string
+	for _, row := range rows {
+		if _, seen := before[row.Service]; !seen {
+			names = append(names, row.Service)
+		}
+		before[row.Service] += row.SlotsBefore
+		after[row.Service] += row.SlotsAfter
+	}
+	var out []string
+	for _, name := range names {
+		if before[name] > 0 && after[name] == 0 {
+			out = append(out, fmt.Sprintf("service %q would have no target left", name))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/operator/transport.go
@@ -0,0 +1,125 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+
+	"github.com/turmericfield/turmericfield/internal/intent"
+	"github.com/turmericfield/turmericfield/internal/platform"
+)
+
+// Paths of the operators' API.
+const (
+	PlanPath    = "/v1/plans"
+	ConfirmPath = "/v1/confirm"
+	StatusPath  = "/v1/status"
+)
+
+const maxRequestBytes = 64 << 20
+
+var (
+	errUnauthorized = errors.New("operator credential is missing or wrong")
+	errBadRequest   = errors.New("request is malformed")
+)
+
+// ConfirmRequest names the plan to confirm.
+type ConfirmRequest struct {
+	PlanID string `json:"plan_id"`
+}
+
+// ErrorResponse is the body of every answer that is not a success.
+type ErrorResponse struct {
+	Error string `json:"error"`
+	// Code is one of unauthorized, bad-request, unknown-plan, conflict,
+	// refused, store-unavailable, unknown-outcome, internal.
+	Code string `json:"code"`
+}
+
+// NewHandler returns the operators' API. Every request needs the token.
+func NewHandler(s *Service, token string) http.Handler {
+	auth := authorize(token)
+	options := []kithttp.ServerOption{
+		kithttp.ServerBefore(kithttp.PopulateRequestContext),
+		kithttp.ServerErrorEncoder(encodeError),
+	}
+	mux := http.NewServeMux()
+	mux.Handle("POST "+PlanPath, kithttp.NewServer(auth(planEndpoint(s)), decodeJSON[intent.Intent], kithttp.EncodeJSONResponse, options...))
+	mux.Handle("POST "+ConfirmPath, kithttp.NewServer(auth(confirmEndpoint(s)), decodeJSON[ConfirmRequest], kithttp.EncodeJSONResponse, options...))
+	mux.Handle("GET "+StatusPath, kithttp.NewServer(auth(statusEndpoint(s)), kithttp.NopRequestDecoder, kithttp.EncodeJSONResponse, options...))
+	return mux
+}
+
+func planEndpoint(s *Service) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) { return s.Plan(ctx, request.(intent.Intent)) }
+}
+
+func confirmEndpoint(s *Service) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		return s.Confirm(ctx, request.(ConfirmRequest).PlanID)
+	}
+}
+
+func statusEndpoint(s *Service) endpoint.Endpoint {
+	return func(ctx context.Context, _ any) (any, error) { return s.Status(ctx), nil }
+}
+
+// authorize compares the bearer token in constant time.
+func authorize(token string) endpoint.Middleware {
+	want := sha256.Sum256([]byte(token))
+	return func(next endpoint.Endpoint) endpoint.Endpoint {
+		return func(ctx context.Context, request any) (any, error) {
+			header, _ := ctx.Value(kithttp.ContextKeyRequestAuthorization).(string)
+			given, ok := strings.CutPrefix(header, "Bearer ")
+			got := sha256.Sum256([]byte(given))
+			if !ok || token == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+				return nil, errUnauthorized
+			}
+			return next(ctx, request)
+		}
+	}
+}
+
+func decodeJSON[T any](_ context.Context, r *http.Request) (any, error) {
+	var request T
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxRequestBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&request); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "request body"), errBadRequest)
+	}
+	return request, nil
+}
+
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	code, status := classify(err)
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(ErrorResponse{Error: err.Error(), Code: code})
+}
+
+func classify(err error) (string, int) {
+	switch {
+	case errors.Is(err, errUnauthorized):
+		return "unauthorized", http.StatusUnauthorized
+	case errors.Is(err, errBadRequest):
+		return "bad-request", http.StatusBadRequest
+	case errors.Is(err, intent.ErrUnknownPlan):
+		return "unknown-plan", http.StatusNotFound
+	case errors.Is(err, intent.ErrStalePlan):
+		return "conflict", http.StatusConflict
+	case errors.Is(err, intent.ErrRefused):
+		return "refused", http.StatusUnprocessableEntity
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		return "unknown-outcome", http.StatusGatewayTimeout
+	case errors.Is(err, platform.ErrUnavailable):
+		return "store-unavailable", http.StatusServiceUnavailable
+	}
+	return "internal", http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,140 @@
+// Package peer carries messages between the system's own instances over gRPC.
+// It decides nothing.
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/turmericfield/turmericfield/api/peerpb"
+)
+
+const (
+	keepaliveInterval = 10 * time.Second
+	keepaliveTimeout  = 3 * time.Second
+	sendTimeout       = 2 * time.Second
+	idleTimeout       = time.Minute
+)
+
+// Handler receives the messages of other instances.
+type Handler func(*peerpb.Envelope)
+
+// StatusFunc reports the state of this instance.
+type StatusFunc func() *peerpb.StatusResponse
+
+// Network sends messages to other instances and receives theirs.
+type Network struct {
+	peerpb.UnimplementedPeerServer
+
+	self    string
+	creds   credentials.TransportCredentials
+	handler Handler
+	status  StatusFunc
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn // by IP:port
+}
+
+// New returns a network for the named instance. Nil credentials mean plain
+// text.
+func New(self string, creds credentials.TransportCredentials, handler Handler, status StatusFunc) *Network {
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	return &Network{self: self, creds: creds, handler: handler, status: status, conns: map[string]*grpc.ClientConn{}}
+}
+
+// Serve receives messages on the listener until the context ends. Nil server
+// credentials mean plain text.
+func (n *Network) Serve(ctx context.Context, listener net.Listener, creds credentials.TransportCredentials) error {
+	options := []grpc.ServerOption{
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
+	}
+	if creds != nil {
+		options = append(options, grpc.Creds(creds))
+	}
+	server := grpc.NewServer(options...)
+	peerpb.RegisterPeerServer(server, n)
+	stop := context.AfterFunc(ctx, server.Stop)
+	defer stop()
+	err := server.Serve(listener)
+	if ctx.Err() != nil || errors.Is(err, grpc.ErrServerStopped) {
+		return nil
+	}
+	return errors.Wrapf(err, "peer listener %s", listener.Addr())
+}
+
+// Deliver implements the peer service.
+func (n *Network) Deliver(_ context.Context, e *peerpb.Envelope) (*peerpb.Acknowledgement, error) {
+	n.handler(e)
+	return &peerpb.Acknowledgement{}, nil
+}
+
+// Status implements the peer service.
+func (n *Network) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
+	return n.status(), nil
+}
+
+// Send delivers a message to the instance at an IP:port. An error leaves it
+// open whether the message arrived.
+func (n *Network) Send(ctx context.Context, address string, e *peerpb.Envelope) error {
+	conn, err := n.conn(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	e.From = n.self
+	_, err = peerpb.NewPeerClient(conn).Deliver(ctx, e)
+	return errors.Wrapf(err, "send to %s", address)
+}
+
+// StatusOf asks the instance at an IP:port for its state.
+func (n *Network) StatusOf(ctx context.Context, address string) (*peerpb.StatusResponse, error) {
+	conn, err := n.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	status, err := peerpb.NewPeerClient(conn).Status(ctx, &peerpb.StatusRequest{})
+	return status, errors.Wrapf(err, "status of %s", address)
+}
+
+// Close closes all connections.
+func (n *Network) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, conn := range n.conns {
+		_ = conn.Close()
+		delete(n.conns, address)
+	}
+}
+
+func (n *Network) conn(address string) (*grpc.ClientConn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if conn := n.conns[address]; conn != nil {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(n.creds),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}))
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer address %q", address)
+	}
+	n.conns[address] = conn
+	return conn, nil
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,179 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"github.com/turmericfield/turmericfield/api/platformpb"
+)
+
+const (
+	keepaliveInterval = 10 * time.Second
+	keepaliveTimeout  = 3 * time.Second
+	maxMessageBytes   = 16 << 20
+)
+
+// Client talks to the platform over gRPC. It connects lazily, so that a
+// process can start while the platform is down.
+type Client struct {
+	conn *grpc.ClientConn
+	rpc  platformpb.PlatformClient
+}
+
+var (
+	_ Store        = (*Client)(nil)
+	_ InstanceList = (*Client)(nil)
+)
+
+// Dial returns a client of the platform at an IP:port. Nil credentials mean
+// plain text.
+func Dial(address string, creds credentials.TransportCredentials) (*Client, error) {
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(creds),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}))
+	if err != nil {
+		return nil, errors.Wrapf(err, "platform address %q", address)
+	}
+	return &Client{conn: conn, rpc: platformpb.NewPlatformClient(conn)}, nil
+}
+
+// Close closes the connection.
+func (c *Client) Close() error { return c.conn.Close() }
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	answer, err := c.rpc.Get(ctx, &platformpb.GetRequest{Key: key})
+	if err != nil {
+		return Entry{}, readError(err)
+	}
+	return entryFromProto(answer.GetEntry()), nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]Entry, uint64, error) {
+	answer, err := c.rpc.List(ctx, &platformpb.ListRequest{Prefix: prefix})
+	if err != nil {
+		return nil, 0, readError(err)
+	}
+	entries := make([]Entry, len(answer.GetEntries()))
+	for i, e := range answer.GetEntries() {
+		entries[i] = entryFromProto(e)
+	}
+	return entries, answer.GetStoreRevision(), nil
+}
+
+// CompareAndSwap implements Store.
+func (c *Client) CompareAndSwap(ctx context.Context, w Write) (bool, Entry, error) {
+	if len(w.Value) > MaxValueBytes {
+		return false, Entry{}, errors.Wrapf(ErrValueTooLarge, "key %q, %d bytes", w.Key, len(w.Value))
+	}
+	answer, err := c.rpc.CompareAndSwap(ctx, &platformpb.CompareAndSwapRequest{
+		Key: w.Key, ExpectedRevision: w.ExpectedRevision, Value: w.Value, LeaseId: w.LeaseID, Delete: w.Delete,
+	})
+	if err != nil {
+		return false, Entry{}, writeError(err)
+	}
+	return answer.GetSwapped(), entryFromProto(answer.GetEntry()), nil
+}
+
+// GrantLease implements Store.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (uint64, error) {
+	answer, err := c.rpc.GrantLease(ctx, &platformpb.GrantLeaseRequest{TtlMs: ttl.Milliseconds()})
+	if err != nil {
+		return 0, writeError(err)
+	}
+	return answer.GetLeaseId(), nil
+}
+
+// RenewLease implements Store.
+func (c *Client) RenewLease(ctx context.Context, id uint64) error {
+	_, err := c.rpc.RenewLease(ctx, &platformpb.RenewLeaseRequest{LeaseId: id})
+	return writeError(err)
+}
+
+// RevokeLease implements Store.
+func (c *Client) RevokeLease(ctx context.Context, id uint64) error {
+	_, err := c.rpc.RevokeLease(ctx, &platformpb.RevokeLeaseRequest{LeaseId: id})
+	return writeError(err)
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, onChange func([]Change, uint64)) error {
+	stream, err := c.rpc.Watch(ctx, &platformpb.WatchRequest{Prefix: prefix, AfterRevision: after})
+	if err != nil {
+		return readError(err)
+	}
+	for {
+		answer, err := stream.Recv()
+		if err != nil {
+			return readError(err)
+		}
+		changes := make([]Change, len(answer.GetChanges()))
+		for i, c := range answer.GetChanges() {
+			changes[i] = Change{Entry: entryFromProto(c.GetEntry()), Deleted: c.GetDeleted()}
+		}
+		onChange(changes, answer.GetStoreRevision())
+	}
+}
+
+// ListInstances implements InstanceList.
+func (c *Client) ListInstances(ctx context.Context) ([]Instance, error) {
+	answer, err := c.rpc.ListInstances(ctx, &platformpb.ListInstancesRequest{})
+	if err != nil {
+		return nil, readError(err)
+	}
+	instances := make([]Instance, len(answer.GetInstances()))
+	for i, in := range answer.GetInstances() {
+		instances[i] = Instance{
+			Name: in.GetName(), AvailabilityZone: in.GetAvailabilityZone(),
+			Address: in.GetAddress(), PeerAddress: in.GetPeerAddress(), State: InstanceLive,
+		}
+		if in.GetState() == platformpb.InstanceState_INSTANCE_STATE_LEAVING {
+			instances[i].State = InstanceLeaving
+		}
+	}
+	return instances, nil
+}
+
+func entryFromProto(e *platformpb.Entry) Entry {
+	return Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), LeaseID: e.GetLeaseId()}
+}
+
+func readError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Mark(errors.Wrap(err, "read"), ErrUnavailable)
+}
+
+// writeError tells writes that surely did not happen from those whose outcome
+// is unknown. gRPC reports Unavailable also after the request was sent, so
+// only explicit refusals of the store are certain.
+func writeError(err error) error {
+	if err == nil {
+		return nil
+	}
+	switch status.Code(err) {
+	case codes.NotFound:
+		return errors.Mark(err, ErrLeaseExpired)
+	case codes.InvalidArgument:
+		return errors.Mark(err, ErrValueTooLarge)
+	case codes.ResourceExhausted, codes.FailedPrecondition:
+		return errors.Mark(err, ErrUnavailable)
+	}
+	return errors.Mark(errors.Wrap(err, "write"), ErrUnknownOutcome)
+}
--- /dev/null
+++ b/internal/server/options.go
@@ -0,0 +1,57 @@
+package server
+
+import (
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/settings"
+)
+
+// Options are the settings of one instance.
+type Options struct {
+	// Name of the instance, unique in the fleet.
+	Name string
+	// AvailabilityZone that the instance runs in.
+	AvailabilityZone string
+	// Listen is the IP:port for callers.
+	Listen string
+	// PeerListen is the IP:port for other instances.
+	PeerListen string
+	// OperatorListen is the IP:port of the operators' API, health and metrics.
+	OperatorListen string
+	// Platform is the IP:port of the platform.
+	Platform string
+	// OperatorToken is the credential of the operators' API.
+	OperatorToken string
+	// KeyFreshness bounds how long keys are trusted without news from the
+	// store.
+	KeyFreshness time.Duration
+	// DrainDelay is how long a leaving instance goes on serving callers that
+	// hold cached look-up answers.
+	DrainDelay time.Duration
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+}
+
+// Validate reports every fault of the options.
+func (o Options) Validate() error {
+	var p settings.Problems
+	p.NonEmpty("name", o.Name)
+	p.NonEmpty("zone", o.AvailabilityZone)
+	p.Address("listen", o.Listen)
+	p.Address("peer-listen", o.PeerListen)
+	p.Address("operator-listen", o.OperatorListen)
+	p.Address("platform", o.Platform)
+	p.NonEmpty("operator-token", o.OperatorToken)
+	if o.KeyFreshness <= 0 {
+		p.Add("key-freshness", "must be above 0, is %s", o.KeyFreshness)
+	}
+	if o.DrainDelay < 0 {
+		p.Add("drain-delay", "must not be negative, is %s", o.DrainDelay)
+	}
+	switch o.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		p.Add("log-level", "%q is not debug, info, warn or error", o.LogLevel)
+	}
+	return p.Err()
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,202 @@
+// Package server assembles one instance from its parts and takes it through
+// its life: provision, start, stop.
+package server
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/turmericfield/turmericfield/api/peerpb"
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/entry"
+	"github.com/turmericfield/turmericfield/internal/invariant"
+	"github.com/turmericfield/turmericfield/internal/limit"
+	"github.com/turmericfield/turmericfield/internal/logging"
+	"github.com/turmericfield/turmericfield/internal/membership"
+	"github.com/turmericfield/turmericfield/internal/operator"
+	"github.com/turmericfield/turmericfield/internal/peer"
+	"github.com/turmericfield/turmericfield/internal/placement"
+	"github.com/turmericfield/turmericfield/internal/platform"
+	"github.com/turmericfield/turmericfield/internal/steering"
+)
+
+// Server is one instance.
+type Server struct {
+	options    Options
+	log        *logging.Log
+	platform   *platform.Client
+	network    *peer.Network
+	invariants *invariant.Recorder
+	entry      *entry.Handler
+	limiter    *limit.StaticShares
+	placer     *placement.Placer
+
+	snapshot  atomic.Pointer[config.Snapshot]
+	storeSeen atomic.Int64 // time of the last word from the store, Unix ns
+
+	mu   sync.Mutex // guards view
+	view *membership.View
+
+	callers, peers, operators net.Listener
+}
+
+// Provision builds an instance from validated options. It binds its addresses
+// but serves nothing yet.
+func Provision(o Options, logs io.Writer) (*Server, error) {
+	client, err := platform.Dial(o.Platform, nil)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		options: o, log: logging.New(logs, o.LogLevel), platform: client,
+		placer: placement.New(o.AvailabilityZone), limiter: limit.NewStaticShares(1),
+	}
+	s.snapshot.Store(config.Compile(0, &config.Document{}))
+	s.invariants = &invariant.Recorder{OnViolation: s.reportViolation}
+	s.view = membership.New(membership.Member{
+		Name: o.Name, AvailabilityZone: o.AvailabilityZone, Address: o.Listen, PeerAddress: o.PeerListen,
+	})
+	s.network = peer.New(o.Name, nil, s.receive, s.peerStatus)
+	s.entry = entry.NewHandler(entry.Options{
+		Snapshot: s.snapshot.Load, Lookup: s.lookup, KeysFresh: s.keysFresh,
+		Limiter: s.limiter, Placer: s.placer, Invariants: s.invariants,
+		Log: s.log.Part("entry"), Now: time.Now,
+	})
+	return s, s.bind()
+}
+
+func (s *Server) bind() error {
+	for _, b := range []struct {
+		flag, address string
+		listener      *net.Listener
+	}{
+		{"listen", s.options.Listen, &s.callers},
+		{"peer-listen", s.options.PeerListen, &s.peers},
+		{"operator-listen", s.options.OperatorListen, &s.operators},
+	} {
+		listener, err := net.Listen("tcp", b.address)
+		if err != nil {
+			s.closeListeners()
+			return errors.Wrapf(err, "--%s", b.flag)
+		}
+		*b.listener = listener
+	}
+	return nil
+}
+
+func (s *Server) closeListeners() {
+	for _, l := range []net.Listener{s.callers, s.peers, s.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Run serves until stop is done, then leaves gracefully. kill ends everything
+// at once.
+func (s *Server) Run(stop, kill context.Context) error {
+	work, cancel := context.WithCancel(kill)
+	defer cancel()
+	group, ctx := errgroup.WithContext(work)
+	callers := entry.NewServer(s.entry)
+	operators := &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: 5 * time.Second}
+	group.Go(func() error { return serveHTTP(callers, s.callers) })
+	group.Go(func() error { return serveHTTP(operators, s.operators) })
+	group.Go(func() error { return s.network.Serve(ctx, s.peers, nil) })
+	group.Go(func() error { s.followConfiguration(ctx); return nil })
+	group.Go(func() error { s.followInstances(ctx); return nil })
+	group.Go(func() error {
+		select {
+		case <-stop.Done():
+			s.leave(kill, callers)
+		case <-ctx.Done():
+		}
+		cancel()
+		_ = callers.Close()
+		_ = operators.Close()
+		return nil
+	})
+	s.part("server").Info().Str("name", s.options.Name).Str("zone", s.options.AvailabilityZone).
+		Str("listen", s.options.Listen).Msg("server: started")
+	err := group.Wait()
+	s.network.Close()
+	_ = s.platform.Close()
+	s.part("server").Info().Msg("server: stopped")
+	return errors.CombineErrors(err, s.log.Close())
+}
+
+// leave stops being named in look-ups, waits for cached answers to run out,
+// refuses new requests and finishes those in flight.
+func (s *Server) leave(kill context.Context, callers *http.Server) {
+	s.part("server").Info().Msg("server: leaving")
+	s.mu.Lock()
+	s.view.SetLeaving()
+	s.mu.Unlock()
+	select {
+	case <-time.After(s.options.DrainDelay):
+	case <-kill.Done():
+	}
+	s.entry.Drain()
+	if err := callers.Shutdown(kill); err != nil {
+		s.part("server").Warn().Err(err).Msg("server: ended with requests in flight")
+	}
+}
+
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (s *Server) part(name string) *log.Logger { return s.log.Part(name) }
+
+func (s *Server) reportViolation(name invariant.Name, detail string) {
+	s.part("invariant").Error().Str("name", string(name)).Str("detail", detail).Msg("invariant: violated")
+}
+
+func (s *Server) receive(*peerpb.Envelope) {}
+
+func (s *Server) peerStatus() *peerpb.StatusResponse {
+	return &peerpb.StatusResponse{
+		Name: s.options.Name, AvailabilityZone: s.options.AvailabilityZone,
+		Version: s.snapshot.Load().Version, InFlight: s.entry.InFlight(),
+	}
+}
+
+func (s *Server) members() []membership.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Members()
+}
+
+func (s *Server) lookup(caller string) steering.Answer {
+	answer := steering.Lookup(caller, s.members(), func(membership.Member) bool { return false })
+	s.part("steering").Info().Str("caller", caller).Int("instances", len(answer.Instances)).Msg("steering: answered a look-up")
+	return answer
+}
+
+func (s *Server) operatorHandler() http.Handler {
+	service := &operator.Service{Store: s.platform, Fleet: s, Now: time.Now}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", operator.NewHandler(service, s.options.OperatorToken))
+	mux.HandleFunc("GET /health", s.serveHealth)
+	return mux
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if s.snapshot.Load().Version == 0 {
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,76 @@
+// Package settings binds command-line flags to environment variables and
+// reports every fault of a process's settings at once.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/pflag"
+)
+
+// EnvPrefix begins the name of every environment variable.
+const EnvPrefix = "TURMERICFIELD_"
+
+// EnvName returns the environment variable of a flag.
+func EnvName(flag string) string {
+	return EnvPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// Document adds the name of the environment variable to each flag's help.
+func Document(flags *pflag.FlagSet) {
+	flags.VisitAll(func(f *pflag.Flag) {
+		if f.Name != "help" && !strings.Contains(f.Usage, EnvPrefix) {
+			f.Usage += " (env " + EnvName(f.Name) + ")"
+		}
+	})
+}
+
+// ReadEnvironment sets every flag that the command line left out from its
+// environment variable. All faults are reported together.
+func ReadEnvironment(flags *pflag.FlagSet) error {
+	var problems Problems
+	flags.VisitAll(func(f *pflag.Flag) {
+		value, ok := os.LookupEnv(EnvName(f.Name))
+		if !ok || f.Changed || f.Name == "help" {
+			return
+		}
+		if err := flags.Set(f.Name, value); err != nil {
+			problems.Add(f.Name, "environment variable %s: %v", EnvName(f.Name), err)
+		}
+	})
+	return problems.Err()
+}
+
+// Problems collects the faults of settings.
+type Problems []string
+
+// Add records a fault of a flag.
+func (p *Problems) Add(flag, format string, args ...any) {
+	*p = append(*p, fmt.Sprintf("--%s: ", flag)+fmt.Sprintf(format, args...))
+}
+
+// Address records a fault unless the value is IP:port.
+func (p *Problems) Address(flag, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		p.Add(flag, "%q is not IP:port", value)
+	}
+}
+
+// NonEmpty records a fault if the value is empty.
+func (p *Problems) NonEmpty(flag, value string) {
+	if value == "" {
+		p.Add(flag, "must be set")
+	}
+}
+
+// Err returns nil if there is no fault.
+func (p Problems) Err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return errors.Newf("settings:\n  %s", strings.Join(p, "\n  "))
+}
--- /dev/null
+++ b/test/scripts/scripts_test.go
@@ -0,0 +1,119 @@
+// Package scripts runs the command line as real processes.
+package scripts
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/turmericfield/turmericfield/internal/command"
+)
+
+const (
+	pollInterval = 50 * time.Millisecond
+	pollLimit    = 600 // 30 s of patience with a busy machine
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"turmericfield": func() { os.Exit(command.Main()) },
+	})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"http":       httpCommand,
+			"eventually": eventually,
+			"capture":    capture,
+		},
+	})
+}
+
+// httpCommand is "http METHOD URL [Header=value ...]": it sends a request and
+// writes status, header and body to the file http.txt.
+func httpCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: http METHOD URL [Header=value ...]")
+	}
+	text, err := request(args)
+	if neg != (err != nil) {
+		ts.Fatalf("http %s: %v", strings.Join(args, " "), err)
+	}
+	ts.Check(os.WriteFile(ts.MkAbs("http.txt"), []byte(text), 0o600))
+}
+
+func request(args []string) (string, error) {
+	r, err := http.NewRequest(args[0], args[1], nil)
+	if err != nil {
+		return "", err
+	}
+	for _, h := range args[2:] {
+		name, value, _ := strings.Cut(h, "=")
+		r.Header.Set(name, value)
+	}
+	response, err := (&http.Client{Timeout: 10 * time.Second}).Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	var header strings.Builder
+	_ = response.Header.Write(&header)
+	return fmt.Sprintf("status %d\n%s\n%s", response.StatusCode, header.String(), body), err
+}
+
+// eventually is "eventually PATTERN COMMAND...": it repeats a turmericfield
+// command or an http request until its output holds the pattern.
+func eventually(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: eventually PATTERN COMMAND...")
+	}
+	var output string
+	for range pollLimit {
+		output = attempt(ts, args[1:])
+		if strings.Contains(output, args[0]) {
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+	ts.Fatalf("%q never appeared; last output:\n%s", args[0], output)
+}
+
+func attempt(ts *testscript.TestScript, args []string) string {
+	if args[0] == "http" {
+		text, err := request(args[1:])
+		if err != nil {
+			return err.Error()
+		}
+		return text
+	}
+	// A failing command is part of what is polled for.
+	_ = ts.Exec(args[0], args[1:]...)
+	return ts.ReadFile("stdout") + ts.ReadFile("stderr")
+}
+
+// capture is "capture VARIABLE LINE WORD": it stores a word of the last
+// command's output in an environment variable; both are counted from 1.
+func capture(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: capture VARIABLE LINE WORD")
+	}
+	line, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	word, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	lines := strings.Split(ts.ReadFile("stdout"), "\n")
+	if line > len(lines) || word > len(strings.Fields(lines[line-1])) {
+		ts.Fatalf("no word %d on line %d of:\n%s", word, line, strings.Join(lines, "\n"))
+	}
+	ts.Setenv(args[0], strings.Fields(lines[line-1])[word-1])
+}
