Add the seams for freshness evidence, seats and peers' messages

Cause: rates, keys, budgets and configuration need one mechanism for rights that end. Change: a freshness tracker (evidence with an age, pulled, so that no clocks are compared), the seat interface, a message type for each part, and loopback networks of their own for script tests.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -30,14 +30,23 @@
 // StatusFunc reports the state of this instance.
 type StatusFunc func() *peerpb.StatusResponse
 
+// SyncFunc answers another instance's pull.
+type SyncFunc func(*peerpb.SyncRequest) *peerpb.SyncResponse
+
+// Handlers are the parts of an instance that answer its peers.
+type Handlers struct {
+	Receive Handler
+	Status  StatusFunc
+	Sync    SyncFunc
+}
+
 // Network sends messages to other instances and receives theirs.
 type Network struct {
 	peerpb.UnimplementedPeerServer
 
-	self    string
-	creds   credentials.TransportCredentials
-	handler Handler
-	status  StatusFunc
+	self     string
+	creds    credentials.TransportCredentials
+	handlers Handlers
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn // by IP:port
@@ -45,11 +54,11 @@
 
 // New returns a network for the named instance. Nil credentials mean plain
 // text.
-func New(self string, creds credentials.TransportCredentials, handler Handler, status StatusFunc) *Network {
+func New(self string, creds credentials.TransportCredentials, handlers Handlers) *Network {
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
-	return &Network{self: self, creds: creds, handler: handler, status: status, conns: map[string]*grpc.ClientConn{}}
+	return &Network{self: self, creds: creds, handlers: handlers, conns: map[string]*grpc.ClientConn{}}
 }
 
 // Serve receives messages on the listener until the context ends. Nil server
@@ -75,13 +84,31 @@
 
 // Deliver implements the peer service.
 func (n *Network) Deliver(_ context.Context, e *peerpb.Envelope) (*peerpb.Acknowledgement, error) {
-	n.handler(e)
+	n.handlers.Receive(e)
 	return &peerpb.Acknowledgement{}, nil
 }
 
 // Status implements the peer service.
 func (n *Network) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
-	return n.status(), nil
+	return n.handlers.Status(), nil
+}
+
+// Sync implements the peer service.
+func (n *Network) Sync(_ context.Context, r *peerpb.SyncRequest) (*peerpb.SyncResponse, error) {
+	return n.handlers.Sync(r), nil
+}
+
+// Pull asks the instance at an IP:port for what this one lacks.
+func (n *Network) Pull(ctx context.Context, address string, r *peerpb.SyncRequest) (*peerpb.SyncResponse, error) {
+	conn, err := n.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	r.From = n.self
+	response, err := peerpb.NewPeerClient(conn).Sync(ctx, r)
+	return response, errors.Wrapf(err, "pull from %s", address)
 }
 
 // Send delivers a message to the instance at an IP:port. An error leaves it
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/freshness"
 	"github.com/turmericfield/turmericfield/internal/invariant"
 	"github.com/turmericfield/turmericfield/internal/membership"
 	"github.com/turmericfield/turmericfield/internal/operator"
@@ -13,6 +14,7 @@
 
 const (
 	listPeriod   = time.Second
+	readPeriod   = 500 * time.Millisecond
 	retryPeriod  = 500 * time.Millisecond
 	storeTimeout = 2 * time.Second
 )
@@ -28,20 +30,32 @@
 }
 
 func (s *Server) watchConfiguration(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := s.readConfiguration(ctx); err != nil {
+			return err
+		}
+		sleep(ctx, readPeriod)
+	}
+	return ctx.Err()
+}
+
+// readConfiguration reads the record once. What was accepted before the read
+// was sent is in force afterwards.
+func (s *Server) readConfiguration(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	sent := time.Now()
 	entry, err := s.platform.Get(callCtx, operator.RecordKey)
 	if err != nil {
 		return err
 	}
-	s.storeSeen.Store(time.Now().UnixNano())
 	s.accept(entry)
-	return s.platform.Watch(ctx, operator.RecordKey, entry.Revision, func(changes []platform.Change, _ uint64) {
-		s.storeSeen.Store(time.Now().UnixNano())
-		for _, c := range changes {
-			s.accept(c.Entry)
-		}
-	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := freshness.Versions{Config: s.snapshot.Load().Version}
+	s.freshness.Hold(held)
+	s.freshness.Observe(sent, held)
+	return nil
 }
 
 func (s *Server) accept(entry platform.Entry) {
@@ -66,9 +80,11 @@
 	s.part("config").Info().Uint64("version", snapshot.Version).Msg("config: in force")
 }
 
-// keysFresh tells whether the store has been heard from within the bound.
+// keysFresh tells whether every withdrawal older than the bound is known here.
 func (s *Server) keysFresh(now time.Time) bool {
-	return now.UnixNano()-s.storeSeen.Load() <= int64(s.options.KeyFreshness)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.freshness.Fresh(now, s.options.KeyFreshness)
 }
 
 // followInstances merges the platform's list into the view.
--- /dev/null
+++ b/internal/server/receive.go
@@ -0,0 +1,17 @@
+package server
+
+import "github.com/turmericfield/turmericfield/api/peerpb"
+
+// receive hands a peer's message to the part that it is meant for.
+func (s *Server) receive(e *peerpb.Envelope) {
+	switch m := e.GetMessage().(type) {
+	case *peerpb.Envelope_Limit:
+		s.receiveLimit(e.GetFrom(), m.Limit)
+	case *peerpb.Envelope_Placement:
+		s.receivePlacement(e.GetFrom(), m.Placement)
+	case *peerpb.Envelope_Membership:
+		s.receiveMembership(e.GetFrom(), m.Membership)
+	case *peerpb.Envelope_Seat:
+		s.receiveSeat(e.GetFrom(), m.Seat)
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 	"github.com/turmericfield/turmericfield/api/peerpb"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/entry"
+	"github.com/turmericfield/turmericfield/internal/freshness"
 	"github.com/turmericfield/turmericfield/internal/invariant"
 	"github.com/turmericfield/turmericfield/internal/limit"
 	"github.com/turmericfield/turmericfield/internal/logging"
@@ -40,11 +41,11 @@
 	limiter    *limit.StaticShares
 	placer     *placement.Placer
 
-	snapshot  atomic.Pointer[config.Snapshot]
-	storeSeen atomic.Int64 // time of the last word from the store, Unix ns
+	snapshot atomic.Pointer[config.Snapshot]
 
-	mu   sync.Mutex // guards view
-	view *membership.View
+	mu        sync.Mutex // guards view and freshness
+	view      *membership.View
+	freshness freshness.Tracker
 
 	callers, peers, operators net.Listener
 }
@@ -65,7 +66,7 @@
 	s.view = membership.New(membership.Member{
 		Name: o.Name, AvailabilityZone: o.AvailabilityZone, Address: o.Listen, PeerAddress: o.PeerListen,
 	})
-	s.network = peer.New(o.Name, nil, s.receive, s.peerStatus)
+	s.network = peer.New(o.Name, nil, peer.Handlers{Receive: s.receive, Status: s.peerStatus, Sync: s.answerSync})
 	s.entry = entry.NewHandler(entry.Options{
 		Snapshot: s.snapshot.Load, Lookup: s.lookup, KeysFresh: s.keysFresh,
 		Limiter: s.limiter, Placer: s.placer, Invariants: s.invariants,
@@ -164,8 +165,6 @@
 	s.part("invariant").Error().Str("name", string(name)).Str("detail", detail).Msg("invariant: violated")
 }
 
-func (s *Server) receive(*peerpb.Envelope) {}
-
 func (s *Server) peerStatus() *peerpb.StatusResponse {
 	return &peerpb.StatusResponse{
 		Name: s.options.Name, AvailabilityZone: s.options.AvailabilityZone,
--- a/test/scripts/scripts_test.go
+++ b/test/scripts/scripts_test.go
@@ -4,10 +4,13 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,10 +37,50 @@
 			"http":       httpCommand,
 			"eventually": eventually,
 			"capture":    capture,
+			"expand":     expand,
+		},
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("NET", network())
+			return nil
 		},
 	})
 }
 
+var networks atomic.Int64
+
+// network returns the first three numbers of a loopback network that no other
+// script uses, in this process or another.
+func network() string {
+	for {
+		n := int64(os.Getpid()) + 257*networks.Add(1)
+		prefix := fmt.Sprintf("127.%d.%d", 1+n%200, n/200%256)
+		listener, err := net.Listen("tcp", prefix+".254:17000")
+		if err == nil {
+			reservedMu.Lock()
+			reserved = append(reserved, listener)
+			reservedMu.Unlock()
+			return prefix
+		}
+	}
+}
+
+// reserved holds the listeners that mark networks as used.
+var (
+	reservedMu sync.Mutex
+	reserved   []net.Listener
+)
+
+// expand is "expand FILE...": it replaces $NET in files.
+func expand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg {
+		ts.Fatalf("usage: expand FILE...")
+	}
+	for _, file := range args {
+		text := strings.ReplaceAll(ts.ReadFile(file), "$NET", ts.Getenv("NET"))
+		ts.Check(os.WriteFile(ts.MkAbs(file), []byte(text), 0o600))
+	}
+}
+
 // httpCommand is "http METHOD URL [Header=value ...]": it sends a request and
 // writes status, header and body to the file http.txt.
 func httpCommand(ts *testscript.TestScript, neg bool, args []string) {
