--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -1,12 +1,15 @@
-// Package attempt decides what the outcome of one try of a request is and
-// whether another try is allowed. It is a deterministic core without I/O.
+// Package attempt takes one request through its tries. It is a deterministic
+// core without I/O: events of a try come in, and the next step goes out. It
+// decides whether another try is allowed, and what a caller may truthfully be
+// told of a request that has no answer.
 package attempt
 
-// Outcome is what is known of a request after a try.
+import "time"
+
+// Outcome is what is known of a request.
 type Outcome string
 
-// Outcomes. Only NotRun allows another try of a request that may not be
-// repeated.
+// Outcomes of a request.
 const (
 	Answered Outcome = "answered"
 	NotRun   Outcome = "not-run"
@@ -16,10 +19,167 @@
 // MaxTries bounds the tries of one request.
 const MaxTries = 3
 
-// Retry tells whether another try is allowed after the given number of tries.
-func Retry(outcome Outcome, repeatable bool, tries int) bool {
-	if tries >= MaxTries {
+// EventKind is what happened to a try.
+type EventKind int
+
+// Kinds of events. The first group proves that the try did not run.
+const (
+	// NoTarget: placement had no target for a try.
+	NoTarget EventKind = iota
+	// DialFailed: no connection to the target was made.
+	DialFailed
+	// WroteNothing: a connection was made, but no byte was sent on it.
+	WroteNothing
+	// Shed: the target said in a proven answer that it did not run the request.
+	Shed
+
+	// Broken: the connection failed after something was sent on it.
+	Broken
+	// Silent: no answer came within the decision's HeaderWait.
+	Silent
+	// WrongRequestID: the answer belongs to another request.
+	WrongRequestID
+	// Unprovable: the answer has no mark of its end, so that a cut could not be
+	// told from it.
+	Unprovable
+
+	// AnswerHeader: the header of this request's own answer has come.
+	AnswerHeader
+	// BodyComplete: the whole answer has been passed on.
+	BodyComplete
+	// CutShort: the answer broke off while it was passed on.
+	CutShort
+)
+
+// ProvesNotRun tells whether the event proves that its try did not run.
+func (k EventKind) ProvesNotRun() bool { return k <= Shed }
+
+// Event is the end of a step of the current try.
+type Event struct {
+	Kind EventKind
+	// BodySpent says that the request's body cannot be sent again.
+	BodySpent bool
+	// Ended says that the deadline has passed or the caller has gone.
+	Ended bool
+	// Remaining is the time to the deadline.
+	Remaining time.Duration
+}
+
+// Action is what to do next.
+type Action int
+
+// Actions.
+const (
+	// Try sends the request to a target that has not had it.
+	Try Action = iota
+	// Forward passes the answer on to the caller.
+	Forward
+	// TellNotRun ends the request with a refusal.
+	TellNotRun
+	// TellUnknown ends the request, which may have run, without an answer.
+	TellUnknown
+	// Abort breaks the caller's connection, so that a part of an answer is
+	// never taken for a whole one.
+	Abort
+	// Finish ends the request: its answer has been passed on.
+	Finish
+)
+
+// Decision is the next step of a request.
+type Decision struct {
+	Action Action
+	// OwnConnection says that the try uses a connection that no request has
+	// used before, on which nothing replays it.
+	OwnConnection bool
+	// HeaderWait bounds the time until the answer's header of a try; 0 means
+	// the deadline alone does.
+	HeaderWait time.Duration
+}
+
+// Machine is one request. It is not safe for concurrent use.
+type Machine struct {
+	repeatable bool
+	budget     *Budget
+	tries      int
+	mayHaveRun bool
+}
+
+// New returns the machine of a request. Repeatable says that running it twice
+// does no harm. Requests of one instance share the budget.
+func New(repeatable bool, budget *Budget) *Machine {
+	return &Machine{repeatable: repeatable, budget: budget}
+}
+
+// Start returns the first step; remaining is the time to the deadline.
+func (m *Machine) Start(remaining time.Duration) Decision {
+	m.budget.deposit()
+	return m.try(remaining)
+}
+
+// Tries returns the number of tries begun.
+func (m *Machine) Tries() int { return m.tries }
+
+// MayHaveRun tells whether a target may have run the request.
+func (m *Machine) MayHaveRun() bool { return m.mayHaveRun }
+
+// Outcome returns what may be told of the request if it gets no answer.
+func (m *Machine) Outcome() Outcome {
+	if m.mayHaveRun {
+		return Unknown
+	}
+	return NotRun
+}
+
+// Handle takes in an event and returns the next step.
+func (m *Machine) Handle(e Event) Decision {
+	if !e.Kind.ProvesNotRun() {
+		m.mayHaveRun = true
+	}
+	switch e.Kind {
+	case AnswerHeader:
+		return Decision{Action: Forward}
+	case BodyComplete:
+		return Decision{Action: Finish}
+	case CutShort:
+		return Decision{Action: Abort}
+	case NoTarget:
+		return m.tell()
+	}
+	if m.mayTryAgain(e) {
+		return m.try(e.Remaining)
+	}
+	return m.tell()
+}
+
+func (m *Machine) mayTryAgain(e Event) bool {
+	if e.Ended || e.Remaining <= 0 || e.BodySpent || m.tries >= MaxTries {
 		return false
 	}
-	return outcome == NotRun || outcome == Unknown && repeatable
+	if m.mayHaveRun && !m.repeatable {
+		return false
+	}
+	if e.Kind == DialFailed || e.Kind == WroteNothing {
+		return true // costs no target any work
+	}
+	return m.budget.withdraw()
+}
+
+func (m *Machine) try(remaining time.Duration) Decision {
+	m.tries++
+	d := Decision{Action: Try, OwnConnection: !m.repeatable || m.tries > 1}
+	if m.repeatable && m.tries < MaxTries {
+		d.HeaderWait = remaining / headerWaitParts
+	}
+	return d
+}
+
+// headerWaitParts: a try that may be repeated waits for this part of the
+// remaining time, so that another one still has time to finish.
+const headerWaitParts = 2
+
+func (m *Machine) tell() Decision {
+	if m.mayHaveRun {
+		return Decision{Action: TellUnknown}
+	}
+	return Decision{Action: TellNotRun}
 }
--- /dev/null
+++ b/internal/attempt/attempt_test.go
@@ -0,0 +1,78 @@
+package attempt_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/turmericfield/turmericfield/internal/attempt"
+)
+
+// TestMachine drives requests through random events and checks each decision
+// against what the events prove.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := attempt.NewBudget()
+		for range rapid.IntRange(1, 30).Draw(t, "requests") {
+			checkRequest(t, budget)
+		}
+	})
+}
+
+func checkRequest(t *rapid.T, budget *attempt.Budget) {
+	repeatable := rapid.Bool().Draw(t, "repeatable")
+	m := attempt.New(repeatable, budget)
+	d := m.Start(time.Second)
+	unsure := 0 // tries that may have run
+	for tries := 1; d.Action == attempt.Try; tries++ {
+		if tries > attempt.MaxTries {
+			t.Fatalf("%d tries", tries)
+		}
+		if !repeatable && (unsure > 0 || !d.OwnConnection || d.HeaderWait != 0) {
+			t.Fatalf("try %d of a request that may not be repeated, %d before may have run: %+v", tries, unsure, d)
+		}
+		kind := attempt.EventKind(rapid.IntRange(int(attempt.NoTarget), int(attempt.AnswerHeader)).Draw(t, "event"))
+		switch kind {
+		case attempt.NoTarget, attempt.DialFailed, attempt.WroteNothing, attempt.Shed:
+		default:
+			unsure++
+		}
+		d = m.Handle(attempt.Event{
+			Kind: kind, Remaining: time.Second / 2,
+			BodySpent: rapid.Bool().Draw(t, "spent"), Ended: rapid.Bool().Draw(t, "ended"),
+		})
+	}
+	switch {
+	case d.Action == attempt.TellNotRun && unsure > 0:
+		t.Fatalf("told not run, but %d tries may have run", unsure)
+	case d.Action == attempt.TellUnknown && unsure == 0:
+		t.Fatal("told unknown, but no try may have run")
+	}
+}
+
+// TestBudget checks that retries of an overloaded service stay a share of the
+// requests, and that failures to connect cost nothing of it.
+func TestBudget(t *testing.T) {
+	const requests = 10_000
+	for _, c := range []struct {
+		kind     attempt.EventKind
+		min, max int
+	}{
+		{attempt.Shed, requests / 10, requests/10 + 11},
+		{attempt.DialFailed, 2 * requests, 2 * requests},
+	} {
+		budget, retries := attempt.NewBudget(), 0
+		for range requests {
+			m := attempt.New(true, budget)
+			d := m.Start(time.Second)
+			for d.Action == attempt.Try {
+				d = m.Handle(attempt.Event{Kind: c.kind, Remaining: time.Second})
+			}
+			retries += m.Tries() - 1
+		}
+		if retries < c.min || retries > c.max {
+			t.Errorf("event %d: %d retries of %d requests, want %d to %d", c.kind, retries, requests, c.min, c.max)
+		}
+	}
+}
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -55,12 +55,15 @@
 		Short: "Run a stand-in for a target",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if o.FaultShare < 0 || o.FaultShare > 1 {
+				return errors.Mark(errors.Newf("--fault-share: must be 0 to 1, is %g", o.FaultShare), errUsage)
+			}
 			listener, err := bindListener("listen", listen)
 			if err != nil {
 				return err
 			}
 			stop, kill := signals(cmd.Context())
-			return serveUntil(stop, kill, &http.Server{Handler: target.New(o), ReadHeaderTimeout: 5 * time.Second}, listener)
+			return serveUntil(stop, kill, target.NewServer(target.New(o)), listener)
 		},
 	}
 	f := cmd.Flags()
@@ -69,6 +72,12 @@
 	f.IntVar(&o.Slots, "slots", 6, "requests that run at once")
 	f.DurationVar(&o.ServiceTime, "service-time", 5*time.Millisecond, "time that a request takes")
 	f.IntVar(&o.AnswerBytes, "answer-bytes", 512, "bytes of an answer")
+	f.Int64Var(&o.ColdRequests, "cold-requests", 0, "number of first requests that are slow")
+	f.DurationVar(&o.ColdTime, "cold-time", 0, "time from the start in which requests are slow")
+	f.Float64Var(&o.ColdFactor, "cold-factor", 10, "how many times its service time a slow request takes")
+	f.Int64Var(&o.MuteAfter, "mute-after", 0, "answers after which a connection goes silent; 0 for never")
+	f.Float64Var(&o.FaultShare, "fault-share", 0, "share of requests that fail in one of the ways, 0 to 1")
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of the schedule of faults")
 	return cmd
 }
 
--- /dev/null
+++ b/internal/entry/body.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxBodyBytes bounds the body of a caller's request.
+	maxBodyBytes = 256 << 20
+	// maxBufferedBytes is the size up to which a body is read before its
+	// request is sent, so that it can be sent again.
+	maxBufferedBytes = 64 << 10
+	// progressTimeout bounds how long a caller may take to send or take the
+	// next part of a body.
+	progressTimeout = 10 * time.Second
+)
+
+// requestBody is a caller's body. A short one is read at once and can be sent
+// to several targets; a long one streams and can be sent once.
+type requestBody struct {
+	length   int64 // -1 if unknown
+	buffered []byte
+	stream   io.Reader
+
+	mu     sync.Mutex // guards the fields below
+	holder *bodyReader
+	spent  bool
+}
+
+// newRequestBody prepares a body. An error means that the caller did not send
+// it whole or in time.
+func newRequestBody(w http.ResponseWriter, r *http.Request) (*requestBody, error) {
+	b := &requestBody{length: r.ContentLength}
+	if r.ContentLength == 0 {
+		return b, nil
+	}
+	reader := &progressReader{reader: http.MaxBytesReader(w, r.Body, maxBodyBytes), controller: http.NewResponseController(w)}
+	if r.ContentLength < 0 || r.ContentLength > maxBufferedBytes {
+		b.stream = reader
+		return b, nil
+	}
+	b.buffered = make([]byte, r.ContentLength)
+	_, err := io.ReadFull(reader, b.buffered)
+	if err == nil {
+		// Reading the end as well lets the server watch the connection.
+		_, err = reader.Read(make([]byte, 1))
+		if err == io.EOF {
+			err = nil
+		}
+	}
+	return b, err
+}
+
+// streams tells whether the body can be sent only once.
+func (b *requestBody) streams() bool { return b.stream != nil }
+
+// open returns the body for one try. Earlier readers end.
+func (b *requestBody) open() io.ReadCloser {
+	if b.length == 0 {
+		return http.NoBody
+	}
+	if !b.streams() {
+		return io.NopCloser(bytes.NewReader(b.buffered))
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder = &bodyReader{body: b}
+	return b.holder
+}
+
+// release takes the body from a finished try. It tells whether the body cannot
+// be sent again.
+func (b *requestBody) release() (spent bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder = nil
+	return b.spent
+}
+
+// bodyReader reads a streaming body on behalf of one try.
+type bodyReader struct{ body *requestBody }
+
+var errBodyReleased = errors.New("the try that read this body has ended")
+
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	r.body.mu.Lock()
+	if r.body.holder != r {
+		r.body.mu.Unlock()
+		return 0, errBodyReleased
+	}
+	r.body.spent = true
+	r.body.mu.Unlock()
+	return r.body.stream.Read(p)
+}
+
+// Close implements io.Closer.
+func (r *bodyReader) Close() error { return nil }
+
+// progressReader gives the caller a limited time for each part of its body.
+type progressReader struct {
+	reader     io.Reader
+	controller *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (r *progressReader) Read(p []byte) (int, error) {
+	_ = r.controller.SetReadDeadline(time.Now().Add(progressTimeout))
+	n, err := r.reader.Read(p)
+	if err != nil {
+		_ = r.controller.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// progressWriter gives the caller a limited time to take each part of an
+// answer, and passes each part on at once if asked to.
+type progressWriter struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	flush      bool
+	err        error
+}
+
+// header sends the header. A caller that has it does not take a cut answer for
+// a lost request, which some HTTP libraries send again by themselves.
+func (w *progressWriter) header(status int) {
+	_ = w.controller.SetWriteDeadline(time.Now().Add(progressTimeout))
+	w.writer.WriteHeader(status)
+	if w.flush {
+		w.err = w.controller.Flush()
+	}
+}
+
+// Write implements io.Writer.
+func (w *progressWriter) Write(p []byte) (int, error) {
+	_ = w.controller.SetWriteDeadline(time.Now().Add(progressTimeout))
+	n, err := w.writer.Write(p)
+	if err == nil && w.flush {
+		err = w.controller.Flush()
+	}
+	w.err = err
+	return n, err
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -4,32 +4,23 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"github.com/turmericfield/turmericfield/internal/attempt"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/invariant"
 	"github.com/turmericfield/turmericfield/internal/limit"
+	"github.com/turmericfield/turmericfield/internal/once"
 	"github.com/turmericfield/turmericfield/internal/placement"
 	"github.com/turmericfield/turmericfield/internal/steering"
 )
 
-// Headers of the data path.
-const (
-	// KeyHeader carries a workspace's key as id.secret.
-	KeyHeader = "Workspace-Key"
-	// OutcomeHeader tells a caller what became of a request that has no answer
-	// of a target: not-run or unknown.
-	OutcomeHeader = "Turmericfield-Outcome"
-	// RequestIDHeader identifies a request on its way to a target and back.
-	RequestIDHeader = "X-Request-Id"
-)
-
 // LookupPath answers which instances a caller should use.
 const LookupPath = "/.well-known/turmericfield/lookup"
 
@@ -47,6 +38,14 @@
 	Done(g placement.Grant, outcome placement.Outcome, now time.Time)
 }
 
+// Claims lets a request run once only, also if its caller sends it again
+// through another instance.
+type Claims interface {
+	Claim(ctx context.Context, workspace, id string) (once.Claim, once.Result)
+	// Release gives back the claim of a request that was not run.
+	Release(ctx context.Context, claim once.Claim)
+}
+
 // Options are the parts that a handler works with.
 type Options struct {
 	// Snapshot returns the configuration in force.
@@ -55,27 +54,35 @@
 	Lookup func(caller string) steering.Answer
 	// KeysFresh tells whether this instance's view of keys is recent enough to
 	// trust.
-	KeysFresh  func(now time.Time) bool
-	Limiter    Limiter
-	Placer     Placer
-	Invariants *invariant.Recorder
-	Log        *log.Logger
-	Now        func() time.Time
+	KeysFresh func(now time.Time) bool
+	Limiter   Limiter
+	Placer    Placer
+	// Claims is asked before a request runs that may not be repeated and that
+	// carries its caller's id; nil if callers never send a request again.
+	Claims Claims
+	// ConnectionShare returns how many of a target's connections this instance
+	// may open; nil means all of them.
+	ConnectionShare func(t config.Target, maxConnections int) int
+	Invariants      *invariant.Recorder
+	Log             *log.Logger
+	Now             func() time.Time
 }
 
 // Handler serves callers.
 type Handler struct {
 	Options
 
-	mu        sync.Mutex // guards Limiter and Placer
+	mu        sync.Mutex // guards Limiter, Placer and budget
+	budget    *attempt.Budget
 	transport *targetTransport
 	inFlight  atomic.Int64
+	leaving   atomic.Bool
 	draining  atomic.Bool
 }
 
 // NewHandler returns a handler.
 func NewHandler(o Options) *Handler {
-	return &Handler{Options: o, transport: newTargetTransport()}
+	return &Handler{Options: o, budget: attempt.NewBudget(), transport: newTargetTransport()}
 }
 
 // NewServer returns the HTTP server of the callers' listener, with limits on
@@ -100,20 +107,34 @@
 	update(h.Now())
 }
 
+// Leave makes callers close their connections after their next answer.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
 // Drain makes the handler refuse new requests as not run.
-func (h *Handler) Drain() { h.draining.Store(true) }
+func (h *Handler) Drain() {
+	h.leaving.Store(true)
+	h.draining.Store(true)
+}
+
+// Close ends the idle connections to targets.
+func (h *Handler) Close() { h.transport.close() }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(time.Time{})
+	defer func() { _ = controller.SetWriteDeadline(time.Now().Add(progressTimeout)) }()
+	if h.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if r.URL.Path == LookupPath {
 		h.serveLookup(w, r)
 		return
 	}
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.draining.Load() {
-		w.Header().Set("Connection", "close")
-		h.refuse(w, r, refusal{http.StatusServiceUnavailable, "leaving", "this instance is leaving", 0})
+	if no := h.precheck(r); no != nil {
+		h.refuse(w, r, *no)
 		return
 	}
 	snapshot := h.Snapshot()
@@ -122,9 +143,80 @@
 		h.refuse(w, r, *no)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), route.Timeout())
+	ctx, cancel := context.WithTimeout(r.Context(), timeout(r, route.Timeout()))
 	defer cancel()
-	h.run(ctx, w, r, route, workspace)
+	c := &call{
+		Handler: h, ctx: ctx, writer: w, request: r, route: route,
+		service: snapshot.Services[route.Service], placement: placement.Request{Route: route, Workspace: workspace},
+	}
+	if no := c.prepare(); no != nil {
+		h.refuse(w, r, *no)
+		return
+	}
+	if c.claimOnce() {
+		c.run()
+	}
+}
+
+// precheck refuses requests that no route could serve.
+func (h *Handler) precheck(r *http.Request) *refusal {
+	switch {
+	case h.draining.Load():
+		return &refusal{http.StatusServiceUnavailable, "leaving", "this instance is leaving", 0}
+	case !r.ProtoAtLeast(1, 1):
+		// A cut answer without a length would look whole to such a caller.
+		return &refusal{http.StatusHTTPVersionNotSupported, "protocol", "HTTP/1.1 or later is needed", 0}
+	case r.ContentLength > maxBodyBytes:
+		return &refusal{http.StatusRequestEntityTooLarge, "body-too-large", "the body is too large", 0}
+	case exposesKey(r.Header[KeyHeader], r.URL, r.Header):
+		return &refusal{http.StatusBadRequest, "key-misplaced", "the key stands in the URL or in another header", 0}
+	}
+	return nil
+}
+
+// prepare names the request and readies its body.
+func (c *call) prepare() *refusal {
+	c.id = callerRequestID(c.request)
+	if c.id == "" {
+		c.id = rand.Text()
+	}
+	var err error
+	if c.body, err = newRequestBody(c.writer, c.request); err != nil {
+		return &refusal{http.StatusBadRequest, "body-incomplete", "the body did not come whole or in time", 0}
+	}
+	return nil
+}
+
+// claimOnce claims a request that may not be repeated and that its caller may
+// send again. It tells whether the request may run; if not, it is answered.
+func (c *call) claimOnce() bool {
+	id := onceID(c.request)
+	if c.route.Repeatable || id == "" || c.Claims == nil {
+		return true
+	}
+	claim, result := c.Claims.Claim(c.ctx, c.placement.Workspace, id)
+	switch result {
+	case once.Claimed:
+		c.claim = &claim
+		return true
+	case once.Duplicate:
+		c.Log.Warn().Str("request", c.id).Str("route", c.route.Name).Msg("entry: refused a request that was sent before")
+		writeRefusal(c.writer, http.StatusConflict, RefusalBody{
+			Outcome: attempt.Unknown, Reason: "duplicate", Message: "a request with this id was sent before and may have run",
+		})
+		return false
+	}
+	c.refuse(c.writer, c.request, refusal{http.StatusServiceUnavailable, "claims-unavailable", "whether this request ran before cannot be told now", time.Second})
+	return false
+}
+
+// connectionShare returns how many connections this instance may open to a
+// target.
+func (h *Handler) connectionShare(t config.Target, service *config.Service) int {
+	if h.ConnectionShare == nil {
+		return service.MaxConnections
+	}
+	return h.ConnectionShare(t, service.MaxConnections)
 }
 
 // admit checks configuration, route, key and rate, in that order.
@@ -171,12 +263,3 @@
 	}
 	return nil, &refusal{http.StatusForbidden, "route-not-allowed", "the workspace may not use this route", 0}
 }
-
-// callerRequestID returns the caller's own id if it is a plausible one.
-func callerRequestID(r *http.Request) string {
-	id := r.Header.Get(RequestIDHeader)
-	if len(id) > 128 || strings.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c > '~' }) {
-		return ""
-	}
-	return id
-}
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/invariant"
+	"github.com/turmericfield/turmericfield/internal/limit"
+	"github.com/turmericfield/turmericfield/internal/once"
+	"github.com/turmericfield/turmericfield/internal/placement"
+	"github.com/turmericfield/turmericfield/internal/platform"
+	standinplatform "github.com/turmericfield/turmericfield/internal/standin/platform"
+	"github.com/turmericfield/turmericfield/internal/standin/target"
+)
+
+const (
+	testKey      = "quito-1.quito-secret"
+	testDeadline = 300 * time.Millisecond
+)
+
+// system is two instances before two services with two targets each: reads,
+// which may be repeated, and writes, which may not.
+type system struct {
+	reads, writes []*target.Target
+	handlers      []*Handler
+	addresses     []string
+	store         *standinplatform.Server
+
+	mu         sync.Mutex
+	violations []string
+}
+
+func newSystem(t testing.TB, options target.Options, deadline time.Duration) *system {
+	s := &system{store: standinplatform.New(nil)}
+	doc := &config.Document{
+		Regions:           []config.Region{{Name: "sierra", LinkMbps: 4000}},
+		AvailabilityZones: []config.AvailabilityZone{{Name: "sierra-1", Region: "sierra"}},
+		Workspaces: []config.Workspace{{
+			Name: "quito", Rate: 1e9, Burst: 1e9, Routes: []string{"reads", "writes"},
+			Keys: []config.Key{{ID: "quito-1", SHA256: config.HashSecret("quito-secret")}},
+		}},
+	}
+	var reads, writes config.Service
+	s.reads, reads = startTargets(t, "reads", options)
+	s.writes, writes = startTargets(t, "writes", options)
+	doc.Services = []config.Service{reads, writes}
+	for _, name := range []string{"reads", "writes"} {
+		doc.Routes = append(doc.Routes, config.Route{
+			Name: name, Service: name, PathPrefix: "/" + name + "/", Methods: []string{"GET", "POST"},
+			Repeatable: name == "reads", TimeoutMillis: int(deadline.Milliseconds()), Class: config.ClassInteractive,
+		})
+	}
+	s.startInstances(t, config.Compile(1, doc))
+	return s
+}
+
+func startTargets(t testing.TB, service string, options target.Options) ([]*target.Target, config.Service) {
+	out := config.Service{Name: service, Slots: options.Slots, MaxConnections: options.Slots}
+	var targets []*target.Target
+	for i := range 2 {
+		options.Name = service + "-" + strconv.Itoa(i)
+		options.Seed = uint64(i)
+		one := target.New(options)
+		targets = append(targets, one)
+		out.Targets = append(out.Targets, config.Target{
+			Name: options.Name, AvailabilityZone: "sierra-1", Address: serve(t, target.NewServer(one)),
+		})
+	}
+	return targets, out
+}
+
+func (s *system) startInstances(t testing.TB, snapshot *config.Snapshot) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = s.store.Serve(ctx, listener) }()
+	recorder := &invariant.Recorder{OnViolation: func(name invariant.Name, detail string) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.violations = append(s.violations, string(name)+": "+detail)
+	}}
+	for range 2 {
+		client, err := platform.Dial(listener.Addr().String(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = client.Close() })
+		limiter, placer := limit.NewStaticShares(1), placement.New("sierra-1")
+		limiter.Update(snapshot, time.Now())
+		placer.Update(snapshot, time.Now())
+		h := NewHandler(Options{
+			Snapshot:  func() *config.Snapshot { return snapshot },
+			KeysFresh: func(time.Time) bool { return true }, Limiter: limiter, Placer: placer,
+			Claims: once.NewStore(client, time.Now), Invariants: recorder,
+			Log: &log.Logger{Level: log.PanicLevel}, Now: time.Now,
+		})
+		s.handlers = append(s.handlers, h)
+		s.addresses = append(s.addresses, serve(t, NewServer(h)))
+	}
+}
+
+// serve runs a server until the test ends and returns its address.
+func serve(t testing.TB, server *http.Server) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// executions sums the ledgers of a service's targets.
+func executions(targets []*target.Target) map[string]int {
+	sum := map[string]int{}
+	for _, one := range targets {
+		for id, n := range one.Executions() {
+			sum[id] += n
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/entry/mixed_test.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/turmericfield/turmericfield/internal/attempt"
+	"github.com/turmericfield/turmericfield/internal/standin/target"
+)
+
+const (
+	mixedSeed     = 4
+	mixedRequests = 20_000
+	mixedAtOnce   = 128
+)
+
+// report collects what callers were told and what was wrong with it.
+type report struct {
+	mu     sync.Mutex
+	told   map[string]map[attempt.Outcome]int // by request id
+	counts map[attempt.Outcome]int
+	faults []string
+}
+
+func (p *report) add(id string, outcome attempt.Outcome, fault string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.told[id] == nil {
+		p.told[id] = map[attempt.Outcome]int{}
+	}
+	p.told[id][outcome]++
+	p.counts[outcome]++
+	if fault != "" {
+		p.faults = append(p.faults, fault)
+	}
+}
+
+// check compares what callers were told with the targets' ledgers.
+func (p *report) check(s *system) (doubleRuns, falseNotRun int) {
+	writes, reads := executions(s.writes), executions(s.reads)
+	for _, n := range writes {
+		if n > 1 {
+			doubleRuns++
+		}
+	}
+	for id, told := range p.told {
+		onlyNotRun := len(told) == 1 && told[attempt.NotRun] > 0
+		if onlyNotRun && id != "" && reads[id]+writes[id] > 0 {
+			falseNotRun++
+			p.faults = append(p.faults, fmt.Sprintf("request %s ran %d times (%d reads) but was told %v", id, reads[id]+writes[id], reads[id], told))
+		}
+	}
+	return doubleRuns, falseNotRun
+}
+
+// TestMixedFaults sends requests through two instances to targets with every
+// fault, while the store loses answers and is down now and then.
+func TestMixedFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes several seconds")
+	}
+	s := newSystem(t, mixedTargets, testDeadline)
+	p := sendMixed(t, s, mixedRequests)
+	doubleRuns, falseNotRun := p.check(s)
+	t.Logf("%d requests, seed %d: %v", mixedRequests, mixedSeed, p.counts)
+	if doubleRuns > 0 || falseNotRun > 0 || len(p.faults) > 0 || len(s.violations) > 0 {
+		t.Errorf("%d double runs, %d false not-run, wrong answers %q, violations %q",
+			doubleRuns, falseNotRun, first(p.faults), first(s.violations))
+	}
+	if p.counts[attempt.Answered] < mixedRequests/2 || p.counts[attempt.NotRun] == 0 || p.counts[attempt.Unknown] == 0 {
+		t.Errorf("outcomes %v do not cover the faults", p.counts)
+	}
+}
+
+// TestMixedFaultsNaive shows that the check fails for a data path that sends
+// everything over pooled connections and claims nothing.
+func TestMixedFaultsNaive(t *testing.T) {
+	const requests = 3000
+	pooled := newSystem(t, mixedTargets, testDeadline)
+	for _, h := range pooled.handlers {
+		h.transport.single = h.transport.pooled
+	}
+	unclaimed := newSystem(t, mixedTargets, testDeadline)
+	for _, h := range unclaimed.handlers {
+		h.Claims = nil
+	}
+	for name, s := range map[string]*system{"pooled": pooled, "unclaimed": unclaimed} {
+		s.store.Faults.Down.Store(false)
+		doubleRuns, _ := sendMixed(t, s, requests, target.ResetAfter, target.NoFault).check(s)
+		t.Logf("%s: %d double runs in %d requests, %d violations", name, doubleRuns, requests, len(s.violations))
+		if doubleRuns == 0 {
+			t.Errorf("%s: no double run in %d requests; the check does not see the fault", name, requests)
+		}
+	}
+}
+
+var mixedTargets = target.Options{Slots: 1000, AnswerBytes: 100, FaultShare: 0.3}
+
+func sendMixed(t *testing.T, s *system, requests int, faults ...target.Fault) *report {
+	for _, one := range append(s.reads, s.writes...) {
+		one.Set(target.Settings{FaultShare: mixedTargets.FaultShare, Seed: mixedSeed, Faults: faults, DelayMillis: 5, LoadFactor: 1})
+	}
+	p := &report{told: map[string]map[attempt.Outcome]int{}, counts: map[attempt.Outcome]int{}}
+	transport := &http.Transport{MaxIdleConnsPerHost: mixedAtOnce}
+	t.Cleanup(transport.CloseIdleConnections)
+	var group errgroup.Group
+	group.SetLimit(mixedAtOnce)
+	for i := range requests {
+		s.disturbStore(i)
+		group.Go(func() error {
+			random := rand.New(rand.NewPCG(mixedSeed, uint64(i)))
+			m := newMessage(random, i)
+			m.send(transport, s.addresses[0], p)
+			if m.resend {
+				m.send(transport, s.addresses[1], p)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return p
+}
+
+// disturbStore loses the answers of some writes, and takes the store down for
+// one in ten requests.
+func (s *system) disturbStore(i int) {
+	if i%40 == 0 {
+		s.store.Faults.LoseAnswers.Add(1)
+	}
+	s.store.Faults.Down.Store(i%1000 >= 900)
+}
+
+// message is one caller's request.
+type message struct {
+	method, path, id string
+	idempotencyKey   bool
+	resend           bool
+	body             int
+	chunked          bool
+	answer           int
+}
+
+func newMessage(random *rand.Rand, i int) message {
+	sizes := []int{0, 10, 5000, 100_000}
+	m := message{method: http.MethodPost, path: fmt.Sprintf("/writes/%d", i), body: sizes[random.IntN(4)], answer: sizes[random.IntN(4)]}
+	m.chunked = random.IntN(4) == 0
+	if random.IntN(10) < 4 {
+		m.method, m.path, m.body = http.MethodGet, fmt.Sprintf("/reads/%d", i), 0
+	}
+	if random.IntN(2) == 0 {
+		m.id = fmt.Sprintf("caller-%d", i)
+		m.idempotencyKey = random.IntN(2) == 0
+		m.resend = random.IntN(3) == 0
+	}
+	return m
+}
+
+func (m message) send(transport *http.Transport, address string, p *report) {
+	var body io.Reader = http.NoBody
+	if m.body > 0 {
+		body = bytes.NewReader(make([]byte, m.body))
+	}
+	if m.chunked && m.body > 0 {
+		body = io.MultiReader(body)
+	}
+	r, _ := http.NewRequest(m.method, fmt.Sprintf("http://%s%s?bytes=%d", address, m.path, m.answer), body)
+	r.Header.Set(KeyHeader, testKey)
+	if m.id != "" {
+		r.Header.Set(RequestIDHeader, m.id)
+	}
+	if m.idempotencyKey {
+		r.Header.Set("Idempotency-Key", m.id)
+	}
+	response, err := (&http.Client{Transport: transport, Timeout: 10 * time.Second}).Do(r)
+	if err != nil {
+		p.add(m.id, attempt.Unknown, "")
+		return
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	id := m.id
+	if id == "" {
+		id = response.Header.Get(RequestIDHeader)
+	}
+	outcome := attempt.Outcome(response.Header.Get(OutcomeHeader))
+	switch {
+	case err != nil:
+		p.add(id, attempt.Unknown, "")
+	case outcome != "":
+		p.add(id, outcome, "")
+	default:
+		p.add(id, attempt.Answered, m.faultOf(response.StatusCode, string(text)))
+	}
+}
+
+// faultOf tells what is wrong with an answer that is passed off as whole.
+func (m message) faultOf(status int, text string) string {
+	if status == http.StatusServiceUnavailable && text == "overloaded\n" {
+		return "" // a target's own answer
+	}
+	line, _, _ := strings.Cut(text, "\n")
+	want := fmt.Sprintf("ran %s %s with %d bytes", m.method, m.path, m.body)
+	if status == http.StatusOK && strings.HasSuffix(line, want) && len(text) == max(m.answer, len(line)+1) {
+		return ""
+	}
+	return fmt.Sprintf("%s %s: status %d, %d bytes, %q", m.method, m.path, status, len(text), line)
+}
+
+// first returns the first few of many findings.
+func first(findings []string) []string { return findings[:min(len(findings), 3)] }
--- /dev/null
+++ b/internal/entry/outcome_test.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/attempt"
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/standin/target"
+)
+
+// told is what a caller learns of one request.
+type told struct {
+	outcome attempt.Outcome // answered if a whole answer came
+	reason  string
+	status  int
+	header  http.Header
+}
+
+func ask(t *testing.T, address, method, path string, header ...string) told {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+address+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(KeyHeader, testKey)
+	for _, h := range header {
+		name, value, _ := strings.Cut(h, "=")
+		r.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	response, err := client.Do(r)
+	if err != nil {
+		return told{outcome: attempt.Unknown, reason: "broken"}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	out := told{outcome: attempt.Answered, status: response.StatusCode, header: response.Header}
+	if err != nil {
+		return told{outcome: attempt.Unknown, reason: "broken"}
+	}
+	if o := response.Header.Get(OutcomeHeader); o != "" {
+		out.outcome = attempt.Outcome(o)
+		_, rest, _ := strings.Cut(string(body), `"reason":"`)
+		out.reason, _, _ = strings.Cut(rest, `"`)
+	}
+	return out
+}
+
+// TestOutcomes gives every request of one case the same fault.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		fault         target.Fault
+		reads, writes attempt.Outcome
+		runsOfWrite   int
+	}{
+		{target.NoFault, attempt.Answered, attempt.Answered, 1},
+		{target.Late, attempt.Answered, attempt.Answered, 1},
+		{target.Crossed, attempt.Unknown, attempt.Unknown, 1},
+		{target.CrossedEmpty, attempt.Unknown, attempt.Unknown, 1},
+		{target.CutLength, attempt.Unknown, attempt.Unknown, 1},
+		{target.CutChunked, attempt.Unknown, attempt.Unknown, 1},
+		{target.CutUnmarked, attempt.Unknown, attempt.Unknown, 1},
+		{target.ResetBefore, attempt.Unknown, attempt.Unknown, 0},
+		{target.ResetAfter, attempt.Unknown, attempt.Unknown, 1},
+		{target.ShedNotRun, attempt.NotRun, attempt.NotRun, 0},
+		{target.SilentBefore, attempt.Unknown, attempt.Unknown, 0},
+		{target.SilentAfter, attempt.Unknown, attempt.Unknown, 1},
+		{target.Mute, attempt.Unknown, attempt.Unknown, 0},
+		{target.DropIdle, attempt.Answered, attempt.Answered, 1},
+	} {
+		t.Run(string(c.fault), func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t, target.Options{Slots: 10, AnswerBytes: 10_000}, testDeadline)
+			fault := target.FaultHeader + "=" + string(c.fault)
+			if got := ask(t, s.addresses[0], "GET", "/reads/1", fault); got.outcome != c.reads {
+				t.Errorf("read: got %+v, want %s", got, c.reads)
+			}
+			got := ask(t, s.addresses[0], "POST", "/writes/1", fault, RequestIDHeader+"=w", "Idempotency-Key=w")
+			if got.outcome != c.writes {
+				t.Errorf("write: got %+v, want %s", got, c.writes)
+			}
+			if runs := executions(s.writes)["w"]; runs != c.runsOfWrite {
+				t.Errorf("write ran %d times, want %d", runs, c.runsOfWrite)
+			}
+			again := ask(t, s.addresses[1], "POST", "/writes/1", RequestIDHeader+"=w", "Idempotency-Key=w")
+			if want := c.writes == attempt.NotRun; (again.outcome == attempt.Answered) != want || !want && again.reason != "duplicate" {
+				t.Errorf("sent again through another instance after %s: %+v", c.writes, again)
+			}
+			if len(s.violations) > 0 {
+				t.Error(s.violations)
+			}
+		})
+	}
+}
+
+// scripted answers the requests of a service in the order of its script.
+func scripted(t *testing.T, s *system, script ...target.Fault) {
+	t.Helper()
+	next := make(chan target.Fault, len(script))
+	for _, f := range script {
+		next <- f
+	}
+	snapshot := s.handlers[0].Snapshot()
+	for i, backend := range s.reads {
+		address := serve(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			r.Header.Set(target.FaultHeader, string(<-next))
+			backend.ServeHTTP(w, r)
+		})})
+		snapshot.Services["reads"].Targets[i].Address = address
+	}
+}
+
+// TestUnknownStaysUnknown sheds a retry after a try that ran: the request as a
+// whole is not "not run". The transport's own replay counts as a retry.
+func TestUnknownStaysUnknown(t *testing.T) {
+	for name, script := range map[string][]target.Fault{
+		"retry":  {target.ResetAfter, target.ShedNotRun, target.ShedNotRun},
+		"replay": {target.NoFault, target.ResetAfter, target.ShedNotRun, target.ShedNotRun, target.ShedNotRun},
+	} {
+		s := newSystem(t, target.Options{Slots: 10}, testDeadline)
+		scripted(t, s, script...)
+		if name == "replay" {
+			if got := ask(t, s.addresses[0], "GET", "/reads/warm"); got.outcome != attempt.Answered {
+				t.Fatalf("%+v", got)
+			}
+		}
+		if got := ask(t, s.addresses[0], "GET", "/reads/1"); got.outcome != attempt.Unknown {
+			t.Errorf("%s: got %+v, want unknown", name, got)
+		}
+	}
+}
+
+// TestStoreDown refuses what cannot be claimed, and runs the rest.
+func TestStoreDown(t *testing.T) {
+	s := newSystem(t, target.Options{Slots: 10}, testDeadline)
+	s.store.Faults.Down.Store(true)
+	if got := ask(t, s.addresses[0], "POST", "/writes/1", RequestIDHeader+"=w"); got.outcome != attempt.NotRun || got.reason != "claims-unavailable" {
+		t.Errorf("with an id: %+v", got)
+	}
+	if got := ask(t, s.addresses[0], "POST", "/writes/2"); got.outcome != attempt.Answered {
+		t.Errorf("without an id: %+v", got)
+	}
+	if got := ask(t, s.addresses[0], "GET", "/reads/1", RequestIDHeader+"=r"); got.outcome != attempt.Answered {
+		t.Errorf("repeatable: %+v", got)
+	}
+}
+
+// TestBadRequests refuses, as not run, what must not reach a target.
+func TestBadRequests(t *testing.T) {
+	s := newSystem(t, target.Options{Slots: 10}, testDeadline)
+	for _, c := range []struct{ path, header, reason string }{
+		{"/reads/quito-secret", "A=b", "key-misplaced"},
+		{"/reads/1?key=quito%2Dsecret", "A=b", "key-misplaced"},
+		{"/reads/1", "Cookie=" + testKey, "key-misplaced"},
+		{"/reads/1", KeyHeader + "=quito-1.wrong-secret", "unknown-key"},
+		{"/elsewhere", "A=b", "no-route"},
+	} {
+		if got := ask(t, s.addresses[0], "GET", c.path, c.header); got.outcome != attempt.NotRun || got.reason != c.reason {
+			t.Errorf("%s %s: got %+v, want %s", c.path, c.header, got, c.reason)
+		}
+	}
+	if runs := executions(s.reads); len(runs) > 0 {
+		t.Errorf("targets ran %v", runs)
+	}
+}
+
+// TestConnectionShare sends more requests at once than the instance's share of
+// connections carries.
+func TestConnectionShare(t *testing.T) {
+	const requests = 40
+	s := newSystem(t, target.Options{Slots: 100, ServiceTime: 5 * time.Millisecond}, 5*time.Second)
+	var open, most atomic.Int64
+	backend := s.writes[0]
+	address := serve(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		most.Store(max(most.Load(), open.Add(1)))
+		defer open.Add(-1)
+		backend.ServeHTTP(w, r)
+	})})
+	h := s.handlers[0]
+	h.ConnectionShare = func(t config.Target, limit int) int {
+		if t.Address == address {
+			return 2
+		}
+		return 0
+	}
+	h.Snapshot().Services["writes"].Targets[0].Address = address
+	outcomes := make(chan attempt.Outcome, requests)
+	for i := range requests {
+		go func() { outcomes <- ask(t, s.addresses[0], "POST", fmt.Sprintf("/writes/%d", i)).outcome }()
+	}
+	counts := map[attempt.Outcome]int{}
+	for range requests {
+		counts[<-outcomes]++
+	}
+	if counts[attempt.Unknown] > 0 || counts[attempt.Answered] != len(executions(s.writes)) || most.Load() > 2 {
+		t.Errorf("outcomes %v, %d runs, %d at once", counts, len(executions(s.writes)), most.Load())
+	}
+}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -27,7 +27,7 @@
 }
 
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, no refusal) {
-	h.Log.Info().Str("reason", no.reason).Str("path", r.URL.Path).Msg("entry: refused a request, not run")
+	h.Log.Info().Str("reason", no.reason).Str("method", r.Method).Msg("entry: refused a request, not run")
 	if no.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(no.retryAfter.Seconds()))))
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -5,150 +5,237 @@
 	"crypto/rand"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/turmericfield/turmericfield/internal/attempt"
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/invariant"
+	"github.com/turmericfield/turmericfield/internal/once"
 	"github.com/turmericfield/turmericfield/internal/placement"
 )
 
-// run tries targets until one answers, or no further try is allowed.
-func (h *Handler) run(ctx context.Context, w http.ResponseWriter, r *http.Request, route *config.Route, workspace string) {
-	id := callerRequestID(r)
-	if id == "" {
-		id = rand.Text()
-	}
-	body := &countingBody{reader: r.Body}
-	request := placement.Request{Route: route, Workspace: workspace}
-	for tries := 1; ; tries++ {
-		grant, err := h.choose(request)
-		if err != nil {
-			h.refuse(w, r, placementRefusal(err))
+// call is one admitted request on its way through its tries.
+type call struct {
+	*Handler
+	ctx     context.Context
+	writer  http.ResponseWriter
+	request *http.Request
+	route   *config.Route
+	service *config.Service
+	id      string
+	body    *requestBody
+	claim   *once.Claim
+
+	machine   *attempt.Machine
+	placement placement.Request
+	refusal   refusal // what to tell if the request is not run
+	// unproven counts the tries that left no proof that they did not run.
+	unproven int
+
+	// Of the try whose answer is passed on.
+	response *http.Response
+	exchange *exchange
+	grant    placement.Grant
+}
+
+// run takes the steps that the request's machine decides.
+func (c *call) run() {
+	d := c.start()
+	for {
+		switch d.Action {
+		case attempt.Try:
+			d = c.try(d)
+		case attempt.Forward:
+			d = c.forward()
+		case attempt.TellNotRun:
+			c.tellNotRun()
 			return
-		}
-		h.Log.Info().Str("request", id).Str("route", route.Name).Str("workspace", workspace).
-			Str("target", grant.Target.Name).Int("try", tries).Msg("placement: chose a target")
-		response, outcome := h.try(ctx, r, body, route, grant, id)
-		if response != nil {
-			h.forward(w, response, grant)
+		case attempt.TellUnknown:
+			c.tellUnknown()
 			return
-		}
-		h.done(grant, outcome)
-		// A body that was read in part cannot be sent again.
-		if ctx.Err() != nil || body.count > 0 || !attempt.Retry(outcome, route.Repeatable, tries) {
-			h.fail(ctx, w, r, outcome, id)
+		case attempt.Abort:
+			panic(http.ErrAbortHandler)
+		case attempt.Finish:
 			return
 		}
-		request.Exclude = append(request.Exclude, grant.Target.Name)
 	}
 }
 
-func (h *Handler) choose(request placement.Request) (placement.Grant, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.Placer.Choose(request, h.Now())
+func (c *call) start() attempt.Decision {
+	c.refusal = refusal{http.StatusServiceUnavailable, "no-target", "no target took the request", time.Second}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.machine = attempt.New(c.route.Repeatable, c.budget)
+	return c.machine.Start(c.remaining())
 }
 
-func (h *Handler) done(grant placement.Grant, outcome attempt.Outcome) {
-	result := map[attempt.Outcome]placement.Outcome{
-		attempt.Answered: placement.Answered, attempt.NotRun: placement.NotRun, attempt.Unknown: placement.Unknown,
-	}[outcome]
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Placer.Done(grant, result, h.Now())
+// handle tells the machine what has happened.
+func (c *call) handle(kind attempt.EventKind, bodySpent bool) attempt.Decision {
+	event := attempt.Event{Kind: kind, BodySpent: bodySpent, Ended: c.ctx.Err() != nil, Remaining: c.remaining()}
+	c.mu.Lock()
+	ranBefore := c.machine.MayHaveRun()
+	d := c.machine.Handle(event)
+	c.mu.Unlock()
+	c.Invariants.Check(d.Action != attempt.Try || c.route.Repeatable || !ranBefore && c.unproven == 0,
+		invariant.AtMostOnce, "request %s goes to another target after one that may have run it", c.id)
+	return d
 }
 
-// try sends the request to one target. The response is nil unless the target
-// answered this very request.
-func (h *Handler) try(ctx context.Context, r *http.Request, body io.ReadCloser, route *config.Route, grant placement.Grant, id string) (*http.Response, attempt.Outcome) {
-	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+grant.Target.Address+r.URL.RequestURI(), body)
+func (c *call) remaining() time.Duration {
+	deadline, _ := c.ctx.Deadline()
+	return time.Until(deadline)
+}
+
+// try sends the request to one target.
+func (c *call) try(d attempt.Decision) attempt.Decision {
+	grant, err := c.choose(c.placement)
 	if err != nil {
-		return nil, attempt.NotRun
+		c.refusal = placementRefusal(err)
+		return c.handle(attempt.NoTarget, false)
+	}
+	c.Log.Info().Str("request", c.id).Str("route", c.route.Name).Str("workspace", c.placement.Workspace).
+		Str("target", grant.Target.Name).Int("try", c.machine.Tries()).Msg("placement: chose a target")
+	c.grant = grant
+	kind := c.send(d)
+	if kind == attempt.AnswerHeader {
+		return c.handle(kind, false)
+	}
+	outcome := placement.NotRun
+	if !kind.ProvesNotRun() {
+		c.unproven++
+		outcome = placement.Unknown
 	}
-	out.ContentLength = r.ContentLength
-	if r.ContentLength == 0 {
-		out.Body = http.NoBody
+	c.done(grant, outcome)
+	c.placement.Exclude = append(c.placement.Exclude, grant.Target.Name)
+	return c.handle(kind, c.body.release())
+}
+
+// send puts one try on the wire and reads its answer's header.
+func (c *call) send(d attempt.Decision) attempt.EventKind {
+	nonce := rand.Text()
+	out := c.targetRequest(nonce)
+	keys := c.request.Header[KeyHeader]
+	if !c.Invariants.Check(out.Header[KeyHeader] == nil && !exposesKey(keys, out.URL, out.Header),
+		invariant.KeyNotForwarded, "request %s", c.id) {
+		return attempt.DialFailed
 	}
-	out.Host = r.Host
-	copyRequestHeader(out.Header, r.Header)
-	out.Header.Set(RequestIDHeader, id)
-	response, err := h.transport.roundTrip(out, route.Repeatable)
+	c.transport.connections.limit(c.grant.Target.Address, c.connectionShare(c.grant.Target, c.service))
+	response, e, err := c.transport.roundTrip(out, d)
+	c.Invariants.Check(c.route.Repeatable || e.fresh(), invariant.AtMostOnce,
+		"request %s may not be repeated but was sent on a used connection", c.id)
 	if err != nil {
-		return nil, outcomeOfError(err)
+		return e.discard(err)
+	}
+	c.response, c.exchange = response, e
+	kind := classify(response, c.id, nonce)
+	if kind == attempt.AnswerHeader {
+		if err := c.readSmall(); err != nil {
+			_ = response.Body.Close()
+			return e.discard(err)
+		}
+		return kind
 	}
-	if response.Header.Get(RequestIDHeader) != id {
-		_ = response.Body.Close()
-		return nil, attempt.Unknown
+	if kind == attempt.Shed && e.replayed() {
+		// The target shed the transport's replay, not what was sent before it.
+		kind = attempt.Broken
 	}
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(OutcomeHeader) == string(attempt.NotRun) {
-		_ = response.Body.Close()
-		return nil, attempt.NotRun
+	if kind == attempt.Shed && drained(response.Body) {
+		e.finish()
+		return kind
 	}
-	return response, attempt.Answered
+	_ = response.Body.Close()
+	_ = e.discard(nil)
+	return kind
 }
 
-// forward copies a target's answer to the caller. An answer that is cut short
-// aborts the caller's connection, so that it is never taken for a whole one.
-func (h *Handler) forward(w http.ResponseWriter, response *http.Response, grant placement.Grant) {
-	defer response.Body.Close()
-	copyResponseHeader(w.Header(), response.Header)
-	w.WriteHeader(response.StatusCode)
-	_, err := io.Copy(flushWriter{w}, response.Body)
-	if err != nil {
-		h.done(grant, attempt.Unknown)
-		panic(http.ErrAbortHandler)
-	}
-	h.done(grant, attempt.Answered)
+// drained reads a short body to its end, so that its connection can be used
+// again.
+func drained(body io.ReadCloser) bool {
+	_, err := io.CopyN(io.Discard, body, maxShedBytes)
+	_ = body.Close()
+	return err == io.EOF
 }
 
-func (h *Handler) fail(ctx context.Context, w http.ResponseWriter, r *http.Request, outcome attempt.Outcome, id string) {
-	if outcome == attempt.NotRun {
-		h.refuse(w, r, refusal{http.StatusServiceUnavailable, "no-target", "no target took the request", time.Second})
-		return
+const maxShedBytes = 4 << 10
+
+func (c *call) targetRequest(nonce string) *http.Request {
+	u := *c.request.URL
+	u.Scheme, u.Host = "http", c.grant.Target.Address
+	out := &http.Request{
+		Method: c.request.Method, URL: &u, Host: c.request.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: requestHeader(c.request.Header), Body: c.body.open(), ContentLength: c.body.length,
 	}
-	h.Log.Warn().Str("request", id).Str("path", r.URL.Path).Msg("entry: the outcome of a request is unknown")
-	status := http.StatusBadGateway
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		status = http.StatusGatewayTimeout
+	out.Header[RequestIDHeader] = []string{c.id}
+	out.Header[TryHeader] = []string{nonce}
+	out.Header[DeadlineHeader] = []string{strconv.FormatInt(max(c.remaining().Milliseconds(), 0), 10)}
+	if c.body.streams() {
+		out.Header[expectHeader] = []string{expectContinue}
 	}
-	writeRefusal(w, status, RefusalBody{Outcome: attempt.Unknown, Reason: "no-answer", Message: "the target gave no whole answer; the request may have run"})
+	return out.WithContext(c.ctx)
 }
 
-func placementRefusal(err error) refusal {
-	reason := "no-target"
-	if errors.Is(err, placement.ErrOverloaded) {
-		reason = "overloaded"
+// classify tells what the header of an answer proves.
+func classify(response *http.Response, id, nonce string) attempt.EventKind {
+	echo := response.Header.Get(TryHeader)
+	switch {
+	case response.Header.Get(RequestIDHeader) != id, echo != "" && echo != nonce:
+		return attempt.WrongRequestID
+	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(OutcomeHeader) == string(attempt.NotRun):
+		return attempt.Shed
+	case !endMarked(response):
+		return attempt.Unprovable
 	}
-	return refusal{http.StatusServiceUnavailable, reason, err.Error(), time.Second}
+	return attempt.AnswerHeader
 }
 
-// countingBody counts the bytes read of a caller's body. A transport's Close
-// does not end it, so that an unread body can go to another target.
-type countingBody struct {
-	reader io.Reader
-	count  int64
+// endMarked tells whether the end of an answer can be told from a cut: it has
+// a length, is chunked, or has no body at all.
+func endMarked(response *http.Response) bool {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Request.Method == http.MethodHead {
+		return response.StatusCode != http.StatusSwitchingProtocols
+	}
+	return response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
 }
 
-// Read implements io.Reader.
-func (b *countingBody) Read(p []byte) (int, error) {
-	n, err := b.reader.Read(p)
-	b.count += int64(n)
-	return n, err
+func (h *Handler) choose(request placement.Request) (placement.Grant, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.Placer.Choose(request, h.Now())
 }
 
-// Close implements io.Closer.
-func (b *countingBody) Close() error { return nil }
+func (h *Handler) done(grant placement.Grant, outcome placement.Outcome) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Placer.Done(grant, outcome, h.Now())
+}
 
-// flushWriter passes each part of an answer on at once.
-type flushWriter struct{ w http.ResponseWriter }
+func (c *call) tellNotRun() {
+	c.Invariants.Check(c.unproven == 0, invariant.NotRunIsTrue, "request %s: %d tries may have run", c.id, c.unproven)
+	if c.claim != nil {
+		c.Claims.Release(context.WithoutCancel(c.ctx), *c.claim)
+	}
+	c.writer.Header().Set(RequestIDHeader, c.id)
+	c.refuse(c.writer, c.request, c.refusal)
+}
+
+func (c *call) tellUnknown() {
+	c.Log.Warn().Str("request", c.id).Str("route", c.route.Name).Msg("entry: the outcome of a request is unknown")
+	c.writer.Header().Set(RequestIDHeader, c.id)
+	status := http.StatusBadGateway
+	if errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	writeRefusal(c.writer, status, RefusalBody{Outcome: attempt.Unknown, Reason: "no-answer", Message: "the target gave no whole answer; the request may have run"})
+}
 
-// Write implements io.Writer.
-func (f flushWriter) Write(p []byte) (int, error) {
-	n, err := f.w.Write(p)
-	if err == nil {
-		err = http.NewResponseController(f.w).Flush()
+func placementRefusal(err error) refusal {
+	reason := "no-target"
+	if errors.Is(err, placement.ErrOverloaded) {
+		reason = "overloaded"
 	}
-	return n, err
+	return refusal{http.StatusServiceUnavailable, reason, err.Error(), time.Second}
 }
--- /dev/null
+++ b/internal/once/once_test.go
@@ -0,0 +1,140 @@
+package once_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"github.com/turmericfield/turmericfield/internal/once"
+	"github.com/turmericfield/turmericfield/internal/platform"
+)
+
+// fakeStore is the platform's store with drawn failures and virtual time.
+type fakeStore struct {
+	platform.Store
+	t       *rapid.T
+	now     time.Time
+	rev     uint64
+	entries map[string]platform.Entry
+	leases  map[uint64]time.Time // end
+}
+
+var errStore = errors.New("store failed")
+
+func (f *fakeStore) failure(label string) int {
+	return rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(f.t, label) // none, before, after
+}
+
+func (f *fakeStore) expire() {
+	maps.DeleteFunc(f.entries, func(_ string, e platform.Entry) bool { return !f.now.Before(f.leases[e.LeaseID]) })
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	f.expire()
+	if f.failure("get") > 0 {
+		return platform.Entry{}, errors.Mark(errStore, platform.ErrUnavailable)
+	}
+	return f.entries[key], nil
+}
+
+func (f *fakeStore) GrantLease(_ context.Context, ttl time.Duration) (uint64, error) {
+	if f.failure("grant") > 0 {
+		return 0, errors.Mark(errStore, platform.ErrUnknownOutcome)
+	}
+	f.rev++
+	f.leases[f.rev] = f.now.Add(ttl)
+	return f.rev, nil
+}
+
+func (f *fakeStore) CompareAndSwap(_ context.Context, w platform.Write) (bool, platform.Entry, error) {
+	f.now = f.now.Add(rapid.SampledFrom([]time.Duration{0, 0, time.Second, 7 * time.Minute, time.Hour}).Draw(f.t, "pause"))
+	f.expire()
+	failure := f.failure("swap")
+	if failure == 1 {
+		return false, platform.Entry{}, errors.Mark(errStore, platform.ErrUnknownOutcome)
+	}
+	if !w.Delete && !f.now.Before(f.leases[w.LeaseID]) {
+		return false, platform.Entry{}, platform.ErrLeaseExpired
+	}
+	current := f.entries[w.Key]
+	swapped := current.Revision == w.ExpectedRevision
+	if swapped && w.Delete {
+		delete(f.entries, w.Key)
+	} else if swapped {
+		f.rev++
+		current = platform.Entry{Key: w.Key, Value: w.Value, Revision: f.rev, LeaseID: w.LeaseID}
+		f.entries[w.Key] = current
+	}
+	if failure == 2 {
+		return false, platform.Entry{}, errors.Mark(errStore, platform.ErrUnknownOutcome)
+	}
+	return swapped, current, nil
+}
+
+// TestClaims lets two instances claim the same ids while the store loses
+// answers, fails and pauses callers: within a claim's lifetime only one claim
+// holds, and a released id can be claimed again.
+func TestClaims(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fakeStore{t: t, now: time.Unix(0, 0), entries: map[string]platform.Entry{}, leases: map[uint64]time.Time{}}
+		now := func() time.Time { return f.now }
+		instances := []*once.Store{once.NewStore(f, now), once.NewStore(f, now)}
+		claimed := map[string]time.Time{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			s := instances[rapid.IntRange(0, 1).Draw(t, "instance")]
+			id := fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "id"))
+			claim, result := s.Claim(context.Background(), "quito", id)
+			if result != once.Claimed {
+				continue
+			}
+			if at, ok := claimed[id]; ok && f.now.Sub(at) < once.Lifetime {
+				t.Fatalf("id %s claimed twice within %s", id, f.now.Sub(at))
+			}
+			claimed[id] = f.now
+			if rapid.IntRange(0, 3).Draw(t, "release") == 0 {
+				s.Release(context.Background(), claim)
+				delete(claimed, id)
+			}
+		}
+	})
+}
+
+// TestClaimCost counts the store's writes: one for each claim and one lease
+// for each period.
+func TestClaimCost(t *testing.T) {
+	const claims = 1000
+	f := &countingStore{leases: map[uint64]bool{}}
+	now := time.Unix(0, 0)
+	s := once.NewStore(f, func() time.Time { return now })
+	for i := range claims {
+		if _, result := s.Claim(context.Background(), "quito", fmt.Sprint(i)); result != once.Claimed {
+			t.Fatalf("claim %d: %v", i, result)
+		}
+		now = now.Add(time.Second)
+	}
+	if f.writes != claims || len(f.leases) != 4 {
+		t.Fatalf("%d writes and %d leases for %d claims in %s", f.writes, len(f.leases), claims, now.Sub(time.Unix(0, 0)))
+	}
+}
+
+// countingStore accepts every write.
+type countingStore struct {
+	platform.Store
+	writes int
+	leases map[uint64]bool
+}
+
+func (c *countingStore) GrantLease(context.Context, time.Duration) (uint64, error) {
+	c.leases[uint64(len(c.leases)+1)] = true
+	return uint64(len(c.leases)), nil
+}
+
+func (c *countingStore) CompareAndSwap(_ context.Context, w platform.Write) (bool, platform.Entry, error) {
+	c.writes++
+	return true, platform.Entry{Key: w.Key, Value: w.Value, Revision: 1}, nil
+}
--- /dev/null
+++ b/internal/once/store.go
@@ -0,0 +1,102 @@
+package once
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/platform"
+)
+
+const (
+	// Lifetime is the least time that a claim lasts.
+	Lifetime = 10 * time.Minute
+	// leasePeriod is how long an instance attaches its claims to one lease.
+	leasePeriod = 5 * time.Minute
+	// callTimeout bounds one call to the store.
+	callTimeout = 2 * time.Second
+)
+
+// Store claims requests in the platform's store. All claims of a period share
+// one lease, so that they expire without a call for each. It is safe for
+// concurrent use.
+type Store struct {
+	store platform.Store
+	now   func() time.Time
+
+	mu    sync.Mutex // guards the fields below and the grant of a lease
+	lease uint64
+	since time.Time // moment before the lease was asked for
+}
+
+// NewStore returns the claims of one instance.
+func NewStore(store platform.Store, now func() time.Time) *Store {
+	return &Store{store: store, now: now}
+}
+
+// Claim claims a workspace's request id.
+func (s *Store) Claim(ctx context.Context, workspace, id string) (Claim, Result) {
+	claim, try := Claim{Key: Key(workspace, id)}, Try{Nonce: rand.Text()}
+	var since time.Time
+	for call := try.Start(); call != Stop; {
+		switch call {
+		case ReadBack:
+			current, err := s.read(ctx, claim.Key)
+			call = try.WasRead(current, err)
+		case Renew, Create:
+			lease, asked, err := s.currentLease(ctx, call == Renew)
+			if err != nil {
+				return claim, Unavailable
+			}
+			since = asked
+			call = try.Created(s.create(ctx, claim.Key, try.Nonce, lease))
+		}
+	}
+	result, revision := try.Result()
+	claim.Revision = revision
+	if result == Claimed && s.now().Sub(since) > leasePeriod {
+		return claim, Unavailable // the lease may end before the claim's lifetime
+	}
+	return claim, result
+}
+
+// Release gives back the claim of a request that surely did not run, so that
+// its caller may send it again. If that fails, the claim stays until it
+// expires.
+func (s *Store) Release(ctx context.Context, claim Claim) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, _, _ = s.store.CompareAndSwap(ctx, platform.Write{Key: claim.Key, ExpectedRevision: claim.Revision, Delete: true})
+}
+
+func (s *Store) read(ctx context.Context, key string) (platform.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.store.Get(ctx, key)
+}
+
+func (s *Store) create(ctx context.Context, key, nonce string, lease uint64) (bool, platform.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.store.CompareAndSwap(ctx, platform.Write{Key: key, Value: []byte(nonce), LeaseID: lease})
+}
+
+// currentLease returns the lease of this period and the moment before it was
+// asked for.
+func (s *Store) currentLease(ctx context.Context, renew bool) (uint64, time.Time, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	asked := s.now()
+	if !renew && s.lease != 0 && asked.Sub(s.since) < leasePeriod {
+		return s.lease, s.since, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	lease, err := s.store.GrantLease(ctx, Lifetime+leasePeriod)
+	if err != nil {
+		return 0, asked, err
+	}
+	s.lease, s.since = lease, asked
+	return lease, asked, nil
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -1,14 +1,11 @@
 // Package target is a small stand-in for a target: an HTTP server with a
-// bounded number of slots, a service time, and health and load endpoints.
+// bounded number of slots, a service time, health and load endpoints, and
+// faults that can be switched on. A ledger counts how often each request ran.
 package target
 
 import (
-	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
-	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -17,12 +14,16 @@
 const (
 	// RequestIDHeader carries the request id; the answer repeats it.
 	RequestIDHeader = "X-Request-Id"
+	// TryHeader identifies one try of a request; the answer repeats it.
+	TryHeader = "Turmericfield-Try"
 	// OutcomeHeader with the value not-run on a 503 says that the target shed
 	// the request before running it.
 	OutcomeHeader = "Turmericfield-Outcome"
 	HealthPath    = "/-/health"
 	LoadPath      = "/-/load"
 	LedgerPath    = "/-/ledger"
+	// ControlPath shows the settings; a PUT changes them.
+	ControlPath = "/-/control"
 )
 
 // Load is the answer of the load endpoint.
@@ -40,33 +41,44 @@
 	// AnswerBytes is the size of an answer's body, unless the request asks for
 	// another with the query parameter bytes.
 	AnswerBytes int
+	// ColdRequests is the number of first requests, and ColdTime the time from
+	// the start, in which a request takes ColdFactor times its service time.
+	ColdRequests int64
+	ColdTime     time.Duration
+	ColdFactor   float64
+	// MuteAfter silences each connection after that many answers; 0: never.
+	MuteAfter int64
+	// FaultShare and Seed start the schedule of faults.
+	FaultShare float64
+	Seed       uint64
 }
 
+// defaultDelay is how late an answer is with the fault late.
+const defaultDelay = 100 * time.Millisecond
+
 // Target is one stand-in target.
 type Target struct {
 	options  Options
+	started  time.Time
+	schedule *schedule
+	ledger   ledger
 	inFlight atomic.Int64
-	draining atomic.Bool
-
-	mu     sync.Mutex
-	ledger map[string]int // executions by request id
+	served   atomic.Int64
+	reported atomic.Int64 // load in the newest report
 }
 
 // New returns a target.
 func New(o Options) *Target {
-	return &Target{options: o, ledger: map[string]int{}}
+	return &Target{options: o, started: time.Now(), schedule: newSchedule(Settings{
+		FaultShare: o.FaultShare, Seed: o.Seed, DelayMillis: defaultDelay.Milliseconds(), LoadFactor: 1,
+	})}
 }
 
 // Executions returns how often each request id was run.
-func (t *Target) Executions() map[string]int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := make(map[string]int, len(t.ledger))
-	for id, n := range t.ledger {
-		out[id] = n
-	}
-	return out
-}
+func (t *Target) Executions() map[string]int { return t.ledger.copy() }
+
+// Set replaces the settings.
+func (t *Target) Set(s Settings) { t.schedule.set(s) }
 
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -74,71 +86,101 @@
 	case HealthPath:
 		t.serveHealth(w)
 	case LoadPath:
-		writeJSON(w, Load{InFlight: t.inFlight.Load(), Slots: int64(t.options.Slots), Draining: t.draining.Load()})
+		t.serveLoad(w)
 	case LedgerPath:
 		writeJSON(w, t.Executions())
+	case ControlPath:
+		t.serveControl(w, r)
 	default:
 		t.serveRequest(w, r)
 	}
 }
 
-func (t *Target) serveHealth(w http.ResponseWriter) {
-	if t.draining.Load() {
-		http.Error(w, "draining", http.StatusServiceUnavailable)
-		return
-	}
-	fmt.Fprintln(w, "ok")
-}
-
 func (t *Target) serveRequest(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(RequestIDHeader)
-	w.Header().Set(RequestIDHeader, id)
-	if t.inFlight.Add(1) > int64(t.options.Slots) {
-		t.inFlight.Add(-1)
-		w.Header().Set(OutcomeHeader, "not-run")
-		http.Error(w, "no free slot", http.StatusServiceUnavailable)
-		return
+	w.Header().Set(RequestIDHeader, r.Header.Get(RequestIDHeader))
+	w.Header().Set(TryHeader, r.Header.Get(TryHeader))
+	conn, fault := connectionOf(r), t.faultOf(r)
+	if fault == Mute {
+		conn.mute.Store(true)
 	}
-	defer t.inFlight.Add(-1)
-	t.record(id)
-	body, err := io.Copy(io.Discard, r.Body)
-	if err != nil {
-		return
+	if conn.mute.Load() || t.options.MuteAfter > 0 && conn.answers.Load() >= t.options.MuteAfter {
+		silence(r)
 	}
-	select {
-	case <-time.After(t.options.ServiceTime):
-	case <-r.Context().Done():
+	switch fault {
+	case ResetBefore:
+		panic(http.ErrAbortHandler)
+	case SilentBefore:
+		silence(r)
+	}
+	inFlight := t.inFlight.Add(1)
+	defer t.inFlight.Add(-1)
+	if fault == ShedNotRun || inFlight > int64(t.options.Slots) || t.schedule.get().Draining {
+		w.Header().Set(OutcomeHeader, "not-run")
+		http.Error(w, "no free slot", http.StatusServiceUnavailable)
 		return
 	}
-	t.answer(w, r, body)
+	t.run(w, r, fault)
+	conn.answers.Add(1)
 }
 
-func (t *Target) record(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.ledger[id]++
+// faultOf returns the fault that the request names, else the schedule's next.
+func (t *Target) faultOf(r *http.Request) Fault {
+	if name := r.Header.Get(FaultHeader); name != "" {
+		fault, _ := ParseFault(name)
+		return fault
+	}
+	return t.schedule.next()
 }
 
-func (t *Target) answer(w http.ResponseWriter, r *http.Request, body int64) {
-	size := t.options.AnswerBytes
-	if n, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil && n >= 0 {
-		size = n
+// run runs a request and answers it as its fault has it.
+func (t *Target) run(w http.ResponseWriter, r *http.Request, fault Fault) {
+	previous := t.ledger.record(r.Header.Get(RequestIDHeader))
+	body, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
 	}
-	header := fmt.Sprintf("target %s ran %s %s with %d bytes\n", t.options.Name, r.Method, r.URL.Path, body)
-	size = max(size, len(header))
-	w.Header().Set("Content-Length", strconv.Itoa(size))
-	_, _ = io.WriteString(w, header)
-	padding := make([]byte, min(size-len(header), 32<<10))
-	for rest := size - len(header); rest > 0; {
-		n, err := w.Write(padding[:min(rest, len(padding))])
-		if err != nil {
-			return
-		}
-		rest -= n
+	if !t.work(r, fault) {
+		panic(http.ErrAbortHandler)
+	}
+	a := t.newAnswer(r, body)
+	switch fault {
+	case Crossed, CrossedEmpty:
+		cross(w, previous, fault == CrossedEmpty)
+	case CutLength, CutChunked, CutUnmarked:
+		a.cut(w, fault)
+	case ResetAfter:
+		panic(http.ErrAbortHandler)
+	case SilentAfter:
+		silence(r)
+	case ShedUntold:
+		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+	case DropIdle:
+		a.whole(w)
+		_ = http.NewResponseController(w).Flush()
+		closeUnasked(w)
+	default:
+		a.whole(w)
 	}
 }
 
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
+// work takes the service time. It returns false if the caller has gone.
+func (t *Target) work(r *http.Request, fault Fault) bool {
+	d := t.options.ServiceTime
+	if t.served.Add(1) <= t.options.ColdRequests || time.Since(t.started) < t.options.ColdTime {
+		d = time.Duration(float64(d) * t.options.ColdFactor)
+	}
+	if fault == Late {
+		d += t.schedule.delay()
+	}
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
 }
