Steer 2.3 million blocks to sites through a packed table and bounded rings

Cause: look-ups hashed every member at each call and knew no client blocks. Change: pages of 256 blocks, rings of precomputed ranks for each zone, demand above 1.25 times the mean spilled to the nearest zones, a seat as hash key. Found on the way: a miss in the wide prefixes answered site 0 (test first: WidePrefixServesMissingBlocks).

--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -10,6 +10,7 @@
 type Document struct {
 	Regions           []Region           `yaml:"regions" json:"regions"`
 	AvailabilityZones []AvailabilityZone `yaml:"availability_zones" json:"availability_zones"`
+	Sites             []Site             `yaml:"sites,omitempty" json:"sites,omitempty"`
 	Services          []Service          `yaml:"services" json:"services"`
 	Routes            []Route            `yaml:"routes" json:"routes"`
 	Workspaces        []Workspace        `yaml:"workspaces" json:"workspaces"`
@@ -34,6 +35,17 @@
 	Region string `yaml:"region" json:"region"`
 }
 
+// Site is a place that callers are steered to.
+type Site struct {
+	Name             string `yaml:"name" json:"name"`
+	AvailabilityZone string `yaml:"availability_zone" json:"availability_zone"`
+	// Demand is the site's share of all load, relative to other sites; 0 means 1.
+	Demand float64 `yaml:"demand,omitempty" json:"demand,omitempty"`
+	// Clients lists the address prefixes of the site's callers, an IPv4 /24 or
+	// an IPv6 /48 at the narrowest.
+	Clients []string `yaml:"clients,omitempty" json:"clients,omitempty"`
+}
+
 // Service is a group of interchangeable targets.
 type Service struct {
 	Name string `yaml:"name" json:"name"`
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -11,6 +11,8 @@
 	maxNameLength  = 64
 	sha256HexChars = 64
 	maxRate        = 1e6
+	narrowestIPv4  = 24
+	narrowestIPv6  = 48
 )
 
 var (
@@ -36,6 +38,7 @@
 	}
 	v.checkRegions(doc)
 	v.checkZones(doc)
+	v.checkSites(doc)
 	v.checkServices(doc)
 	v.checkRoutes(doc)
 	v.checkWorkspaces(doc)
@@ -95,6 +98,36 @@
 	}
 }
 
+func (v *validator) checkSites(doc *Document) {
+	names, clients := map[string]bool{}, map[string]string{}
+	for i, s := range doc.Sites {
+		path := fmt.Sprintf("sites[%d]", i)
+		v.name(path+".name", s.Name, names)
+		v.known(path+".availability_zone", "availability zone", s.AvailabilityZone, v.zones)
+		if s.Demand < 0 {
+			v.add(path+".demand", "must not be negative, is %g", s.Demand)
+		}
+		for j, text := range s.Clients {
+			v.checkClients(fmt.Sprintf("%s.clients[%d]", path, j), text, s.Name, clients)
+		}
+	}
+}
+
+func (v *validator) checkClients(path, text, site string, seen map[string]string) {
+	prefix, err := netip.ParsePrefix(text)
+	switch {
+	case err != nil:
+		v.add(path, "%q is not an address prefix", text)
+	case prefix != prefix.Masked():
+		v.add(path, "%q has bits set after its length", text)
+	case prefix.Addr().Is4() && prefix.Bits() > narrowestIPv4, prefix.Addr().Is6() && prefix.Bits() > narrowestIPv6:
+		v.add(path, "%q is narrower than an IPv4 /%d or an IPv6 /%d", text, narrowestIPv4, narrowestIPv6)
+	case seen[text] != "":
+		v.add(path, "%q belongs to site %q already", text, seen[text])
+	}
+	seen[text] = site
+}
+
 func (v *validator) checkServices(doc *Document) {
 	addresses := map[string]string{}
 	for i, s := range doc.Services {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -52,7 +53,7 @@
 	// Snapshot returns the configuration in force.
 	Snapshot func() *config.Snapshot
 	// Lookup answers which instances a caller should use.
-	Lookup func(caller string) steering.Answer
+	Lookup func(caller netip.Addr) steering.Answer
 	// KeysFresh tells whether this instance's view of keys is recent enough to
 	// trust.
 	KeysFresh  func(now time.Time) bool
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
+	"net/netip"
 )
 
 // LookupResponse tells a caller which instances to use, best first.
@@ -21,15 +21,26 @@
 }
 
 func (h *Handler) serveLookup(w http.ResponseWriter, r *http.Request) {
-	caller := r.URL.Query().Get("client")
-	if caller == "" {
-		caller, _, _ = net.SplitHostPort(r.RemoteAddr)
+	caller, err := callerAddress(r)
+	if err != nil {
+		http.Error(w, "client is not an IP address", http.StatusBadRequest)
+		return
 	}
 	answer := h.Lookup(caller)
 	response := LookupResponse{TTLMillis: answer.TTL.Milliseconds()}
-	for _, m := range answer.Instances {
+	for _, m := range answer.Instances() {
 		response.Instances = append(response.Instances, LookupInstance{Name: m.Name, AvailabilityZone: m.AvailabilityZone, Address: m.Address})
 	}
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	_ = json.NewEncoder(w).Encode(response)
 }
+
+// callerAddress returns the address that a look-up asks for, or that it comes
+// from.
+func callerAddress(r *http.Request) (netip.Addr, error) {
+	if client := r.URL.Query().Get("client"); client != "" {
+		return netip.ParseAddr(client)
+	}
+	remote, err := netip.ParseAddrPort(r.RemoteAddr)
+	return remote.Addr(), err
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,7 +27,6 @@
 	"github.com/turmericfield/turmericfield/internal/peer"
 	"github.com/turmericfield/turmericfield/internal/placement"
 	"github.com/turmericfield/turmericfield/internal/platform"
-	"github.com/turmericfield/turmericfield/internal/steering"
 )
 
 // Server is one instance.
@@ -38,6 +37,7 @@
 	network    *peer.Network
 	invariants *invariant.Recorder
 	entry      *entry.Handler
+	steering   *steerer
 	limiter    *limit.StaticShares
 	placer     *placement.Placer
 
@@ -66,9 +66,10 @@
 	s.view = membership.New(membership.Member{
 		Name: o.Name, AvailabilityZone: o.AvailabilityZone, Address: o.Listen, PeerAddress: o.PeerListen,
 	})
+	s.steering = newSteerer(s.part("steering"))
 	s.network = peer.New(o.Name, nil, peer.Handlers{Receive: s.receive, Status: s.peerStatus, Sync: s.answerSync})
 	s.entry = entry.NewHandler(entry.Options{
-		Snapshot: s.snapshot.Load, Lookup: s.lookup, KeysFresh: s.keysFresh,
+		Snapshot: s.snapshot.Load, Lookup: s.steering.lookup, KeysFresh: s.keysFresh,
 		Limiter: s.limiter, Placer: s.placer, Invariants: s.invariants,
 		Log: s.log.Part("entry"), Now: time.Now,
 	})
@@ -115,6 +116,7 @@
 	group.Go(func() error { return s.network.Serve(ctx, s.peers, nil) })
 	group.Go(func() error { s.followConfiguration(ctx); return nil })
 	group.Go(func() error { s.followInstances(ctx); return nil })
+	group.Go(func() error { s.followSteering(ctx); return nil })
 	group.Go(func() error {
 		select {
 		case <-stop.Done():
@@ -142,6 +144,7 @@
 	s.mu.Lock()
 	s.view.SetLeaving()
 	s.mu.Unlock()
+	s.rebuildSteering()
 	select {
 	case <-time.After(s.options.DrainDelay):
 	case <-kill.Done():
@@ -178,12 +181,6 @@
 	return s.view.Members()
 }
 
-func (s *Server) lookup(caller string) steering.Answer {
-	answer := steering.Lookup(caller, s.members(), func(membership.Member) bool { return false })
-	s.part("steering").Info().Str("caller", caller).Int("instances", len(answer.Instances)).Msg("steering: answered a look-up")
-	return answer
-}
-
 func (s *Server) operatorHandler() http.Handler {
 	service := &operator.Service{Store: s.platform, Fleet: s, Now: time.Now}
 	mux := http.NewServeMux()
--- /dev/null
+++ b/internal/steering/bench_test.go
@@ -0,0 +1,181 @@
+package steering
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"sync/atomic"
+	"testing"
+
+	"github.com/gaissmai/bart"
+)
+
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkTableMemory reports the bytes of a block in the packed table and in
+// a general prefix table, which is the baseline.
+func BenchmarkTableMemory(b *testing.B) {
+	assignments := letterAssignments()
+	b.Run("packed", func(b *testing.B) {
+		for range b.N {
+			before := heapBytes()
+			table := &Table{}
+			table.Assign(assignments)
+			b.ReportMetric(float64(heapBytes()-before)/float64(table.Blocks()), "B/block")
+			b.ReportMetric(float64(heapBytes()-before)/(1<<20), "MiB")
+			runtime.KeepAlive(table)
+		}
+	})
+	b.Run("prefix-table", func(b *testing.B) {
+		for range b.N {
+			before := heapBytes()
+			table := &bart.Table[SiteID]{}
+			for _, a := range assignments {
+				table.Insert(a.Block.Prefix(), a.Site)
+			}
+			b.ReportMetric(float64(heapBytes()-before)/float64(table.Size()), "B/block")
+			b.ReportMetric(float64(heapBytes()-before)/(1<<20), "MiB")
+			runtime.KeepAlive(table)
+		}
+	})
+	runtime.KeepAlive(assignments)
+}
+
+// BenchmarkLookup measures the whole decision, alone and beside a writer that
+// moves blocks without pause.
+func BenchmarkLookup(b *testing.B) {
+	assignments := letterAssignments()
+	table := &Table{}
+	table.Assign(assignments)
+	sites := make([]Site, letterSites)
+	for i := range sites {
+		sites[i] = Site{Name: fmt.Sprint(i), AvailabilityZone: fmt.Sprintf("r%d-%d", i%22/3, i%22%3), Demand: 1}
+	}
+	d := Build(table, sites, topology{}, fleetOf(22, 73), nil)
+	addrs := make([]netip.Addr, 1<<16)
+	random := rand.New(rand.NewPCG(3, 4))
+	for i := range addrs {
+		addrs[i] = assignments[random.IntN(len(assignments))].Block.Prefix().Addr()
+	}
+	lookups := func(b *testing.B) {
+		b.ReportAllocs()
+		var named int
+		for i := range b.N {
+			answer := d.Lookup(addrs[i%len(addrs)])
+			named += len(answer.Instances())
+		}
+		if named == 0 {
+			b.Fatal("no instance named")
+		}
+	}
+	b.Run("alone", lookups)
+	b.Run("beside-updates", func(b *testing.B) {
+		var stop atomic.Bool
+		done := make(chan int)
+		go func() {
+			n := 0
+			for ; !stop.Load(); n++ {
+				a := assignments[n%len(assignments)]
+				table.Assign([]Assignment{{a.Block, SiteID(n % letterSites)}})
+			}
+			done <- n
+		}()
+		lookups(b)
+		stop.Store(true)
+		b.ReportMetric(float64(<-done)/b.Elapsed().Seconds(), "updates/s")
+	})
+}
+
+// BenchmarkBuild measures a change of one instance at the stated size, and a
+// whole rebuild.
+func BenchmarkBuild(b *testing.B) {
+	sites := sitesOf(22)
+	fleet := fleetOf(22, 73)
+	before := heapBytes()
+	full := Build(&Table{}, sites, topology{}, fleet, nil)
+	b.Logf("directory of %d instances: %.1f MiB", len(fleet), float64(heapBytes()-before)/(1<<20))
+	b.Run("whole", func(b *testing.B) {
+		for range b.N {
+			Build(&Table{}, sites, topology{}, fleet, nil)
+		}
+	})
+	b.Run("one-lost", func(b *testing.B) {
+		for range b.N {
+			Build(full.table, sites, topology{}, fleet[1:], full)
+		}
+	})
+	b.Run("table", func(b *testing.B) {
+		assignments := letterAssignments()
+		for b.Loop() {
+			(&Table{}).Assign(assignments)
+		}
+	})
+	b.Run("one-block", func(b *testing.B) {
+		table := &Table{}
+		table.Assign(letterAssignments())
+		for i := range b.N {
+			table.Assign([]Assignment{{Block(i % (1 << 24)), SiteID(i % letterSites)}})
+		}
+	})
+}
+
+// BenchmarkImbalance reports the load of the busiest instance over the mean
+// for 2.3 million blocks of uneven weight.
+func BenchmarkImbalance(b *testing.B) {
+	cases := []struct {
+		name        string
+		zones, each int
+		lost        int
+	}{{"one-of-7-lost", 1, 7, 1}, {"one-of-73-lost", 1, 73, 1}, {"zone-of-22-lost", 22, 73, 73}, {"390-replaced", 22, 73, 0}}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			fleet := fleetOf(c.zones, c.each)
+			before := Build(&Table{}, sitesOf(c.zones), topology{}, fleet, nil)
+			next := append([]Candidate(nil), fleet[c.lost:]...)
+			if c.lost == 0 {
+				for i := range 390 {
+					next[i*4].Key, next[i*4].Member.Name = next[i*4].Member.Name, next[i*4].Member.Name+"-next"
+				}
+			}
+			after := Build(&Table{}, sitesOf(c.zones), topology{}, next, before)
+			for range b.N {
+				worst, moved := imbalance(before, after, c.zones)
+				b.ReportMetric(worst, "peak/mean")
+				b.ReportMetric(moved, "moved")
+			}
+		})
+	}
+}
+
+// imbalance spreads blocks over the zones' rings. It returns the load of the
+// busiest instance over the mean, and the share of blocks whose first name
+// changed.
+func imbalance(before, after *Directory, zones int) (worst, moved float64) {
+	random := rand.New(rand.NewPCG(5, 6))
+	load := map[string]float64{}
+	var total float64
+	changed := 0
+	for i := range letterBlocks {
+		slot := Block(random.Uint64N(1<<24)).hash() % ringSlots
+		weight := 1 / (0.01 + random.Float64()) // heavy tail, a factor of 100
+		was, is := before.bySite[i%zones].answer(slot), after.bySite[i%zones].answer(slot)
+		name := is.Instances()[0].Name
+		load[name] += weight
+		total += weight
+		if was.Instances()[0].Name != name {
+			changed++
+		}
+	}
+	mean := total / float64(len(load))
+	for _, l := range load {
+		worst = max(worst, l/mean)
+	}
+	return worst, float64(changed) / letterBlocks
+}
--- /dev/null
+++ b/internal/steering/table.go
@@ -0,0 +1,215 @@
+package steering
+
+import (
+	"math/bits"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gaissmai/bart"
+)
+
+// SiteID numbers a site in the order of the configuration.
+type SiteID uint16
+
+// NoSite removes a block from a table.
+const NoSite SiteID = 1<<16 - 1
+
+const (
+	pageBits   = 8 // blocks of a page differ in their last 8 bits
+	pageBlocks = 1 << pageBits
+	ipv4Pages  = 1 << (ipv4BlockBits - pageBits)
+	ipv6Shards = 1 << 12
+)
+
+// Table maps blocks of clients to sites. Reads are lock-free and do not
+// allocate; writers replace one page of 256 neighbouring blocks at a time.
+// Prefixes that are wider than a block are kept apart and serve the addresses
+// whose block is not in the table.
+type Table struct {
+	ipv4 [ipv4Pages]atomic.Pointer[page]
+	ipv6 [ipv6Shards]atomic.Pointer[shard]
+	wide atomic.Pointer[bart.Table[SiteID]]
+
+	mu     sync.Mutex // serializes writers
+	blocks int
+}
+
+// page holds the sites of up to 256 neighbouring blocks: a bit for each block
+// that is present, and their sites in order.
+type page struct {
+	present [pageBlocks / 64]uint64
+	sites   []SiteID
+}
+
+// shard holds the pages of the IPv6 blocks that share a hash value.
+type shard struct {
+	keys  []Block // block without its last 8 bits
+	pages []*page
+}
+
+// Assignment is one change of a table.
+type Assignment struct {
+	Block Block
+	// Site of the block; NoSite removes it.
+	Site SiteID
+}
+
+// Lookup returns the site of an address.
+func (t *Table) Lookup(addr netip.Addr) (SiteID, bool) {
+	if site, ok := t.lookupBlock(BlockOf(addr)); ok {
+		return site, true
+	}
+	if wide := t.wide.Load(); wide != nil {
+		if site, ok := wide.Lookup(addr.Unmap()); ok {
+			return site, true
+		}
+	}
+	return NoSite, false
+}
+
+func (t *Table) lookupBlock(b Block) (SiteID, bool) {
+	p := t.page(b >> pageBits)
+	if p == nil {
+		return NoSite, false
+	}
+	return p.get(uint8(b))
+}
+
+// page returns the page of a key, nil if there is none.
+func (t *Table) page(key Block) *page {
+	if key&(ipv6Flag>>pageBits) == 0 {
+		return t.ipv4[key].Load()
+	}
+	s := t.ipv6[key.hash()%ipv6Shards].Load()
+	if s == nil {
+		return nil
+	}
+	for i, k := range s.keys {
+		if k == key {
+			return s.pages[i]
+		}
+	}
+	return nil
+}
+
+// get returns the site of the block with the given last 8 bits.
+func (p *page) get(last uint8) (SiteID, bool) {
+	word, bit := last/64, uint64(1)<<(last%64)
+	if p.present[word]&bit == 0 {
+		return NoSite, false
+	}
+	return p.sites[p.rank(last)], true
+}
+
+// rank counts the present blocks before the given one.
+func (p *page) rank(last uint8) int {
+	word := int(last / 64)
+	n := bits.OnesCount64(p.present[word] & (1<<(last%64) - 1))
+	for i := range word {
+		n += bits.OnesCount64(p.present[i])
+	}
+	return n
+}
+
+// Assign applies changes in order. Those next to each other that fall into one
+// page cost one replacement of it.
+func (t *Table) Assign(changes []Assignment) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for len(changes) > 0 {
+		key := changes[0].Block >> pageBits
+		n := 1
+		for n < len(changes) && changes[n].Block>>pageBits == key {
+			n++
+		}
+		old := t.page(key)
+		next := old.with(changes[:n])
+		t.blocks += next.count() - old.count()
+		t.setPage(key, next)
+		changes = changes[n:]
+	}
+}
+
+// AssignWide sets the site of a prefix that is wider than a block; NoSite
+// removes it.
+func (t *Table) AssignWide(prefix netip.Prefix, site SiteID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wide := t.wide.Load()
+	if wide == nil {
+		wide = &bart.Table[SiteID]{}
+	}
+	if site == NoSite {
+		wide = wide.DeletePersist(prefix)
+	} else {
+		wide = wide.InsertPersist(prefix, site)
+	}
+	t.wide.Store(wide)
+}
+
+// Blocks returns the number of blocks in the table.
+func (t *Table) Blocks() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.blocks
+}
+
+// with returns a copy of the page with changes applied; nil if it is empty.
+func (p *page) with(changes []Assignment) *page {
+	var all [pageBlocks]SiteID
+	for i := range all {
+		all[i] = NoSite
+		if p != nil {
+			if site, ok := p.get(uint8(i)); ok {
+				all[i] = site
+			}
+		}
+	}
+	for _, c := range changes {
+		all[uint8(c.Block)] = c.Site
+	}
+	next := &page{}
+	n := 0
+	for i, site := range all {
+		if site != NoSite {
+			next.present[i/64] |= 1 << (i % 64)
+			all[n] = site
+			n++
+		}
+	}
+	if n == 0 {
+		return nil
+	}
+	next.sites = append(make([]SiteID, 0, n), all[:n]...)
+	return next
+}
+
+func (p *page) count() int {
+	if p == nil {
+		return 0
+	}
+	return len(p.sites)
+}
+
+func (t *Table) setPage(key Block, p *page) {
+	if key&(ipv6Flag>>pageBits) == 0 {
+		t.ipv4[key].Store(p)
+		return
+	}
+	slot := &t.ipv6[key.hash()%ipv6Shards]
+	next := &shard{}
+	if old := slot.Load(); old != nil {
+		for i, k := range old.keys {
+			if k != key {
+				next.keys = append(next.keys, k)
+				next.pages = append(next.pages, old.pages[i])
+			}
+		}
+	}
+	if p != nil {
+		next.keys = append(next.keys, key)
+		next.pages = append(next.pages, p)
+	}
+	slot.Store(next)
+}
