Serve TLS to callers, operators and peers, and metrics over HTTP

Cause: the whole path was plain text and had no counters. Ruled out: certificates by address, since instances are replaced at any time.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -17,6 +17,7 @@
 	"github.com/turmericfield/turmericfield/internal/entry"
 	"github.com/turmericfield/turmericfield/internal/operator"
 	"github.com/turmericfield/turmericfield/internal/settings"
+	"github.com/turmericfield/turmericfield/internal/tlsconfig"
 )
 
 const clientTimeout = 20 * time.Second
@@ -26,6 +27,7 @@
 	address string
 	token   string
 	output  string
+	ca      string
 }
 
 func (f *clientFlags) register(cmd *cobra.Command) {
@@ -33,6 +35,7 @@
 	flags.StringVar(&f.address, "operator", "", "IP:port of an instance's operators' API")
 	flags.StringVar(&f.token, "operator-token", "", "credential of the operators' API")
 	flags.StringVar(&f.output, "output", "text", "text or json")
+	flags.StringVar(&f.ca, "tls-ca", "", "CA of the instances' certificates: a PEM file or PEM text; plain HTTP if it is not set")
 }
 
 func (f *clientFlags) client() (*operator.Client, error) {
@@ -45,7 +48,26 @@
 	if err := p.Err(); err != nil {
 		return nil, errors.Mark(err, errUsage)
 	}
-	return &operator.Client{BaseURL: "http://" + f.address, Token: f.token, HTTP: &http.Client{Timeout: clientTimeout}}, nil
+	base, client, err := httpClient(f.address, f.ca)
+	if err != nil {
+		return nil, err
+	}
+	return &operator.Client{BaseURL: base, Token: f.token, HTTP: client}, nil
+}
+
+// httpClient returns the base URL of an address and a client for it: HTTPS if a
+// CA is set.
+func httpClient(address, ca string) (string, *http.Client, error) {
+	config, err := tlsconfig.Client(ca)
+	if err != nil {
+		return "", nil, errors.Mark(errors.Wrap(err, "--tls-ca"), errUsage)
+	}
+	client := &http.Client{Timeout: clientTimeout}
+	if config == nil {
+		return "http://" + address, client, nil
+	}
+	client.Transport = &http.Transport{TLSClientConfig: config}
+	return "https://" + address, client, nil
 }
 
 // print writes a value as JSON, or as text through the given function.
@@ -150,7 +172,7 @@
 }
 
 func newLookup() *cobra.Command {
-	var instance, client string
+	var instance, client, ca string
 	cmd := &cobra.Command{
 		Use:   "lookup",
 		Short: "Ask an instance which instances a caller should use",
@@ -161,7 +183,7 @@
 			if err := p.Err(); err != nil {
 				return errors.Mark(err, errUsage)
 			}
-			answer, err := lookup(cmd.Context(), instance, client)
+			answer, err := lookup(cmd.Context(), instance, client, ca)
 			if err != nil {
 				return err
 			}
@@ -173,17 +195,22 @@
 	}
 	cmd.Flags().StringVar(&instance, "instance", "", "IP:port of any instance")
 	cmd.Flags().StringVar(&client, "client", "", "IP address of the caller; the connection's own if empty")
+	cmd.Flags().StringVar(&ca, "tls-ca", "", "CA of the instances' certificates: a PEM file or PEM text; plain HTTP if it is not set")
 	return cmd
 }
 
-func lookup(ctx context.Context, instance, client string) (entry.LookupResponse, error) {
+func lookup(ctx context.Context, instance, client, ca string) (entry.LookupResponse, error) {
 	var answer entry.LookupResponse
-	address := "http://" + instance + entry.LookupPath + "?client=" + url.QueryEscape(client)
+	base, caller, err := httpClient(instance, ca)
+	if err != nil {
+		return answer, err
+	}
+	address := base + entry.LookupPath + "?client=" + url.QueryEscape(client)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return answer, err
 	}
-	response, err := (&http.Client{Timeout: clientTimeout}).Do(request)
+	response, err := caller.Do(request)
 	if err != nil {
 		return answer, errors.Wrap(err, "look-up")
 	}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -43,6 +43,10 @@
 	f.StringVar(&o.OperatorToken, "operator-token", "", "credential of the operators' API")
 	f.DurationVar(&o.KeyFreshness, "key-freshness", defaultKeyFreshness, "how long keys are trusted without news from the store")
 	f.DurationVar(&o.DrainDelay, "drain-delay", defaultDrainDelay, "how long a leaving instance serves callers that hold cached look-up answers")
+	f.StringVar(&o.TLSCertificate, "tls-cert", "", "certificate for callers, operators and peers: a PEM file or PEM text")
+	f.StringVar(&o.TLSKey, "tls-key", "", "key of the certificate: a PEM file or PEM text")
+	f.StringVar(&o.PeerCA, "peer-ca", "", "CA of all instances' certificates; peers talk over TLS if it is set")
+	f.StringVar(&o.PlatformCA, "platform-ca", "", "CA of the platform's certificate; plain text if it is not set")
 	f.StringVar(&o.LogLevel, "log-level", "info", "debug, info, warn or error")
 	return cmd
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -16,6 +16,7 @@
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/invariant"
 	"github.com/turmericfield/turmericfield/internal/limit"
+	"github.com/turmericfield/turmericfield/internal/metrics"
 	"github.com/turmericfield/turmericfield/internal/placement"
 	"github.com/turmericfield/turmericfield/internal/steering"
 )
@@ -60,6 +61,7 @@
 	Limiter    Limiter
 	Placer     Placer
 	Invariants *invariant.Recorder
+	Metrics    *metrics.Set
 	Log        *log.Logger
 	Now        func() time.Time
 }
@@ -125,7 +127,10 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), route.Timeout())
 	defer cancel()
+	start := h.Now()
 	h.run(ctx, w, r, route, workspace)
+	h.Metrics.Add(metrics.Label("requests_total", "route", route.Name), 1)
+	h.Metrics.Observe(metrics.Label("request", "class", string(route.Class)), h.Now().Sub(start))
 }
 
 // admit checks configuration, route, key and rate, in that order.
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/attempt"
+	"github.com/turmericfield/turmericfield/internal/metrics"
 )
 
 // refusal is an answer that no target gave: the request was not run.
@@ -28,6 +29,7 @@
 
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, no refusal) {
 	h.Log.Info().Str("reason", no.reason).Str("path", r.URL.Path).Msg("entry: refused a request, not run")
+	h.Metrics.Add(metrics.Label("refusals_total", "reason", no.reason), 1)
 	if no.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(no.retryAfter.Seconds()))))
 	}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,115 @@
+// Package metrics keeps the counters, gauges and timers of one instance and
+// serves them over HTTP in the Prometheus text format.
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+const (
+	prefix = "turmericfield_"
+	// sampleSize and sampleAlpha are the usual forward-decaying sample of
+	// latencies, biased to the last five minutes.
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+var quantiles = []float64{0.5, 0.99, 0.999}
+
+// Set is the metrics of one instance. It is safe for concurrent use.
+type Set struct {
+	registry gometrics.Registry
+}
+
+// New returns an empty set with the gauges of the Go runtime.
+func New() *Set {
+	s := &Set{registry: gometrics.NewRegistry()}
+	s.Gauge("goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
+	s.Gauge("heap_bytes", func() int64 {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	})
+	return s
+}
+
+// Add adds to a counter. A label is written as name{key="value"}.
+func (s *Set) Add(name string, n int64) {
+	gometrics.GetOrRegisterCounter(name, s.registry).Inc(n)
+}
+
+// Observe records a duration.
+func (s *Set) Observe(name string, d time.Duration) {
+	s.registry.GetOrRegister(name, newHistogram).(gometrics.Histogram).Update(d.Microseconds())
+}
+
+func newHistogram() gometrics.Histogram {
+	return gometrics.NewHistogram(gometrics.NewExpDecaySample(sampleSize, sampleAlpha))
+}
+
+// Gauge registers a value that is read when the metrics are served.
+func (s *Set) Gauge(name string, read func() int64) {
+	_ = s.registry.Register(name, gometrics.NewFunctionalGauge(read))
+}
+
+// Label returns the name of a metric with one label.
+func Label(name, key, value string) string {
+	return fmt.Sprintf("%s{%s=%q}", name, key, value)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Set) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	_, _ = io.WriteString(w, s.Text())
+}
+
+// Text renders all metrics, sorted by name. Durations are in microseconds.
+func (s *Set) Text() string {
+	var lines []string
+	s.registry.Each(func(name string, metric any) {
+		lines = append(lines, render(name, metric)...)
+	})
+	slices.Sort(lines)
+	return strings.Join(lines, "")
+}
+
+func render(name string, metric any) []string {
+	switch m := metric.(type) {
+	case gometrics.Counter:
+		return []string{fmt.Sprintf("%s%s %d\n", prefix, name, m.Count())}
+	case gometrics.Gauge:
+		return []string{fmt.Sprintf("%s%s %d\n", prefix, name, m.Value())}
+	case gometrics.Histogram:
+		return renderHistogram(name, m.Snapshot())
+	}
+	return nil
+}
+
+func renderHistogram(name string, h gometrics.Histogram) []string {
+	base, labels, _ := strings.Cut(name, "{")
+	labels = strings.TrimSuffix(labels, "}")
+	lines := []string{fmt.Sprintf("%s%s_us_count%s %d\n", prefix, base, braces(labels, ""), h.Count())}
+	for i, value := range h.Percentiles(quantiles) {
+		quantile := fmt.Sprintf("quantile=\"%g\"", quantiles[i])
+		lines = append(lines, fmt.Sprintf("%s%s_us%s %.0f\n", prefix, base, braces(labels, quantile), value))
+	}
+	return lines
+}
+
+func braces(labels, extra string) string {
+	switch {
+	case labels == "" && extra == "":
+		return ""
+	case labels == "" || extra == "":
+		return "{" + labels + extra + "}"
+	}
+	return "{" + labels + "," + extra + "}"
+}
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,25 @@
+package metrics
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestTextListsEveryMetric(t *testing.T) {
+	s := New()
+	s.Add(Label("refusals_total", "reason", "rate"), 2)
+	s.Gauge("members", func() int64 { return 7 })
+	s.Observe(Label("request", "class", "bulk"), 3*time.Millisecond)
+	text := s.Text()
+	for _, want := range []string{
+		"turmericfield_refusals_total{reason=\"rate\"} 2\n",
+		"turmericfield_members 7\n",
+		"turmericfield_request_us_count{class=\"bulk\"} 1\n",
+		"turmericfield_request_us{class=\"bulk\",quantile=\"0.99\"} 3000\n",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("metrics lack %q:\n%s", want, text)
+		}
+	}
+}
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -28,6 +28,14 @@
 	// DrainDelay is how long a leaving instance goes on serving callers that
 	// hold cached look-up answers.
 	DrainDelay time.Duration
+	// TLSCertificate and TLSKey serve callers and operators over TLS, and
+	// identify the instance to its peers. Each is a PEM file or PEM text.
+	TLSCertificate, TLSKey string
+	// PeerCA signs the certificates of all instances. If it is set, instances
+	// talk to each other over TLS only.
+	PeerCA string
+	// PlatformCA signs the platform's certificate; plain text without it.
+	PlatformCA string
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
@@ -42,6 +50,12 @@
 	p.Address("operator-listen", o.OperatorListen)
 	p.Address("platform", o.Platform)
 	p.NonEmpty("operator-token", o.OperatorToken)
+	if (o.TLSCertificate == "") != (o.TLSKey == "") {
+		p.Add("tls-cert", "must be set together with --tls-key")
+	}
+	if o.PeerCA != "" && o.TLSCertificate == "" {
+		p.Add("peer-ca", "needs --tls-cert and --tls-key")
+	}
 	if o.KeyFreshness <= 0 {
 		p.Add("key-freshness", "must be above 0, is %s", o.KeyFreshness)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -23,6 +24,7 @@
 	"github.com/turmericfield/turmericfield/internal/limit"
 	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/membership"
+	"github.com/turmericfield/turmericfield/internal/metrics"
 	"github.com/turmericfield/turmericfield/internal/operator"
 	"github.com/turmericfield/turmericfield/internal/peer"
 	"github.com/turmericfield/turmericfield/internal/placement"
@@ -32,6 +34,8 @@
 // Server is one instance.
 type Server struct {
 	options    Options
+	security   security
+	metrics    *metrics.Set
 	log        *logging.Log
 	platform   *platform.Client
 	network    *peer.Network
@@ -53,12 +57,16 @@
 // Provision builds an instance from validated options. It binds its addresses
 // but serves nothing yet.
 func Provision(o Options, logs io.Writer) (*Server, error) {
-	client, err := platform.Dial(o.Platform, nil)
+	security, err := newSecurity(o)
+	if err != nil {
+		return nil, err
+	}
+	client, err := platform.Dial(o.Platform, security.platform)
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{
-		options: o, log: logging.New(logs, o.LogLevel), platform: client,
+		options: o, security: security, metrics: metrics.New(), log: logging.New(logs, o.LogLevel), platform: client,
 		placer: placement.New(o.AvailabilityZone), limiter: limit.NewStaticShares(1),
 	}
 	s.snapshot.Store(config.Compile(0, &config.Document{}))
@@ -67,12 +75,13 @@
 		Name: o.Name, AvailabilityZone: o.AvailabilityZone, Address: o.Listen, PeerAddress: o.PeerListen,
 	})
 	s.steering = newSteerer(s.part("steering"))
-	s.network = peer.New(o.Name, nil, peer.Handlers{Receive: s.receive, Status: s.peerStatus, Sync: s.answerSync})
+	s.network = peer.New(o.Name, security.peerClient, peer.Handlers{Receive: s.receive, Status: s.peerStatus, Sync: s.answerSync})
 	s.entry = entry.NewHandler(entry.Options{
 		Snapshot: s.snapshot.Load, Lookup: s.steering.lookup, KeysFresh: s.keysFresh,
-		Limiter: s.limiter, Placer: s.placer, Invariants: s.invariants,
+		Limiter: s.limiter, Placer: s.placer, Invariants: s.invariants, Metrics: s.metrics,
 		Log: s.log.Part("entry"), Now: time.Now,
 	})
+	s.registerGauges()
 	return s, s.bind()
 }
 
@@ -90,6 +99,9 @@
 			s.closeListeners()
 			return errors.Wrapf(err, "--%s", b.flag)
 		}
+		if b.flag != "peer-listen" && s.security.public != nil {
+			listener = tls.NewListener(listener, s.security.public)
+		}
 		*b.listener = listener
 	}
 	return nil
@@ -113,7 +125,7 @@
 	operators := &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: 5 * time.Second}
 	group.Go(func() error { return serveHTTP(callers, s.callers) })
 	group.Go(func() error { return serveHTTP(operators, s.operators) })
-	group.Go(func() error { return s.network.Serve(ctx, s.peers, nil) })
+	group.Go(func() error { return s.network.Serve(ctx, s.peers, s.security.peerServer) })
 	group.Go(func() error { s.followConfiguration(ctx); return nil })
 	group.Go(func() error { s.followInstances(ctx); return nil })
 	group.Go(func() error { s.followSteering(ctx); return nil })
@@ -165,6 +177,7 @@
 func (s *Server) part(name string) *log.Logger { return s.log.Part(name) }
 
 func (s *Server) reportViolation(name invariant.Name, detail string) {
+	s.metrics.Add(metrics.Label("invariant_violations_total", "name", string(name)), 1)
 	s.part("invariant").Error().Str("name", string(name)).Str("detail", detail).Msg("invariant: violated")
 }
 
@@ -186,6 +199,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", operator.NewHandler(service, s.options.OperatorToken))
 	mux.HandleFunc("GET /health", s.serveHealth)
+	mux.Handle("GET /metrics", s.metrics)
 	return mux
 }
 
