Add an open-loop load tool and a demo of the whole loop

Cause: nothing could load a running system, and a fresh clone had no first step. Change: arrivals drawn ahead from a seed, latencies counted from the scheduled time (corrected for coordinated omission), callers that cache look-ups and resend only what is surely not run or repeatable, reports in text and JSON; make demo runs stand-ins and three instances in one process.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,6 @@
 
 models:
 	@if [ -x spec/check.sh ]; then spec/check.sh; fi
+
+demo: build
+	./bin/turmericfield demo
--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -42,9 +42,7 @@
 	var p settings.Problems
 	p.Address("operator", f.address)
 	p.NonEmpty("operator-token", f.token)
-	if f.output != "text" && f.output != "json" {
-		p.Add("output", "%q is not text or json", f.output)
-	}
+	f.checkOutput(&p)
 	if err := p.Err(); err != nil {
 		return nil, errors.Mark(err, errUsage)
 	}
@@ -55,6 +53,12 @@
 	return &operator.Client{BaseURL: base, Token: f.token, HTTP: client}, nil
 }
 
+func (f *clientFlags) checkOutput(p *settings.Problems) {
+	if f.output != "text" && f.output != "json" {
+		p.Add("output", "%q is not text or json", f.output)
+	}
+}
+
 // httpClient returns the base URL of an address and a client for it: HTTPS if a
 // CA is set.
 func httpClient(address, ca string) (string, *http.Client, error) {
--- /dev/null
+++ b/internal/command/demo.go
@@ -0,0 +1,28 @@
+package command
+
+import (
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/turmericfield/turmericfield/internal/demo"
+)
+
+func newDemo() *cobra.Command {
+	var logs bool
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a small whole system in this process and show what it does",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var w io.Writer = io.Discard
+			if logs {
+				w = os.Stderr
+			}
+			return demo.Run(cmd.Context(), cmd.OutOrStdout(), w)
+		},
+	}
+	cmd.Flags().BoolVar(&logs, "logs", false, "write the instances' logs to standard error")
+	return cmd
+}
--- /dev/null
+++ b/internal/demo/play.go
@@ -0,0 +1,184 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/entry"
+	"github.com/turmericfield/turmericfield/internal/intent"
+)
+
+const requests = 40
+
+// play goes through the demo's steps.
+func (d *demo) play(ctx context.Context) error {
+	steps := []func(context.Context) error{
+		d.configure, d.serveRequests, d.drainZone, d.withdrawKey,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// configure puts the first configuration in force.
+func (d *demo) configure(ctx context.Context) error {
+	if err := d.eventually(ctx, "the operators' API answers", func() bool {
+		_, err := d.api.Status(ctx)
+		return err == nil
+	}); err != nil {
+		return err
+	}
+	return d.confirm(ctx, intent.Intent{Kind: intent.KindApply, Document: d.document()})
+}
+
+func (d *demo) document() *config.Document {
+	return &config.Document{
+		Regions: []config.Region{{Name: "sierra", LinkMbps: 4000}, {Name: "costa", LinkMbps: 4000}},
+		AvailabilityZones: []config.AvailabilityZone{
+			{Name: "sierra-1", Region: "sierra"}, {Name: "costa-1", Region: "costa"},
+		},
+		Services: []config.Service{{Name: "listings", Slots: slots, MaxConnections: 400, Targets: []config.Target{
+			{Name: "listings-1", AvailabilityZone: "sierra-1", Address: d.address("21", callerPort)},
+			{Name: "listings-2", AvailabilityZone: "costa-1", Address: d.address("22", callerPort)},
+		}}},
+		Routes: []config.Route{{
+			Name: "listings-read", Service: "listings", PathPrefix: "/listings/", Methods: []string{http.MethodGet},
+			Repeatable: true, Class: config.ClassInteractive, TimeoutMillis: 2000,
+		}},
+		Workspaces: []config.Workspace{{
+			Name: "quito", Rate: 500, Burst: 200, Routes: []string{"listings-read"},
+			Keys: []config.Key{{ID: keyID, SHA256: config.HashSecret(secret)}},
+		}},
+	}
+}
+
+// serveRequests looks up instances and sends requests to them.
+func (d *demo) serveRequests(ctx context.Context) error {
+	served := map[string]int{}
+	for i := range requests {
+		instance, err := d.lookup(ctx, fmt.Sprintf("10.0.%d.1", i))
+		if err != nil {
+			return err
+		}
+		status, body, err := d.request(ctx, instance)
+		if err != nil || status != http.StatusOK {
+			return errors.Newf("request through %s: status %d, %v, %s", instance, status, err, body)
+		}
+		served[instance]++
+	}
+	d.say("served %d of %d requests through %d instances", requests, requests, len(served))
+	return nil
+}
+
+// drainZone drains an availability zone and waits until no request reaches it.
+func (d *demo) drainZone(ctx context.Context) error {
+	drain := config.Drain{Kind: config.DrainAvailabilityZone, Name: "sierra-1"}
+	if err := d.confirm(ctx, intent.Intent{Kind: intent.KindDrain, Drain: &drain}); err != nil {
+		return err
+	}
+	for range requests {
+		_, body, err := d.request(ctx, d.address("11", callerPort))
+		if err != nil || !strings.Contains(body, "listings-2") {
+			return errors.Newf("a drained target still answers: %v, %s", err, body)
+		}
+	}
+	d.say("drained sierra-1: %d of %d requests were served by costa-1", requests, requests)
+	return d.confirm(ctx, intent.Intent{Kind: intent.KindUndrain, Drain: &drain})
+}
+
+// withdrawKey withdraws the workspace's key and waits until it is refused.
+func (d *demo) withdrawKey(ctx context.Context) error {
+	if err := d.confirm(ctx, intent.Intent{Kind: intent.KindWithdrawKey, KeyID: keyID}); err != nil {
+		return err
+	}
+	for _, f := range fleet {
+		status, body, err := d.request(ctx, d.address(f.host, callerPort))
+		if err != nil || status != http.StatusUnauthorized {
+			return errors.Newf("%s took a withdrawn key: status %d, %v", f.name, status, err)
+		}
+		d.say("%s refuses the withdrawn key: %s", f.name, strings.TrimSpace(body))
+	}
+	return nil
+}
+
+// confirm plans an intent, shows the plan, confirms it and waits until it is
+// in force everywhere.
+func (d *demo) confirm(ctx context.Context, in intent.Intent) error {
+	plan, err := d.api.Plan(ctx, in)
+	if err != nil {
+		return err
+	}
+	for _, line := range plan.Changes {
+		d.say("plan %s: %s", plan.ID, line)
+	}
+	confirmation, err := d.api.Confirm(ctx, plan.ID)
+	if err != nil {
+		return err
+	}
+	err = d.eventually(ctx, "the configuration is in force everywhere", func() bool {
+		status, err := d.api.Status(ctx)
+		return err == nil && status.InForce && status.AcceptedVersion == confirmation.Version && len(status.Instances) == len(fleet)
+	})
+	if err == nil {
+		d.say("confirmed: version %d is in force on all instances", confirmation.Version)
+	}
+	return err
+}
+
+func (d *demo) lookup(ctx context.Context, caller string) (string, error) {
+	address := "http://" + d.address("11", callerPort) + entry.LookupPath + "?client=" + caller
+	body, _, err := d.get(ctx, address, "")
+	if err != nil {
+		return "", err
+	}
+	var answer entry.LookupResponse
+	if err := json.Unmarshal([]byte(body), &answer); err != nil || len(answer.Instances) == 0 {
+		return "", errors.Newf("look-up answered %q, %v", body, err)
+	}
+	return answer.Instances[0].Address, nil
+}
+
+func (d *demo) request(ctx context.Context, instance string) (status int, body string, err error) {
+	body, status, err = d.get(ctx, "http://"+instance+"/listings/guinea-pigs", keyID+"."+secret)
+	return status, body, err
+}
+
+func (d *demo) get(ctx context.Context, address, key string) (body string, status int, err error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return "", 0, err
+	}
+	r.Header.Set(entry.KeyHeader, key)
+	response, err := d.client.Do(r)
+	if err != nil {
+		return "", 0, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return string(text), response.StatusCode, err
+}
+
+// eventually polls until a condition holds.
+func (d *demo) eventually(ctx context.Context, what string, condition func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for !condition() {
+		select {
+		case <-time.After(pollPeriod):
+		case <-ctx.Done():
+			return errors.Newf("%s: did not happen within %s", what, patience)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,173 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	maxLatencyMicros  = 120_000_000
+	significantDigits = 3
+	percentileMedian  = 50
+	percentileTail    = 99
+	percentileFarTail = 99.9
+	microsPerMilli    = 1000.0
+	percent           = 100.0
+)
+
+// Latency summarizes the latencies of answered requests, in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p99_9_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// WorkspaceReport says how one workspace fared.
+type WorkspaceReport struct {
+	Sent     int64   `json:"sent"`
+	Answered int64   `json:"answered"`
+	Latency  Latency `json:"latency"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Seconds float64 `json:"seconds"`
+	Sent    int64   `json:"sent"`
+	// Unsent requests found too many others in flight.
+	Unsent     int64                       `json:"unsent"`
+	Outcomes   map[Outcome]int64           `json:"outcomes"`
+	Refusals   map[string]int64            `json:"refusals"`
+	Classes    map[string]Latency          `json:"classes"`
+	Requests   map[string]Latency          `json:"requests"`
+	Workspaces map[string]*WorkspaceReport `json:"workspaces"`
+	// Instances counts the requests that each instance was sent last.
+	Instances map[string]int64 `json:"instances"`
+	// Resent counts the sends after the first one.
+	Resent int64 `json:"resent"`
+
+	mu         sync.Mutex
+	histograms map[string]*hdrhistogram.Histogram // by kind and name
+}
+
+func newReport(o Options) *Report {
+	r := &Report{
+		Outcomes: map[Outcome]int64{}, Refusals: map[string]int64{}, Classes: map[string]Latency{},
+		Requests: map[string]Latency{}, Workspaces: map[string]*WorkspaceReport{}, Instances: map[string]int64{},
+		histograms: map[string]*hdrhistogram.Histogram{},
+	}
+	for _, w := range o.Mix.Workspaces {
+		r.Workspaces[w.Name] = &WorkspaceReport{}
+	}
+	return r
+}
+
+func (r *Report) unsent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Unsent++
+}
+
+func (r *Report) record(request Request, workspace Workspace, res result, latency time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Sent++
+	r.Outcomes[res.outcome]++
+	r.Resent += int64(max(res.sends-1, 0))
+	if res.instance != "" {
+		r.Instances[res.instance]++
+	}
+	w := r.Workspaces[workspace.Name]
+	w.Sent++
+	if res.outcome != Answered {
+		r.Refusals[res.reason]++
+		return
+	}
+	w.Answered++
+	for _, name := range []string{"class " + string(request.Class), "request " + request.Name, "workspace " + workspace.Name} {
+		_ = r.histogram(name).RecordValue(min(latency.Microseconds(), maxLatencyMicros))
+	}
+}
+
+func (r *Report) histogram(name string) *hdrhistogram.Histogram {
+	h := r.histograms[name]
+	if h == nil {
+		h = hdrhistogram.New(1, maxLatencyMicros, significantDigits)
+		r.histograms[name] = h
+	}
+	return h
+}
+
+func (r *Report) finish(elapsed time.Duration) *Report {
+	r.Seconds = elapsed.Seconds()
+	for name, h := range r.histograms {
+		kind, rest, _ := strings.Cut(name, " ")
+		latency := Latency{
+			Count: h.TotalCount(),
+			P50:   float64(h.ValueAtPercentile(percentileMedian)) / microsPerMilli,
+			P99:   float64(h.ValueAtPercentile(percentileTail)) / microsPerMilli,
+			P999:  float64(h.ValueAtPercentile(percentileFarTail)) / microsPerMilli,
+			Max:   float64(h.Max()) / microsPerMilli,
+		}
+		switch kind {
+		case "class":
+			r.Classes[rest] = latency
+		case "request":
+			r.Requests[rest] = latency
+		case "workspace":
+			r.Workspaces[rest].Latency = latency
+		}
+	}
+	return r
+}
+
+// Worst returns the workspace with the smallest share of answered requests, and
+// that share from 0 to 1.
+func (r *Report) Worst() (name string, share float64) {
+	share = 1
+	for _, n := range slices.Sorted(maps.Keys(r.Workspaces)) {
+		w := r.Workspaces[n]
+		if w.Sent > 0 && float64(w.Answered)/float64(w.Sent) <= share {
+			name, share = n, float64(w.Answered)/float64(w.Sent)
+		}
+	}
+	return name, share
+}
+
+// WriteText renders the report for a person.
+func (r *Report) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "%d requests in %.1f s, %d unsent, %d resent\n", r.Sent, r.Seconds, r.Unsent, r.Resent)
+	for _, outcome := range slices.Sorted(maps.Keys(r.Outcomes)) {
+		fmt.Fprintf(w, "  %s: %d\n", outcome, r.Outcomes[outcome])
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Refusals)) {
+		fmt.Fprintf(w, "  not answered, %s: %d\n", reason, r.Refusals[reason])
+	}
+	writeLatencies(w, "class", r.Classes)
+	writeLatencies(w, "request", r.Requests)
+	for _, name := range slices.Sorted(maps.Keys(r.Workspaces)) {
+		s := r.Workspaces[name]
+		fmt.Fprintf(w, "workspace %s: %d of %d answered, p99 %.1f ms\n", name, s.Answered, s.Sent, s.Latency.P99)
+	}
+	for _, instance := range slices.Sorted(maps.Keys(r.Instances)) {
+		fmt.Fprintf(w, "instance %s: %d\n", instance, r.Instances[instance])
+	}
+	if name, share := r.Worst(); name != "" {
+		fmt.Fprintf(w, "worst-served workspace: %s, %.1f%% answered\n", name, share*percent)
+	}
+}
+
+func writeLatencies(w io.Writer, kind string, latencies map[string]Latency) {
+	for _, name := range slices.Sorted(maps.Keys(latencies)) {
+		l := latencies[name]
+		fmt.Fprintf(w, "%s %s: %d answered, p50 %.1f, p99 %.1f, p99.9 %.1f, max %.1f ms\n", kind, name, l.Count, l.P50, l.P99, l.P999, l.Max)
+	}
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,168 @@
+package load
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// errConnect marks a connection that could not be made: nothing was sent.
+var errConnect = errors.New("cannot connect")
+
+const (
+	maxInFlight     = 4096
+	connectTimeout  = time.Second
+	idlePerInstance = 64
+)
+
+// Options describe one run of load.
+type Options struct {
+	Mix *Mix
+	// Instances are the IP:port of instances that callers ask first.
+	Instances []string
+	// Rate is the mean number of requests a second; they arrive at random.
+	Rate     float64
+	Duration time.Duration
+	// Callers is the number of different addresses that requests come from.
+	Callers int
+	// Timeout bounds one request of a caller with all its sends.
+	Timeout time.Duration
+	Seed    uint64
+	// TLS, if set, makes callers use HTTPS.
+	TLS *tls.Config
+}
+
+// arrival is one request of the schedule.
+type arrival struct {
+	at        time.Duration // since the start
+	request   int           // in Mix.Requests
+	workspace int           // in Mix.Workspaces
+	caller    int
+}
+
+// schedule draws the arrivals of a run. It depends on the options only.
+func schedule(o Options) []arrival {
+	random := rand.New(rand.NewPCG(o.Seed, 1))
+	requests := weights(len(o.Mix.Requests), func(i int) float64 { return o.Mix.Requests[i].Weight })
+	workspaces := weights(len(o.Mix.Workspaces), func(i int) float64 { return o.Mix.Workspaces[i].Weight })
+	var out []arrival
+	at := 0.0
+	for {
+		at += random.ExpFloat64() / o.Rate
+		if at >= o.Duration.Seconds() {
+			return out
+		}
+		out = append(out, arrival{
+			at:      time.Duration(at * float64(time.Second)),
+			request: pick(requests, random.Float64()), workspace: pick(workspaces, random.Float64()),
+			caller: random.IntN(max(o.Callers, 1)),
+		})
+	}
+}
+
+// weights returns the cumulative shares of n weights.
+func weights(n int, weight func(int) float64) []float64 {
+	out := make([]float64, n)
+	total := 0.0
+	for i := range out {
+		total += weight(i)
+		out[i] = total
+	}
+	for i := range out {
+		out[i] /= total
+	}
+	return out
+}
+
+func pick(cumulative []float64, u float64) int {
+	for i, c := range cumulative {
+		if u < c {
+			return i
+		}
+	}
+	return len(cumulative) - 1
+}
+
+// Run sends the load and returns its report. Every latency counts from the
+// scheduled time of the request and not from when it was sent, so that a slow
+// system cannot hide its latency by delaying the load.
+func Run(ctx context.Context, o Options) *Report {
+	callers := newCallers(o)
+	report := newReport(o)
+	slots := make(chan struct{}, maxInFlight)
+	var wait sync.WaitGroup
+	start := time.Now()
+	for _, a := range schedule(o) {
+		if !sleepUntil(ctx, start.Add(a.at)) {
+			break
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			report.unsent()
+			continue
+		}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			scheduled := start.Add(a.at)
+			request, workspace := o.Mix.Requests[a.request], o.Mix.Workspaces[a.workspace]
+			callCtx, cancel := context.WithDeadline(ctx, scheduled.Add(o.Timeout))
+			defer cancel()
+			r := callers[a.caller].do(callCtx, request, workspace.Key)
+			report.record(request, workspace, r, time.Since(scheduled))
+		})
+	}
+	wait.Wait()
+	return report.finish(time.Since(start))
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func newCallers(o Options) []*caller {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	client := &http.Client{Transport: &http.Transport{
+		TLSClientConfig:     o.TLS,
+		MaxIdleConnsPerHost: idlePerInstance,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, errors.Mark(err, errConnect)
+			}
+			return conn, nil
+		},
+	}}
+	scheme := "http"
+	if o.TLS != nil {
+		scheme = "https"
+	}
+	out := make([]*caller, max(o.Callers, 1))
+	for i := range out {
+		out[i] = &caller{client: client, scheme: scheme, bootstrap: o.Instances, address: callerAddress(i)}
+	}
+	return out
+}
+
+// callerAddress gives every caller an address in a block of its own.
+func callerAddress(i int) netip.Addr {
+	const firstBlock = 10 << 24 // 10.0.0.0
+	var octets [4]byte
+	binary.BigEndian.PutUint32(octets[:], uint32(firstBlock+i<<8+1))
+	return netip.AddrFrom4(octets)
+}
