Carry key freshness through a store outage by writers' vouchers

Rule E1 alone ends keyed service everywhere once the store is down for longer than the bound. Rule E2 adds vouchers of the few writers that the accepted record lists: only they may write on top of it.

The record is now a manifest with content-addressed chunks below 1 MB, under control/; plans are stored under a lease. Confirms at other instances are passed on to a writer. The record counts revisions (any change) apart from versions (documents), so a change of writers makes no plan stale.

The data path also refuses a keyed request if the configuration changed between looking up the route and proving freshness: a paused request would otherwise have used an old key table with new evidence.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -88,7 +88,7 @@
 		return exitConflict
 	case "refused":
 		return exitInvalid
-	case "store-unavailable":
+	case "store-unavailable", "no-writer":
 		return exitUnavailable
 	case "unknown-outcome":
 		return exitUnknown
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -32,8 +32,17 @@
 type AvailabilityZone struct {
 	Name   string `yaml:"name" json:"name"`
 	Region string `yaml:"region" json:"region"`
+	// Instances is the number of entry instances that the zone is to have; each
+	// has one seat. 0 means 1.
+	Instances int `yaml:"instances,omitempty" json:"instances,omitempty"`
+	// ReserveShare is the part of the zone's seats, 0 to 1, that stays usable
+	// while the zone is cut off from the others.
+	ReserveShare float64 `yaml:"reserve_share,omitempty" json:"reserve_share,omitempty"`
 }
 
+// Seats returns the number of seats of the zone.
+func (z AvailabilityZone) Seats() int { return max(z.Instances, 1) }
+
 // Service is a group of interchangeable targets.
 type Service struct {
 	Name string `yaml:"name" json:"name"`
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -11,6 +11,7 @@
 	maxNameLength  = 64
 	sha256HexChars = 64
 	maxRate        = 1e6
+	maxInstances   = 10000 // entry instances of one availability zone
 )
 
 var (
@@ -92,6 +93,12 @@
 		path := fmt.Sprintf("availability_zones[%d]", i)
 		v.name(path+".name", z.Name, v.zones)
 		v.known(path+".region", "region", z.Region, v.regions)
+		if z.Instances < 0 || z.Instances > maxInstances {
+			v.add(path+".instances", "must be 0 to %d, is %d", maxInstances, z.Instances)
+		}
+		if !(z.ReserveShare >= 0 && z.ReserveShare <= 1) {
+			v.add(path+".reserve_share", "must be 0 to 1, is %g", z.ReserveShare)
+		}
 	}
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -154,7 +154,7 @@
 }
 
 func (h *Handler) authenticate(snapshot *config.Snapshot, route *config.Route, r *http.Request) (*config.Workspace, *refusal) {
-	if !h.KeysFresh(h.Now()) {
+	if !h.KeysFresh(h.Now()) || h.Snapshot() != snapshot {
 		return nil, &refusal{http.StatusServiceUnavailable, "keys-stale", "this instance cannot tell whether the key is still valid", time.Second}
 	}
 	workspace := snapshot.WorkspaceOf(r.Header.Get(KeyHeader))
--- /dev/null
+++ b/internal/freshness/author.go
@@ -0,0 +1,113 @@
+package freshness
+
+import (
+	"github.com/cockroachdb/errors"
+	"slices"
+)
+
+// ErrRetired refuses a write of a process that has given its final voucher.
+var ErrRetired = errors.New("this instance is leaving and writes no control record any more")
+
+// Outcome is what is known of a write that has ended.
+type Outcome int
+
+// Outcomes of a write.
+const (
+	// OutcomeRejected means that the write did not and will not take effect.
+	OutcomeRejected Outcome = iota
+	// OutcomeAccepted means that the write took effect.
+	OutcomeAccepted
+	// OutcomeUnknown means that the write may yet take effect.
+	OutcomeUnknown
+)
+
+// Author accounts for the control records that this process writes itself.
+type Author struct {
+	ID WriterID
+
+	inFlight int
+	// config is the newest configuration record that this process has written.
+	config uint64
+	// unknownBase is the newest record revision on top of which a write
+	// of unknown outcome was made. The write is settled once a newer version
+	// is known, because its compare-and-swap can no longer succeed.
+	unknownBase uint64
+	unsettled   bool
+	// unknownSeats holds the same for seat tables: the bases not yet settled.
+	unknownSeats []SeatsVersion
+	seats        []SeatsVersion
+	retired      bool
+}
+
+// BeginConfig must be called before a write of the configuration record is
+// sent. Every successful call is followed by one call of EndConfig.
+func (a *Author) BeginConfig() error { return a.begin() }
+
+// BeginSeats must be called before a write of a seat table is sent. Every
+// successful call is followed by one call of EndSeats.
+func (a *Author) BeginSeats() error { return a.begin() }
+
+func (a *Author) begin() error {
+	if a.retired {
+		return ErrRetired
+	}
+	a.inFlight++
+	return nil
+}
+
+// EndConfig records the end of a write on top of the record revision base.
+func (a *Author) EndConfig(base uint64, o Outcome) {
+	a.inFlight--
+	switch o {
+	case OutcomeUnknown:
+		a.unknownBase, a.unsettled = max(a.unknownBase, base), true
+	case OutcomeAccepted:
+		a.config = max(a.config, base+1)
+	}
+}
+
+// EndSeats records the end of a write of a zone's seat table on top of the
+// version base.
+func (a *Author) EndSeats(zone string, base uint64, o Outcome) {
+	a.inFlight--
+	switch o {
+	case OutcomeUnknown:
+		a.unknownSeats = append(a.unknownSeats, SeatsVersion{zone, base})
+	case OutcomeAccepted:
+		a.HoldSeats(zone, base+1)
+	}
+}
+
+// HoldSeats records that the process has read a version of a zone's seat
+// table, which settles its earlier writes of unknown outcome.
+func (a *Author) HoldSeats(zone string, version uint64) {
+	a.unknownSeats = slices.DeleteFunc(a.unknownSeats, func(s SeatsVersion) bool {
+		return s.AvailabilityZone == zone && s.Version < version
+	})
+	i := slices.IndexFunc(a.seats, func(s SeatsVersion) bool { return s.AvailabilityZone == zone })
+	if i < 0 {
+		a.seats = append(a.seats, SeatsVersion{zone, version})
+		return
+	}
+	a.seats[i].Version = max(a.seats[i].Version, version)
+}
+
+// Retire ends the writing of this process for good. From then on its voucher
+// is final.
+func (a *Author) Retire() { a.retired = true }
+
+// Retired tells whether this process has ended its writing.
+func (a *Author) Retired() bool { return a.retired }
+
+// canVouch tells whether every write of this process is settled, given the
+// record revision that the instance holds.
+func (a *Author) canVouch(held uint64) bool {
+	if a.unsettled && max(held, a.config) > a.unknownBase {
+		a.unsettled = false
+	}
+	return a.inFlight == 0 && !a.unsettled && len(a.unknownSeats) == 0
+}
+
+func (a *Author) voucher(held uint64) Voucher {
+	return Voucher{Writer: a.ID, Config: max(held, a.config), Seats: slices.Clone(a.seats), Final: a.retired}
+}
--- /dev/null
+++ b/internal/freshness/choose.go
@@ -0,0 +1,36 @@
+package freshness
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Candidate is an instance that could be a writer.
+type Candidate struct {
+	Instance string
+	Region   string
+}
+
+// RankWriters orders the candidates of each region by rendezvous hashing, so
+// that every instance comes to the same order and the loss of one moves no
+// other. The regions come in name order.
+func RankWriters(candidates []Candidate) [][]Candidate {
+	sorted := slices.Clone(candidates)
+	slices.SortFunc(sorted, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Instance, b.Instance))
+	})
+	var regions [][]Candidate
+	for _, c := range sorted {
+		last := len(regions) - 1
+		if last < 0 || regions[last][0].Region != c.Region {
+			regions = append(regions, []Candidate{c})
+			continue
+		}
+		regions[last] = append(regions[last], c)
+	}
+	return regions
+}
+
+func rank(c Candidate) uint64 { return xxhash.Sum64String(c.Region + "/" + c.Instance) }
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -8,6 +8,12 @@
 // the answer to a pull sent at time t, holds as of t-a by the puller's own
 // monotonic clock, however long the answer took. No two clocks are compared.
 //
+// That is rule E1. Rule E2 carries rights through an outage of the store. Only
+// the writers that the configuration record lists may write on top of it, and
+// who is listed changes only by a listed writer's own write. So when each
+// listed writer vouches that, up to a moment, it had begun no write beyond what
+// is known here, no change was accepted before the earliest of these moments.
+//
 // Rights that end when evidence grows too old, such as the trust in a key or
 // the use of a seat, therefore need no lease renewals of their own: a change
 // accepted at time t is observed by every instance by t plus its bound, or the
@@ -18,7 +24,7 @@
 
 // Versions identifies the accepted state that evidence speaks of.
 type Versions struct {
-	// Config is the version of the configuration record.
+	// Config is the revision of the configuration record.
 	Config uint64
 	// Seats is the version of the seat table of the instance's own zone.
 	Seats uint64
@@ -34,13 +40,22 @@
 	Versions Versions
 	// Age is the time since the moment AsOf; negative means no evidence.
 	Age time.Duration
+	// Vouchers are those of the listed writers that the instance has.
+	Vouchers []Voucher
 }
 
 // Tracker holds the newest evidence of one instance. It is not safe for
 // concurrent use.
 type Tracker struct {
-	known Versions // state that this instance holds
-	asOf  time.Time
+	// Zone is the availability zone whose seat table this instance holds.
+	Zone string
+	// Author accounts for this instance's own writes.
+	Author Author
+
+	known    Versions // state that this instance holds
+	asOf     time.Time
+	writers  []WriterID
+	vouchers map[WriterID]heldVoucher
 }
 
 // Hold records the state that this instance has in force.
@@ -61,21 +76,35 @@
 	if e.Age >= 0 {
 		t.Observe(pullSent.Add(-e.Age), e.Versions)
 	}
+	for _, v := range e.Vouchers {
+		t.mergeVoucher(pullSent, v)
+	}
 }
 
 // Evidence returns what this instance can vouch for now.
 func (t *Tracker) Evidence(now time.Time) Evidence {
-	if t.asOf.IsZero() {
-		return Evidence{Age: -1}
+	t.applyVouchers(now)
+	e := Evidence{Age: -1, Vouchers: t.givenVouchers(now)}
+	if !t.asOf.IsZero() {
+		e.Versions, e.Age = t.known, now.Sub(t.asOf)
 	}
-	return Evidence{Versions: t.known, Age: now.Sub(t.asOf)}
+	return e
 }
 
 // AsOf returns the moment up to which this instance knows every accepted
-// change; zero if it never had evidence.
+// change, as far as worked out by the last call of Observe, Evidence or Fresh;
+// zero if it never had evidence.
 func (t *Tracker) AsOf() time.Time { return t.asOf }
 
 // Fresh tells whether the evidence is within a bound.
 func (t *Tracker) Fresh(now time.Time, bound time.Duration) bool {
+	t.applyVouchers(now)
 	return !t.asOf.IsZero() && now.Sub(t.asOf) <= bound
 }
+
+// applyVouchers advances the moment as far as rule E2 allows.
+func (t *Tracker) applyVouchers(now time.Time) {
+	if upTo, ok := t.vouchedUpTo(now); ok {
+		t.Observe(upTo, t.known)
+	}
+}
--- a/internal/intent/plan.go
+++ b/internal/intent/plan.go
@@ -21,29 +21,11 @@
 	ErrRefused     = errors.New("plan was refused and cannot be confirmed")
 )
 
-// Operation is one accepted change.
-type Operation struct {
-	ID      string `json:"id"`
-	Version uint64 `json:"version"`
-}
+// Record is the accepted configuration.
+type Record = config.Record
 
-// Record is the accepted configuration as the store keeps it.
-type Record struct {
-	Version uint64 `json:"version"`
-	// History lists the newest operations, oldest first.
-	History  []Operation      `json:"history"`
-	Document *config.Document `json:"document"`
-}
-
-// VersionOf returns the version that an operation led to.
-func (r Record) VersionOf(operation string) (uint64, bool) {
-	for _, o := range r.History {
-		if o.ID == operation {
-			return o.Version, true
-		}
-	}
-	return 0, false
-}
+// Operation is one accepted change.
+type Operation = config.Operation
 
 // Plan shows what an intent will change. Nothing changes until it is confirmed.
 type Plan struct {
@@ -105,7 +87,10 @@
 	if err != nil {
 		return record, false, errors.Mark(err, ErrRefused)
 	}
-	next = Record{Version: record.Version + 1, Document: doc}
+	next = record
+	next.Revision++
+	next.Version++
+	next.Document = doc
 	next.History = append(slices.Clone(record.History), Operation{ID: plan.ID, Version: next.Version})
 	if extra := len(next.History) - maxHistory; extra > 0 {
 		next.History = next.History[extra:]
@@ -113,6 +98,15 @@
 	return next, false, nil
 }
 
+// SetWriters returns the record that lists other writers. Plans made on the
+// record before it stay valid.
+func SetWriters(record Record, writers []config.Writer) Record {
+	next := record
+	next.Revision++
+	next.Writers = slices.Clone(writers)
+	return next
+}
+
 func refusals(err error) []string {
 	var findings config.Findings
 	if !errors.As(err, &findings) {
--- /dev/null
+++ b/internal/operator/confirm_test.go
@@ -0,0 +1,235 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/freshness"
+	"github.com/turmericfield/turmericfield/internal/intent"
+	"github.com/turmericfield/turmericfield/internal/invariant"
+	"github.com/turmericfield/turmericfield/internal/platform"
+)
+
+const raceSeeds = 300
+
+func testDocument() *config.Document {
+	return &config.Document{
+		Regions:           []config.Region{{Name: "sierra", LinkMbps: 4000}},
+		AvailabilityZones: []config.AvailabilityZone{{Name: "sierra-1", Region: "sierra"}},
+		Workspaces:        []config.Workspace{{Name: "w", Rate: 1, Burst: 1}},
+	}
+}
+
+// operators builds services that share a store; the first is the writer.
+func operators(store platform.Store, n int) []*Service {
+	fleet := &fakeFleet{services: map[config.Writer]*Service{}}
+	var out []*Service
+	for i := range n {
+		s := &Service{
+			Store: store, Fleet: fleet, Now: time.Now,
+			Author: &fakeAuthor{self: config.Writer{Instance: fmt.Sprint("i", i), Incarnation: 1}},
+		}
+		fleet.services[s.Author.Self()] = s
+		out = append(out, s)
+	}
+	return out
+}
+
+func mustApply(t *testing.T, s *Service) {
+	t.Helper()
+	plan, err := s.Plan(t.Context(), intent.Intent{Kind: intent.KindApply, Document: testDocument()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Confirm(t.Context(), plan.ID); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func storedState(t *testing.T, store platform.Store) config.Record {
+	t.Helper()
+	var held config.Held
+	m, _, err := ReadRecord(t.Context(), store, &held)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := config.Join(m, held.Chunk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func admit(i int) intent.Intent {
+	return intent.Intent{Kind: intent.KindAdmit, Workspace: &config.Workspace{Name: fmt.Sprint("w", i), Rate: 1, Burst: 1}}
+}
+
+// Operators race through several writers while answers get lost. Each confirm
+// takes effect at most once, its word is true, and no version is ever reused.
+func TestRacingOperatorsWithLostAnswers(t *testing.T) {
+	for seed := range uint64(raceSeeds) {
+		synctest.Test(t, func(t *testing.T) { race(t, seed) })
+	}
+}
+
+func race(t *testing.T, seed uint64) {
+	store := newFakeStore(seed)
+	services := operators(store, 3)
+	mustApply(t, services[0])
+	_, err := services[0].ReplaceWriters(t.Context(), func(config.Record) ([]config.Writer, bool) {
+		return []config.Writer{services[0].Author.Self(), services[1].Author.Self()}, true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.loseAnswers = 0.4
+	var invariants invariant.Recorder
+	version := storedState(t, store).Version
+	depth := 0
+	store.between = func() {
+		// Another operator gets in between, through the other writer.
+		if depth == 0 && store.rng.IntN(3) == 0 {
+			depth++
+			confirmOne(t, services[1], 100+int(store.rng.Uint32()%1000), store)
+			depth--
+		}
+	}
+	for i := range 8 {
+		confirmOne(t, services[0], i, store)
+		now := storedState(t, store).Version
+		invariants.Check(now >= version, invariant.VersionNeverReverts, "seed %d: %d after %d", seed, now, version)
+		version = now
+	}
+	if len(invariants.Counts()) > 0 {
+		t.Fatal(invariants.Counts())
+	}
+	checkHistory(t, seed, storedState(t, store))
+}
+
+// confirmOne plans and confirms one change and checks that the answer is true.
+func confirmOne(t *testing.T, s *Service, i int, store *fakeStore) {
+	plan, err := s.Plan(t.Context(), admit(i))
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	c, err := s.ConfirmHere(ctx, plan.ID)
+	version, took := storedState(t, store).VersionOf(plan.ID)
+	switch {
+	case err == nil && (!took || version != c.Version):
+		t.Fatalf("plan %d: told version %d, in the store %d (%t)", i, c.Version, version, took)
+	case errors.Is(err, intent.ErrStalePlan) && took:
+		t.Fatalf("plan %d: told stale, yet it took effect", i)
+	case err != nil && took && !errors.Is(err, platform.ErrUnknownOutcome):
+		t.Fatalf("plan %d: took effect, told %v", i, err)
+	}
+	if a := s.Author.(*fakeAuthor); a.inFlight != 0 {
+		t.Fatalf("%d writes never ended", a.inFlight)
+	}
+}
+
+func checkHistory(t *testing.T, seed uint64, r config.Record) {
+	seen := map[string]bool{}
+	for i, o := range r.History {
+		if seen[o.ID] || o.Version != uint64(i+1) {
+			t.Fatalf("seed %d: history %v", seed, r.History)
+		}
+		seen[o.ID] = true
+	}
+}
+
+func TestConfirmWords(t *testing.T) {
+	store := newFakeStore(1)
+	services := operators(store, 3)
+	mustApply(t, services[0])
+	stale, _ := services[0].Plan(t.Context(), admit(1))
+	plan, _ := services[2].Plan(t.Context(), admit(2))
+	c, err := services[2].Confirm(t.Context(), plan.ID)
+	if err != nil || c.Version != 2 || c.Already {
+		t.Fatalf("confirm through an instance that is no writer: %+v, %v", c, err)
+	}
+	if c, err := services[1].Confirm(t.Context(), plan.ID); err != nil || !c.Already || c.Version != 2 {
+		t.Errorf("double confirm: %+v, %v", c, err)
+	}
+	words := map[string]string{stale.ID: "conflict", "none": "unknown-plan"}
+	refused, _ := services[0].Plan(t.Context(), intent.Intent{Kind: intent.KindWithdrawKey, KeyID: "none"})
+	words[refused.ID] = "refused"
+	for id, word := range words {
+		if _, err := services[0].Confirm(t.Context(), id); Code(err) != word || Code(ErrorOf(word, "x")) != word {
+			t.Errorf("plan %q: %v, not %s", id, err, word)
+		}
+	}
+	store.down = true
+	if _, err := services[0].Confirm(t.Context(), stale.ID); Code(err) != "store-unavailable" {
+		t.Errorf("store down: %v", err)
+	}
+}
+
+func TestOnlyListedWritersWrite(t *testing.T) {
+	store := newFakeStore(1)
+	services := operators(store, 2)
+	mustApply(t, services[0])
+	plan, _ := services[1].Plan(t.Context(), admit(1))
+	if _, err := services[1].ConfirmHere(t.Context(), plan.ID); !errors.Is(err, ErrNoWriter) {
+		t.Errorf("unlisted writer: %v", err)
+	}
+	delete(services[1].Fleet.(*fakeFleet).services, services[0].Author.Self())
+	if _, err := services[1].Confirm(t.Context(), plan.ID); Code(err) != "no-writer" {
+		t.Errorf("no writer reachable: %v", err)
+	}
+	services[0].Author.(*fakeAuthor).retired = true
+	if _, err := services[0].Confirm(t.Context(), plan.ID); !errors.Is(err, freshness.ErrRetired) {
+		t.Errorf("retired writer: %v", err)
+	}
+}
+
+// A write without an answer is reported to the author as unknown, whatever
+// came of it.
+func TestLostAnswerIsUnknownToTheAuthor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore(1)
+		s := operators(store, 1)[0]
+		mustApply(t, s)
+		plan, _ := s.Plan(t.Context(), admit(1))
+		store.between = func() { store.down = true }
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := s.ConfirmHere(ctx, plan.ID)
+		if Code(err) != "unknown-outcome" {
+			t.Errorf("word is %v", err)
+		}
+		if ends := s.Author.(*fakeAuthor).ends; ends[len(ends)-1] != freshness.OutcomeUnknown {
+			t.Errorf("outcomes %v", ends)
+		}
+	})
+}
+
+// Chunks that a newer record does not use are removed, those it uses never.
+func TestUnusedChunksAreRemoved(t *testing.T) {
+	store := newFakeStore(1)
+	s := operators(store, 1)[0]
+	mustApply(t, s)
+	for i := range 40 {
+		plan, _ := s.Plan(t.Context(), admit(i%7))
+		if _, err := s.Confirm(t.Context(), plan.ID); err != nil {
+			t.Fatal(err)
+		}
+		m, _, _ := config.Split(storedState(t, store))
+		chunks := 0
+		for key := range store.entries {
+			if len(key) > len(ChunkPrefix) && key[:len(ChunkPrefix)] == ChunkPrefix {
+				chunks++
+			}
+		}
+		if chunks != len(m.Missing(func(string) bool { return false })) {
+			t.Fatalf("%d chunks stored, %d used", chunks, len(m.Chunks))
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/fake_test.go
@@ -0,0 +1,119 @@
+package operator
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/freshness"
+	"github.com/turmericfield/turmericfield/internal/platform"
+)
+
+// fakeStore is an in-memory store with seeded faults.
+type fakeStore struct {
+	platform.Store
+	rng      *rand.Rand
+	entries  map[string]platform.Entry
+	revision uint64
+	// loseAnswers is the share of writes without an answer; half of these
+	// take effect.
+	loseAnswers float64
+	down        bool
+	// between runs before each compare-and-swap of the record.
+	between func()
+}
+
+func newFakeStore(seed uint64) *fakeStore {
+	return &fakeStore{rng: rand.New(rand.NewPCG(seed, 2)), entries: map[string]platform.Entry{}}
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	if f.down {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	e := f.entries[key]
+	e.Key = key
+	return e, nil
+}
+
+func (f *fakeStore) GrantLease(context.Context, time.Duration) (uint64, error) {
+	if f.down {
+		return 0, platform.ErrUnknownOutcome
+	}
+	return 1, nil
+}
+
+func (f *fakeStore) CompareAndSwap(_ context.Context, w platform.Write) (bool, platform.Entry, error) {
+	if f.between != nil && w.Key == RecordKey {
+		f.between()
+	}
+	if f.down {
+		return false, platform.Entry{}, platform.ErrUnknownOutcome
+	}
+	lost := f.rng.Float64() < f.loseAnswers
+	if lost && f.rng.IntN(2) == 0 {
+		return false, platform.Entry{}, platform.ErrUnknownOutcome
+	}
+	swapped, entry := f.swap(w)
+	if lost {
+		return false, platform.Entry{}, platform.ErrUnknownOutcome
+	}
+	return swapped, entry, nil
+}
+
+func (f *fakeStore) swap(w platform.Write) (bool, platform.Entry) {
+	old := f.entries[w.Key]
+	old.Key = w.Key
+	if old.Revision != w.ExpectedRevision {
+		return false, old
+	}
+	f.revision++
+	if w.Delete {
+		delete(f.entries, w.Key)
+		return true, platform.Entry{Key: w.Key}
+	}
+	e := platform.Entry{Key: w.Key, Value: w.Value, Revision: f.revision, LeaseID: w.LeaseID}
+	f.entries[w.Key] = e
+	return true, e
+}
+
+// fakeAuthor records the writes of one instance.
+type fakeAuthor struct {
+	self     config.Writer
+	inFlight int
+	ends     []freshness.Outcome
+	retired  bool
+}
+
+func (a *fakeAuthor) Self() config.Writer { return a.self }
+
+func (a *fakeAuthor) Begin() error {
+	if a.retired {
+		return freshness.ErrRetired
+	}
+	a.inFlight++
+	return nil
+}
+
+func (a *fakeAuthor) End(_ uint64, o freshness.Outcome) {
+	a.inFlight--
+	a.ends = append(a.ends, o)
+}
+
+// fakeFleet passes confirms on to the services of one process.
+type fakeFleet struct {
+	services map[config.Writer]*Service
+}
+
+func (f *fakeFleet) Instances(context.Context) []InstanceStatus { return nil }
+
+func (f *fakeFleet) ConfirmAt(ctx context.Context, w config.Writer, id string) (Confirmation, error) {
+	s := f.services[w]
+	if s == nil {
+		return Confirmation{}, errors.Wrap(ErrNoWriter, w.Instance)
+	}
+	return s.ConfirmHere(ctx, id)
+}
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -6,25 +6,28 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/freshness"
 	"github.com/turmericfield/turmericfield/internal/intent"
 	"github.com/turmericfield/turmericfield/internal/platform"
 )
 
-// Keys of the store.
-const (
-	RecordKey  = "config/current"
-	planPrefix = "plan/"
-)
+const planPrefix = "plan/"
 
 const (
 	planIDBytes      = 6
+	planTTL          = time.Hour // a plan that is not confirmed by then is forgotten
 	confirmRetryWait = 100 * time.Millisecond
 )
 
+// ErrNoWriter refuses a confirm that no listed writer could be asked for.
+var ErrNoWriter = errors.New("no instance that may write the configuration can be reached; nothing was changed")
+
 // Confirmation is the answer to a confirm.
 type Confirmation struct {
 	PlanID  string `json:"plan_id"`
@@ -50,23 +53,41 @@
 	InForce         bool             `json:"in_force_everywhere"`
 	Instances       []InstanceStatus `json:"instances"`
 	Violations      map[string]int64 `json:"violations,omitempty"`
+	// Writers are the instances that may write the next record.
+	Writers []config.Writer `json:"writers,omitempty"`
 }
 
-// Fleet tells what the instances report.
+// Fleet tells what the instances report and passes confirms on to writers.
 type Fleet interface {
 	Instances(ctx context.Context) []InstanceStatus
+	// ConfirmAt confirms a plan at a writer. The error is marked ErrNoWriter if
+	// the writer surely did nothing, or ErrUnknownOutcome.
+	ConfirmAt(ctx context.Context, writer config.Writer, planID string) (Confirmation, error)
+}
+
+// Author accounts for the control records that this process writes.
+type Author interface {
+	Self() config.Writer
+	// Begin is called before a write of the record; an error forbids it.
+	Begin() error
+	// End is called after it, with the record revision that it was made on.
+	End(base uint64, outcome freshness.Outcome)
 }
 
 // Service carries out operators' requests on the platform's store.
 type Service struct {
-	Store platform.Store
-	Fleet Fleet
-	Now   func() time.Time
+	Store  platform.Store
+	Fleet  Fleet
+	Author Author
+	Now    func() time.Time
+
+	mu   sync.Mutex // guards held, and lets one write run at a time
+	held config.Held
 }
 
 // Plan works out and stores the plan of an intent.
 func (s *Service) Plan(ctx context.Context, in intent.Intent) (intent.Plan, error) {
-	record, _, err := s.record(ctx)
+	record, err := s.readRecord(ctx)
 	if err != nil {
 		return intent.Plan{}, err
 	}
@@ -74,81 +95,128 @@
 	if err != nil {
 		return intent.Plan{}, err
 	}
-	plan := intent.NewPlan(id, in, record, s.Now())
+	plan := intent.NewPlan(id, in, record.Record, s.Now())
 	value, err := json.Marshal(plan)
 	if err != nil {
 		return intent.Plan{}, err
 	}
-	_, _, err = s.Store.CompareAndSwap(ctx, platform.Write{Key: planPrefix + id, Value: value})
-	if errors.Is(err, platform.ErrUnknownOutcome) {
-		err = s.planWritten(ctx, id, err)
-	}
-	return plan, err
+	return plan, writePlan(ctx, s.Store, id, value)
 }
 
-// planWritten checks whether a plan whose write got no answer is stored.
-func (s *Service) planWritten(ctx context.Context, id string, cause error) error {
-	entry, err := s.Store.Get(ctx, planPrefix+id)
+// Confirm makes a plan the next accepted configuration, or has a writer do so.
+func (s *Service) Confirm(ctx context.Context, id string) (Confirmation, error) {
+	record, err := s.readRecord(ctx)
 	if err != nil {
-		return errors.CombineErrors(cause, err)
+		return Confirmation{}, err
+	}
+	if record.MayWrite(s.Author.Self()) {
+		return s.ConfirmHere(ctx, id)
 	}
-	if entry.Revision == 0 {
-		return cause
+	for _, w := range record.Writers {
+		confirmation, err := s.Fleet.ConfirmAt(ctx, w, id)
+		if !errors.Is(err, ErrNoWriter) {
+			return confirmation, err
+		}
 	}
-	return nil
+	return Confirmation{}, ErrNoWriter
 }
 
-// Confirm makes a plan the next accepted configuration. It retries while the
-// outcome of its write is unknown, until the context ends.
-func (s *Service) Confirm(ctx context.Context, id string) (Confirmation, error) {
-	plan, err := s.storedPlan(ctx, id)
+// ConfirmHere makes a plan the next accepted configuration. It retries while
+// the outcome of its write is unknown, until the context ends.
+func (s *Service) ConfirmHere(ctx context.Context, id string) (Confirmation, error) {
+	plan, err := readPlan(ctx, s.Store, id)
 	if err != nil {
 		return Confirmation{}, err
 	}
-	for attempt := 0; ; attempt++ {
-		confirmation, retry, err := s.tryConfirm(ctx, plan, attempt > 0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	uncertain := false
+	for {
+		confirmation, retry, err := s.tryConfirm(ctx, plan, uncertain)
 		if !retry {
 			return confirmation, err
 		}
+		uncertain = uncertain || errors.Is(err, platform.ErrUnknownOutcome)
 		select {
 		case <-time.After(confirmRetryWait):
 		case <-ctx.Done():
+			if uncertain {
+				err = errors.Mark(errors.CombineErrors(err, ctx.Err()), platform.ErrUnknownOutcome)
+			}
 			return Confirmation{}, errors.CombineErrors(err, ctx.Err())
 		}
 	}
 }
 
-func (s *Service) tryConfirm(ctx context.Context, plan intent.Plan, retried bool) (Confirmation, bool, error) {
-	record, revision, err := s.record(ctx)
+// tryConfirm reads the record and writes its successor once. uncertain says
+// that an earlier write of the same confirm has no answer.
+func (s *Service) tryConfirm(ctx context.Context, plan intent.Plan, uncertain bool) (Confirmation, bool, error) {
+	stored, err := s.load(ctx)
 	if err != nil {
-		return Confirmation{}, retried, err
+		return Confirmation{}, uncertain, err
 	}
-	next, done, err := intent.Confirm(plan, record)
+	next, done, err := intent.Confirm(plan, stored.Record)
 	if err != nil {
 		return Confirmation{}, false, err
 	}
 	if done {
-		version, _ := record.VersionOf(plan.ID)
-		return Confirmation{PlanID: plan.ID, Version: version, Already: !retried}, false, nil
+		version, _ := stored.VersionOf(plan.ID)
+		return Confirmation{PlanID: plan.ID, Version: version, Already: !uncertain}, false, nil
 	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return Confirmation{}, false, err
+	if !stored.MayWrite(s.Author.Self()) {
+		return Confirmation{}, false, ErrNoWriter
+	}
+	if stored.Revision == 0 {
+		next.Writers = []config.Writer{s.Author.Self()}
 	}
-	swapped, _, err := s.Store.CompareAndSwap(ctx, platform.Write{Key: RecordKey, ExpectedRevision: revision, Value: value})
+	swapped, err := s.write(ctx, stored, next)
 	if err != nil {
 		return Confirmation{}, errors.Is(err, platform.ErrUnknownOutcome), err
 	}
 	return Confirmation{PlanID: plan.ID, Version: next.Version}, !swapped, nil
 }
 
+// ReplaceWriters lists other writers if choose, given the present record,
+// returns true. It reports whether the record was changed.
+func (s *Service) ReplaceWriters(ctx context.Context, choose func(config.Record) ([]config.Writer, bool)) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored, err := s.load(ctx)
+	if err != nil || stored.Revision == 0 {
+		return false, err
+	}
+	writers, ok := choose(stored.Record)
+	if !ok {
+		return false, nil
+	}
+	return s.write(ctx, stored, intent.SetWriters(stored.Record, writers))
+}
+
+// write replaces the record between the author's Begin and End.
+func (s *Service) write(ctx context.Context, old storedRecord, next intent.Record) (bool, error) {
+	if err := s.Author.Begin(); err != nil {
+		return false, err
+	}
+	swapped, err := writeRecord(ctx, s.Store, old.manifest, old.storeRevision, next)
+	outcome := freshness.OutcomeRejected
+	switch {
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		outcome = freshness.OutcomeUnknown
+	case swapped:
+		outcome = freshness.OutcomeAccepted
+	}
+	s.Author.End(old.Revision, outcome)
+	return swapped, err
+}
+
 // Status reports which version is accepted and which is in force where.
 func (s *Service) Status(ctx context.Context) Status {
 	status := Status{Instances: s.Fleet.Instances(ctx)}
-	record, _, err := s.record(ctx)
+	record, err := s.readRecord(ctx)
 	if err == nil {
 		status.StoreReachable = true
 		status.AcceptedVersion = record.Version
+		status.Writers = record.Writers
 	}
 	status.InForce = err == nil
 	for _, in := range status.Instances {
@@ -159,34 +227,27 @@
 	return status
 }
 
-func (s *Service) storedPlan(ctx context.Context, id string) (intent.Plan, error) {
-	entry, err := s.Store.Get(ctx, planPrefix+id)
-	if err != nil {
-		return intent.Plan{}, err
-	}
-	if entry.Revision == 0 {
-		return intent.Plan{}, errors.Wrapf(intent.ErrUnknownPlan, "plan %q", id)
-	}
-	var plan intent.Plan
-	return plan, errors.Wrapf(json.Unmarshal(entry.Value, &plan), "plan %q", id)
+// storedRecord is a record with its place in the store.
+type storedRecord struct {
+	intent.Record
+	manifest      config.Manifest
+	storeRevision uint64
 }
 
-func (s *Service) record(ctx context.Context) (intent.Record, uint64, error) {
-	entry, err := s.Store.Get(ctx, RecordKey)
-	if err != nil {
-		return intent.Record{}, 0, err
-	}
-	record, err := DecodeRecord(entry)
-	return record, entry.Revision, err
+func (s *Service) readRecord(ctx context.Context) (storedRecord, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.load(ctx)
 }
 
-// DecodeRecord reads the record from its store entry.
-func DecodeRecord(entry platform.Entry) (intent.Record, error) {
-	var record intent.Record
-	if entry.Revision == 0 {
-		return record, nil
+// load reads the record; the caller holds mu.
+func (s *Service) load(ctx context.Context) (storedRecord, error) {
+	m, revision, err := ReadRecord(ctx, s.Store, &s.held)
+	if err != nil {
+		return storedRecord{}, err
 	}
-	return record, errors.Wrapf(json.Unmarshal(entry.Value, &record), "store key %q", RecordKey)
+	record, err := config.Join(m, s.held.Chunk)
+	return storedRecord{Record: record, manifest: m, storeRevision: revision}, err
 }
 
 func newPlanID() (string, error) {
--- a/internal/operator/transport.go
+++ b/internal/operator/transport.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 
+	"github.com/turmericfield/turmericfield/internal/freshness"
 	"github.com/turmericfield/turmericfield/internal/intent"
 	"github.com/turmericfield/turmericfield/internal/platform"
 )
@@ -39,7 +40,7 @@
 type ErrorResponse struct {
 	Error string `json:"error"`
 	// Code is one of unauthorized, bad-request, unknown-plan, conflict,
-	// refused, store-unavailable, unknown-outcome, internal.
+	// refused, no-writer, store-unavailable, unknown-outcome, internal.
 	Code string `json:"code"`
 }
 
@@ -104,22 +105,58 @@
 	_ = json.NewEncoder(w).Encode(ErrorResponse{Error: err.Error(), Code: code})
 }
 
+// Codes of error responses.
+const (
+	codeUnauthorized     = "unauthorized"
+	codeBadRequest       = "bad-request"
+	codeUnknownPlan      = "unknown-plan"
+	codeConflict         = "conflict"
+	codeRefused          = "refused"
+	codeNoWriter         = "no-writer"
+	codeUnknownOutcome   = "unknown-outcome"
+	codeStoreUnavailable = "store-unavailable"
+	codeInternal         = "internal"
+)
+
+// failures lists the errors that have a code of their own, the first that
+// matches counts.
+var failures = []struct {
+	err    error
+	code   string
+	status int
+}{
+	{errUnauthorized, codeUnauthorized, http.StatusUnauthorized},
+	{errBadRequest, codeBadRequest, http.StatusBadRequest},
+	{intent.ErrUnknownPlan, codeUnknownPlan, http.StatusNotFound},
+	{intent.ErrStalePlan, codeConflict, http.StatusConflict},
+	{intent.ErrRefused, codeRefused, http.StatusUnprocessableEntity},
+	{ErrNoWriter, codeNoWriter, http.StatusServiceUnavailable},
+	{freshness.ErrRetired, codeNoWriter, http.StatusServiceUnavailable},
+	{platform.ErrUnknownOutcome, codeUnknownOutcome, http.StatusGatewayTimeout},
+	{platform.ErrUnavailable, codeStoreUnavailable, http.StatusServiceUnavailable},
+}
+
 func classify(err error) (string, int) {
-	switch {
-	case errors.Is(err, errUnauthorized):
-		return "unauthorized", http.StatusUnauthorized
-	case errors.Is(err, errBadRequest):
-		return "bad-request", http.StatusBadRequest
-	case errors.Is(err, intent.ErrUnknownPlan):
-		return "unknown-plan", http.StatusNotFound
-	case errors.Is(err, intent.ErrStalePlan):
-		return "conflict", http.StatusConflict
-	case errors.Is(err, intent.ErrRefused):
-		return "refused", http.StatusUnprocessableEntity
-	case errors.Is(err, platform.ErrUnknownOutcome):
-		return "unknown-outcome", http.StatusGatewayTimeout
-	case errors.Is(err, platform.ErrUnavailable):
-		return "store-unavailable", http.StatusServiceUnavailable
+	for _, f := range failures {
+		if errors.Is(err, f.err) {
+			return f.code, f.status
+		}
+	}
+	return codeInternal, http.StatusInternalServerError
+}
+
+// Code returns the code of an error, for an instance that asked for a confirm.
+func Code(err error) string {
+	code, _ := classify(err)
+	return code
+}
+
+// ErrorOf is the inverse of Code.
+func ErrorOf(code, message string) error {
+	for _, f := range failures {
+		if f.code == code {
+			return errors.Mark(errors.Newf("%s", message), f.err)
+		}
 	}
-	return "internal", http.StatusInternalServerError
+	return errors.Newf("%s", message)
 }
--- /dev/null
+++ b/internal/peer/evidence.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/turmericfield/turmericfield/api/peerpb"
+	"github.com/turmericfield/turmericfield/internal/freshness"
+)
+
+// EvidenceToProto renders evidence for a peer.
+func EvidenceToProto(e freshness.Evidence) *peerpb.Evidence {
+	out := &peerpb.Evidence{ConfigVersion: e.Versions.Config, SeatsVersion: e.Versions.Seats, AgeUs: -1}
+	if e.Age >= 0 {
+		out.AgeUs = ageUp(e.Age)
+	}
+	for _, v := range e.Vouchers {
+		p := &peerpb.Voucher{
+			Instance: v.Writer.Instance, Incarnation: v.Writer.Incarnation,
+			ConfigVersion: v.Config, AgeUs: ageUp(v.Age), Final: v.Final,
+		}
+		for _, s := range v.Seats {
+			p.Seats = append(p.Seats, &peerpb.SeatsVersion{AvailabilityZone: s.AvailabilityZone, Version: s.Version})
+		}
+		out.Vouchers = append(out.Vouchers, p)
+	}
+	return out
+}
+
+// EvidenceFromProto reads a peer's evidence.
+func EvidenceFromProto(p *peerpb.Evidence) freshness.Evidence {
+	e := freshness.Evidence{Versions: freshness.Versions{Config: p.GetConfigVersion(), Seats: p.GetSeatsVersion()}, Age: -1}
+	if p != nil && p.GetAgeUs() >= 0 {
+		e.Age = time.Duration(p.GetAgeUs()) * time.Microsecond
+	}
+	for _, v := range p.GetVouchers() {
+		out := freshness.Voucher{
+			Writer: freshness.WriterID{Instance: v.GetInstance(), Incarnation: v.GetIncarnation()},
+			Config: v.GetConfigVersion(), Age: time.Duration(v.GetAgeUs()) * time.Microsecond, Final: v.GetFinal(),
+		}
+		for _, s := range v.GetSeats() {
+			out.Seats = append(out.Seats, freshness.SeatsVersion{AvailabilityZone: s.GetAvailabilityZone(), Version: s.GetVersion()})
+		}
+		e.Vouchers = append(e.Vouchers, out)
+	}
+	return e
+}
+
+// ageUp rounds an age up to microseconds, so that evidence never looks younger
+// than it is.
+func ageUp(age time.Duration) int64 {
+	return int64((age + time.Microsecond - 1) / time.Microsecond)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -33,11 +33,15 @@
 // SyncFunc answers another instance's pull.
 type SyncFunc func(*peerpb.SyncRequest) *peerpb.SyncResponse
 
+// ConfirmFunc confirms a plan on behalf of another instance.
+type ConfirmFunc func(context.Context, *peerpb.ConfirmRequest) *peerpb.ConfirmResponse
+
 // Handlers are the parts of an instance that answer its peers.
 type Handlers struct {
 	Receive Handler
 	Status  StatusFunc
 	Sync    SyncFunc
+	Confirm ConfirmFunc
 }
 
 // Network sends messages to other instances and receives theirs.
@@ -98,6 +102,22 @@
 	return n.handlers.Sync(r), nil
 }
 
+// Confirm implements the peer service.
+func (n *Network) Confirm(ctx context.Context, r *peerpb.ConfirmRequest) (*peerpb.ConfirmResponse, error) {
+	return n.handlers.Confirm(ctx, r), nil
+}
+
+// ConfirmAt asks the instance at an IP:port to confirm a plan. An error leaves
+// it open whether the plan was accepted.
+func (n *Network) ConfirmAt(ctx context.Context, address, planID string) (*peerpb.ConfirmResponse, error) {
+	conn, err := n.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	response, err := peerpb.NewPeerClient(conn).Confirm(ctx, &peerpb.ConfirmRequest{PlanId: planID})
+	return response, errors.Wrapf(err, "confirm at %s", address)
+}
+
 // Pull asks the instance at an IP:port for what this one lacks.
 func (n *Network) Pull(ctx context.Context, address string, r *peerpb.SyncRequest) (*peerpb.SyncResponse, error) {
 	conn, err := n.conn(address)
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -9,7 +9,6 @@
 	"github.com/turmericfield/turmericfield/internal/invariant"
 	"github.com/turmericfield/turmericfield/internal/membership"
 	"github.com/turmericfield/turmericfield/internal/operator"
-	"github.com/turmericfield/turmericfield/internal/platform"
 )
 
 const (
@@ -49,29 +48,59 @@
 	if err != nil {
 		return err
 	}
-	s.accept(entry)
+	manifest, err := operator.DecodeManifest(entry)
+	if err != nil {
+		return err
+	}
+	chunks, err := operator.ReadChunks(callCtx, s.platform, s.missingChunks(manifest))
+	if err != nil {
+		return err
+	}
+	if err := s.takeRecord(manifest, chunks); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held := freshness.Versions{Config: s.snapshot.Load().Version}
-	s.freshness.Hold(held)
-	s.freshness.Observe(sent, held)
+	s.freshness.Observe(sent, freshness.Versions{Config: manifest.Revision})
 	return nil
 }
 
-func (s *Server) accept(entry platform.Entry) {
-	record, err := operator.DecodeRecord(entry)
-	if err != nil {
-		s.part("config").Error().Err(err).Msg("config: cannot read the record")
-		return
+// missingChunks lists the chunks of a manifest that this instance lacks.
+func (s *Server) missingChunks(m config.Manifest) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m.Revision <= s.held.Manifest().Revision {
+		return nil
 	}
-	if record.Version == 0 || record.Version == s.snapshot.Load().Version {
-		return
+	return s.held.Missing(m)
+}
+
+// takeRecord puts a record in force if it is newer than the present one, from
+// whichever source it came.
+func (s *Server) takeRecord(m config.Manifest, chunks []config.Chunk) error {
+	s.taking.Lock()
+	defer s.taking.Unlock()
+	s.mu.Lock()
+	record, newer, err := s.held.Take(m, chunks)
+	s.mu.Unlock()
+	if err != nil || !newer {
+		return err
 	}
 	current := s.snapshot.Load().Version
-	if !s.invariants.Check(record.Version > current, invariant.VersionNeverReverts, "store offers %d after %d", record.Version, current) {
-		return
+	if !s.invariants.Check(record.Version >= current, invariant.VersionNeverReverts, "offered version %d after %d", record.Version, current) {
+		return nil
+	}
+	if record.Version > current {
+		s.putInForce(config.Compile(record.Version, record.Document))
 	}
-	snapshot := config.Compile(record.Version, record.Document)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.freshness.Hold(freshness.Versions{Config: record.Revision})
+	s.freshness.SetWriters(writerIDs(record.Writers))
+	return nil
+}
+
+func (s *Server) putInForce(snapshot *config.Snapshot) {
 	s.entry.Update(func(now time.Time) {
 		s.limiter.Update(snapshot, now)
 		s.placer.Update(snapshot, now)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -43,9 +44,16 @@
 
 	snapshot atomic.Pointer[config.Snapshot]
 
-	mu        sync.Mutex // guards view and freshness
+	taking sync.Mutex // lets one record be put in force at a time
+
+	mu        sync.Mutex // guards view, freshness and held
 	view      *membership.View
 	freshness freshness.Tracker
+	held      config.Held
+
+	// incarnation tells this process from earlier ones of its name.
+	incarnation uint64
+	control     *operator.Service
 
 	callers, peers, operators net.Listener
 }
@@ -62,11 +70,14 @@
 		placer: placement.New(o.AvailabilityZone), limiter: limit.NewStaticShares(1),
 	}
 	s.snapshot.Store(config.Compile(0, &config.Document{}))
+	s.incarnation = rand.Uint64()
+	s.freshness = freshness.Tracker{Zone: o.AvailabilityZone, Author: freshness.Author{ID: freshness.WriterID(author{s}.Self())}}
+	s.control = &operator.Service{Store: client, Fleet: s, Author: author{s}, Now: time.Now}
 	s.invariants = &invariant.Recorder{OnViolation: s.reportViolation}
 	s.view = membership.New(membership.Member{
 		Name: o.Name, AvailabilityZone: o.AvailabilityZone, Address: o.Listen, PeerAddress: o.PeerListen,
 	})
-	s.network = peer.New(o.Name, nil, peer.Handlers{Receive: s.receive, Status: s.peerStatus, Sync: s.answerSync})
+	s.network = peer.New(o.Name, nil, peer.Handlers{Receive: s.receive, Status: s.peerStatus, Sync: s.answerSync, Confirm: s.confirmForPeer})
 	s.entry = entry.NewHandler(entry.Options{
 		Snapshot: s.snapshot.Load, Lookup: s.lookup, KeysFresh: s.keysFresh,
 		Limiter: s.limiter, Placer: s.placer, Invariants: s.invariants,
@@ -115,6 +126,7 @@
 	group.Go(func() error { return s.network.Serve(ctx, s.peers, nil) })
 	group.Go(func() error { s.followConfiguration(ctx); return nil })
 	group.Go(func() error { s.followInstances(ctx); return nil })
+	group.Go(func() error { s.followWriters(ctx); return nil })
 	group.Go(func() error {
 		select {
 		case <-stop.Done():
@@ -142,6 +154,7 @@
 	s.mu.Lock()
 	s.view.SetLeaving()
 	s.mu.Unlock()
+	s.resign(kill)
 	select {
 	case <-time.After(s.options.DrainDelay):
 	case <-kill.Done():
@@ -168,7 +181,7 @@
 func (s *Server) peerStatus() *peerpb.StatusResponse {
 	return &peerpb.StatusResponse{
 		Name: s.options.Name, AvailabilityZone: s.options.AvailabilityZone,
-		Version: s.snapshot.Load().Version, InFlight: s.entry.InFlight(),
+		Version: s.snapshot.Load().Version, InFlight: s.entry.InFlight(), Incarnation: s.writingIncarnation(),
 	}
 }
 
@@ -185,9 +198,8 @@
 }
 
 func (s *Server) operatorHandler() http.Handler {
-	service := &operator.Service{Store: s.platform, Fleet: s, Now: time.Now}
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", operator.NewHandler(service, s.options.OperatorToken))
+	mux.Handle("/v1/", operator.NewHandler(s.control, s.options.OperatorToken))
 	mux.HandleFunc("GET /health", s.serveHealth)
 	return mux
 }
