--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -13,6 +13,7 @@
 	maxRate        = 1e6
 	narrowestIPv4  = 24
 	narrowestIPv6  = 48
+	maxInstances   = 10000 // entry instances of one availability zone
 )
 
 var (
@@ -95,6 +96,12 @@
 		path := fmt.Sprintf("availability_zones[%d]", i)
 		v.name(path+".name", z.Name, v.zones)
 		v.known(path+".region", "region", z.Region, v.regions)
+		if z.Instances < 0 || z.Instances > maxInstances {
+			v.add(path+".instances", "must be 0 to %d, is %d", maxInstances, z.Instances)
+		}
+		if !(z.ReserveShare >= 0 && z.ReserveShare <= 1) {
+			v.add(path+".reserve_share", "must be 0 to 1, is %g", z.ReserveShare)
+		}
 	}
 }
 
