--- /dev/null
+++ b/internal/seat/keeper.go
@@ -0,0 +1,135 @@
+package seat
+
+import "time"
+
+// Bounds limit how long a seat may be used without news of its table. All
+// instances of a fleet have the same bounds.
+type Bounds struct {
+	// Use bounds the age of the evidence at each use of the seat.
+	Use time.Duration
+	// Reserve bounds the age of the evidence at each use of the reserve.
+	Reserve time.Duration
+	// Margin is added by a successor for the drift of clocks and for messages
+	// that the former holder sent last.
+	Margin time.Duration
+}
+
+// Layout places a zone's seats among those of the fleet.
+type Layout struct {
+	ZoneSeats, FleetSeats int
+	// First is the fleet-wide number of the zone's first seat.
+	First int
+}
+
+// Keeper is the Holder of one process. It is not safe for concurrent use.
+type Keeper struct {
+	process Process
+	zone    string
+	bounds  Bounds
+	layout  Layout
+
+	table       Table
+	asOf        time.Time // all tables accepted before are known
+	index       int       // own seat, or -1
+	since       uint64    // version of the table that gave it
+	usable      time.Time
+	reserveFrom time.Time
+	stopped     bool
+}
+
+// NewKeeper returns a keeper without a seat.
+func NewKeeper(p Process, zone string, b Bounds) *Keeper {
+	return &Keeper{process: p, zone: zone, bounds: b, index: -1}
+}
+
+// SetLayout takes over the number of seats of a configuration.
+func (k *Keeper) SetLayout(l Layout) { k.layout = l }
+
+// Process returns the process that the keeper speaks for.
+func (k *Keeper) Process() Process { return k.process }
+
+// Table returns the newest table that is known.
+func (k *Keeper) Table() Table { return k.table }
+
+// AsOf returns the moment up to which every accepted table is known; zero if
+// there is no evidence.
+func (k *Keeper) AsOf() time.Time { return k.asOf }
+
+// Adopt takes over a table unless a newer one is known.
+func (k *Keeper) Adopt(t Table, now time.Time) bool {
+	if t.Version <= k.table.Version {
+		return false
+	}
+	k.table = t
+	index := t.Index(k.process)
+	var since uint64
+	if index >= 0 {
+		since = t.Entries[index].Since
+	}
+	// A seat that was lost and given back unseen is a new one.
+	if index != k.index || since != k.since {
+		k.index, k.since = index, since
+		k.startWaiting(now)
+	}
+	return true
+}
+
+// startWaiting sets when a new seat may be used: at once if nobody else can be
+// using it, otherwise when its former holder has surely stopped.
+func (k *Keeper) startWaiting(now time.Time) {
+	if k.index < 0 {
+		return
+	}
+	k.usable, k.reserveFrom = now, now
+	if e := k.table.Entries[k.index]; !e.Clean {
+		k.usable = now.Add(k.bounds.Use + k.bounds.Margin)
+	}
+	if e := k.table.Entries[k.index]; !e.ReserveClean {
+		k.reserveFrom = now.Add(k.bounds.Reserve + k.bounds.Margin)
+	}
+}
+
+// Observe records that no table newer than the given version was accepted
+// before asOf. It is ignored unless that version is known here.
+func (k *Keeper) Observe(asOf time.Time, version uint64) {
+	if k.table.Version >= version && asOf.After(k.asOf) {
+		k.asOf = asOf
+	}
+}
+
+// Seat implements Holder.
+func (k *Keeper) Seat(now time.Time) (Seat, bool) {
+	return k.use(now, k.usable, k.bounds.Use)
+}
+
+// Reserve implements Holder.
+func (k *Keeper) Reserve(now time.Time) (Seat, bool) {
+	return k.use(now, k.reserveFrom, k.bounds.Reserve)
+}
+
+func (k *Keeper) use(now, from time.Time, bound time.Duration) (Seat, bool) {
+	if k.index < 0 || k.index >= k.layout.ZoneSeats || k.stopped || k.asOf.IsZero() {
+		return Seat{}, false
+	}
+	if now.Before(from) || now.Sub(k.asOf) > bound {
+		return Seat{}, false
+	}
+	return Seat{
+		AvailabilityZone: k.zone, Index: k.index, ZoneSeats: k.layout.ZoneSeats,
+		Number: k.layout.First + k.index, FleetSeats: k.layout.FleetSeats, Version: k.table.Version,
+	}, true
+}
+
+// Stop ends the use of the seat for good and returns what the writer has to
+// know. A seat whose former holder may still be using it is not clean.
+func (k *Keeper) Stop(now time.Time) Release {
+	k.stopped = true
+	return Release{
+		Process:      k.process,
+		Clean:        k.index >= 0 && !now.Before(k.usable),
+		ReserveClean: k.index >= 0 && !now.Before(k.reserveFrom),
+	}
+}
+
+// Seated tells whether the newest known table gives a seat to this process.
+func (k *Keeper) Seated() bool { return k.index >= 0 }
