Pack client blocks into 1,024 content-addressed shards

Cause: 2.3 million prefixes as configuration text take 78 MB of strings, more than a node may hold, and a change would resend whole sites. Change: a shard of assignments in protobuf, merged and replaced one at a time. Conclusion: one change costs one shard.

--- /dev/null
+++ b/internal/steering/pack.go
@@ -0,0 +1,150 @@
+package steering
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/turmericfield/turmericfield/api/steeringpb"
+)
+
+const (
+	// Shards is the number of parts that the blocks are divided into, so that a
+	// change is stored and passed on without the whole table.
+	Shards = ipv4Shards + ipv6PackShards
+
+	shardBits      = 9
+	ipv4Shards     = 1 << shardBits // by the first bits of the address
+	ipv6PackShards = 1 << shardBits // by a hash
+)
+
+// ErrNotBlock is the error of a prefix that is not a block.
+var ErrNotBlock = errors.New("is not an IPv4 /24 or an IPv6 /48")
+
+// NamedAssignment assigns a block to a site by name. An empty name removes it.
+type NamedAssignment struct {
+	Block Block
+	Site  string
+}
+
+// ParseBlock returns the block of a prefix in its usual text form.
+func ParseBlock(text string) (Block, error) {
+	prefix, err := netip.ParsePrefix(text)
+	if err != nil {
+		return 0, errors.Wrapf(err, "block %q", text)
+	}
+	block := BlockOf(prefix.Addr())
+	if block.Prefix() != prefix {
+		return 0, errors.Wrapf(ErrNotBlock, "block %q", text)
+	}
+	return block, nil
+}
+
+// Shard returns the number of the part that a block belongs to.
+func (b Block) Shard() int {
+	if b&ipv6Flag == 0 {
+		return int(b >> (ipv4BlockBits - shardBits))
+	}
+	return ipv4Shards + int((b>>pageBits).hash()%ipv6PackShards)
+}
+
+// Pack returns the stored form of the assignments of one shard. Equal
+// assignments give equal bytes.
+func Pack(shard int, assignments []NamedAssignment) ([]byte, error) {
+	sorted := slices.Clone(assignments)
+	slices.SortFunc(sorted, func(a, b NamedAssignment) int { return cmp.Compare(a.Block, b.Block) })
+	m := &steeringpb.BlockShard{Shard: uint32(shard), Sites: siteNames(sorted)}
+	previous := Block(0)
+	for _, a := range sorted {
+		if a.Block.Shard() != shard {
+			return nil, errors.Newf("block %s belongs to shard %d, not %d", a.Block.Prefix(), a.Block.Shard(), shard)
+		}
+		position := uint32(0)
+		if a.Site != "" {
+			i, _ := slices.BinarySearch(m.Sites, a.Site)
+			position = uint32(i + 1)
+		}
+		m.BlockDeltas = append(m.BlockDeltas, uint64(a.Block-previous))
+		m.SitePositions = append(m.SitePositions, position)
+		previous = a.Block
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
+}
+
+func siteNames(assignments []NamedAssignment) []string {
+	var names []string
+	for _, a := range assignments {
+		if a.Site != "" {
+			names = append(names, a.Site)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Unpack reads the stored form of a shard.
+func Unpack(data []byte) (shard int, assignments []NamedAssignment, err error) {
+	m := &steeringpb.BlockShard{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return 0, nil, errors.Wrap(err, "block shard")
+	}
+	shard = int(m.GetShard())
+	if shard >= Shards || len(m.GetBlockDeltas()) != len(m.GetSitePositions()) {
+		return 0, nil, errors.Newf("block shard %d is malformed", shard)
+	}
+	assignments = make([]NamedAssignment, len(m.GetBlockDeltas()))
+	block := Block(0)
+	for i, delta := range m.GetBlockDeltas() {
+		block += Block(delta)
+		position := int(m.GetSitePositions()[i])
+		if position > len(m.GetSites()) || block.Shard() != shard {
+			return 0, nil, errors.Newf("block shard %d is malformed at entry %d", shard, i)
+		}
+		assignments[i].Block = block
+		if position > 0 {
+			assignments[i].Site = m.GetSites()[position-1]
+		}
+	}
+	return shard, assignments, nil
+}
+
+// Merge applies changes to the assignments of a shard. Later changes of a block
+// win; removed blocks are left out.
+func Merge(assignments, changes []NamedAssignment) []NamedAssignment {
+	sites := make(map[Block]string, len(assignments)+len(changes))
+	for _, list := range [][]NamedAssignment{assignments, changes} {
+		for _, a := range list {
+			sites[a.Block] = a.Site
+		}
+	}
+	out := make([]NamedAssignment, 0, len(sites))
+	for block, site := range sites {
+		if site != "" {
+			out = append(out, NamedAssignment{block, site})
+		}
+	}
+	slices.SortFunc(out, func(a, b NamedAssignment) int { return cmp.Compare(a.Block, b.Block) })
+	return out
+}
+
+// ReplaceShard makes the assignments of a shard the given ones. Blocks of
+// before that are not among them are removed; sites of unknown name are left
+// out. site gives the number of a name.
+func (t *Table) ReplaceShard(before, after []NamedAssignment, site func(name string) (SiteID, bool)) {
+	changes := make([]Assignment, 0, len(before)+len(after))
+	for _, a := range before {
+		changes = append(changes, Assignment{a.Block, NoSite})
+	}
+	for _, a := range after {
+		id, ok := site(a.Site)
+		if !ok {
+			id = NoSite
+		}
+		changes = append(changes, Assignment{a.Block, id})
+	}
+	slices.SortStableFunc(changes, func(a, b Assignment) int { return cmp.Compare(a.Block, b.Block) })
+	t.Assign(changes)
+}
