--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -1,6 +1,8 @@
 package attempt_test
 
 import (
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -9,6 +11,15 @@
 	"github.com/turmericfield/turmericfield/internal/attempt"
 )
 
+// TestMain fixes the seed of the random tests unless the command line sets it.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
 // TestMachine drives requests through random events and checks each decision
 // against what the events prove.
 func TestMachine(t *testing.T) {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/invariant"
 	"github.com/turmericfield/turmericfield/internal/limit"
+	"github.com/turmericfield/turmericfield/internal/metrics"
 	"github.com/turmericfield/turmericfield/internal/once"
 	"github.com/turmericfield/turmericfield/internal/placement"
 	"github.com/turmericfield/turmericfield/internal/steering"
@@ -51,7 +53,7 @@
 	// Snapshot returns the configuration in force.
 	Snapshot func() *config.Snapshot
 	// Lookup answers which instances a caller should use.
-	Lookup func(caller string) steering.Answer
+	Lookup func(caller netip.Addr) steering.Answer
 	// KeysFresh tells whether this instance's view of keys is recent enough to
 	// trust.
 	KeysFresh func(now time.Time) bool
@@ -64,6 +66,7 @@
 	// may open; nil means all of them.
 	ConnectionShare func(t config.Target, maxConnections int) int
 	Invariants      *invariant.Recorder
+	Metrics         *metrics.Set
 	Log             *log.Logger
 	Now             func() time.Time
 }
@@ -153,6 +156,11 @@
 		h.refuse(w, r, *no)
 		return
 	}
+	start := h.Now()
+	defer func() {
+		h.Metrics.Add(metrics.Label("requests_total", "route", route.Name), 1)
+		h.Metrics.Observe(metrics.Label("request", "class", string(route.Class)), h.Now().Sub(start))
+	}()
 	if c.claimOnce() {
 		c.run()
 	}
@@ -246,7 +254,7 @@
 }
 
 func (h *Handler) authenticate(snapshot *config.Snapshot, route *config.Route, r *http.Request) (*config.Workspace, *refusal) {
-	if !h.KeysFresh(h.Now()) {
+	if !h.KeysFresh(h.Now()) || h.Snapshot() != snapshot {
 		return nil, &refusal{http.StatusServiceUnavailable, "keys-stale", "this instance cannot tell whether the key is still valid", time.Second}
 	}
 	workspace := snapshot.WorkspaceOf(r.Header.Get(KeyHeader))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -23,29 +25,39 @@
 	"github.com/turmericfield/turmericfield/internal/limit"
 	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/membership"
+	"github.com/turmericfield/turmericfield/internal/metrics"
 	"github.com/turmericfield/turmericfield/internal/operator"
 	"github.com/turmericfield/turmericfield/internal/peer"
 	"github.com/turmericfield/turmericfield/internal/placement"
 	"github.com/turmericfield/turmericfield/internal/platform"
-	"github.com/turmericfield/turmericfield/internal/steering"
 )
 
 // Server is one instance.
 type Server struct {
 	options    Options
+	security   security
+	metrics    *metrics.Set
 	log        *logging.Log
 	platform   *platform.Client
 	network    *peer.Network
 	invariants *invariant.Recorder
 	entry      *entry.Handler
+	steering   *steerer
 	limiter    *limit.StaticShares
 	placer     *placement.Placer
 
 	snapshot atomic.Pointer[config.Snapshot]
 
-	mu        sync.Mutex // guards view and freshness
+	taking sync.Mutex // lets one record be put in force at a time
+
+	mu        sync.Mutex // guards view, freshness and held
 	view      *membership.View
 	freshness freshness.Tracker
+	held      config.Held
+
+	// incarnation tells this process from earlier ones of its name.
+	incarnation uint64
+	control     *operator.Service
 
 	callers, peers, operators net.Listener
 }
@@ -53,25 +65,34 @@
 // Provision builds an instance from validated options. It binds its addresses
 // but serves nothing yet.
 func Provision(o Options, logs io.Writer) (*Server, error) {
-	client, err := platform.Dial(o.Platform, nil)
+	security, err := newSecurity(o)
+	if err != nil {
+		return nil, err
+	}
+	client, err := platform.Dial(o.Platform, security.platform)
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{
-		options: o, log: logging.New(logs, o.LogLevel), platform: client,
+		options: o, security: security, metrics: metrics.New(), log: logging.New(logs, o.LogLevel), platform: client,
 		placer: placement.New(o.AvailabilityZone), limiter: limit.NewStaticShares(1),
 	}
 	s.snapshot.Store(config.Compile(0, &config.Document{}))
+	s.incarnation = rand.Uint64()
+	s.freshness = freshness.Tracker{Zone: o.AvailabilityZone, Author: freshness.Author{ID: freshness.WriterID(author{s}.Self())}}
+	s.control = &operator.Service{Store: client, Fleet: s, Author: author{s}, Now: time.Now}
 	s.invariants = &invariant.Recorder{OnViolation: s.reportViolation}
 	s.view = membership.New(membership.Member{
 		Name: o.Name, AvailabilityZone: o.AvailabilityZone, Address: o.Listen, PeerAddress: o.PeerListen,
 	})
-	s.network = peer.New(o.Name, nil, peer.Handlers{Receive: s.receive, Status: s.peerStatus, Sync: s.answerSync})
+	s.steering = newSteerer(s.part("steering"))
+	s.network = peer.New(o.Name, security.peerClient, peer.Handlers{Receive: s.receive, Status: s.peerStatus, Sync: s.answerSync, Confirm: s.confirmForPeer})
 	s.entry = entry.NewHandler(entry.Options{
-		Snapshot: s.snapshot.Load, Lookup: s.lookup, KeysFresh: s.keysFresh,
-		Limiter: s.limiter, Placer: s.placer, Invariants: s.invariants,
+		Snapshot: s.snapshot.Load, Lookup: s.steering.lookup, KeysFresh: s.keysFresh,
+		Limiter: s.limiter, Placer: s.placer, Invariants: s.invariants, Metrics: s.metrics,
 		Log: s.log.Part("entry"), Now: time.Now,
 	})
+	s.registerGauges()
 	return s, s.bind()
 }
 
@@ -89,6 +110,9 @@
 			s.closeListeners()
 			return errors.Wrapf(err, "--%s", b.flag)
 		}
+		if b.flag != "peer-listen" && s.security.public != nil {
+			listener = tls.NewListener(listener, s.security.public)
+		}
 		*b.listener = listener
 	}
 	return nil
@@ -112,9 +136,11 @@
 	operators := &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: 5 * time.Second}
 	group.Go(func() error { return serveHTTP(callers, s.callers) })
 	group.Go(func() error { return serveHTTP(operators, s.operators) })
-	group.Go(func() error { return s.network.Serve(ctx, s.peers, nil) })
+	group.Go(func() error { return s.network.Serve(ctx, s.peers, s.security.peerServer) })
 	group.Go(func() error { s.followConfiguration(ctx); return nil })
 	group.Go(func() error { s.followInstances(ctx); return nil })
+	group.Go(func() error { s.followSteering(ctx); return nil })
+	group.Go(func() error { s.followWriters(ctx); return nil })
 	group.Go(func() error {
 		select {
 		case <-stop.Done():
@@ -142,6 +168,8 @@
 	s.mu.Lock()
 	s.view.SetLeaving()
 	s.mu.Unlock()
+	s.rebuildSteering()
+	s.resign(kill)
 	select {
 	case <-time.After(s.options.DrainDelay):
 	case <-kill.Done():
@@ -162,13 +190,14 @@
 func (s *Server) part(name string) *log.Logger { return s.log.Part(name) }
 
 func (s *Server) reportViolation(name invariant.Name, detail string) {
+	s.metrics.Add(metrics.Label("invariant_violations_total", "name", string(name)), 1)
 	s.part("invariant").Error().Str("name", string(name)).Str("detail", detail).Msg("invariant: violated")
 }
 
 func (s *Server) peerStatus() *peerpb.StatusResponse {
 	return &peerpb.StatusResponse{
 		Name: s.options.Name, AvailabilityZone: s.options.AvailabilityZone,
-		Version: s.snapshot.Load().Version, InFlight: s.entry.InFlight(),
+		Version: s.snapshot.Load().Version, InFlight: s.entry.InFlight(), Incarnation: s.writingIncarnation(),
 	}
 }
 
@@ -178,17 +207,11 @@
 	return s.view.Members()
 }
 
-func (s *Server) lookup(caller string) steering.Answer {
-	answer := steering.Lookup(caller, s.members(), func(membership.Member) bool { return false })
-	s.part("steering").Info().Str("caller", caller).Int("instances", len(answer.Instances)).Msg("steering: answered a look-up")
-	return answer
-}
-
 func (s *Server) operatorHandler() http.Handler {
-	service := &operator.Service{Store: s.platform, Fleet: s, Now: time.Now}
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", operator.NewHandler(service, s.options.OperatorToken))
+	mux.Handle("/v1/", operator.NewHandler(s.control, s.options.OperatorToken))
 	mux.HandleFunc("GET /health", s.serveHealth)
+	mux.Handle("GET /metrics", s.metrics)
 	return mux
 }
 
