--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -21,7 +21,7 @@
 		id = rand.Text()
 	}
 	body := &countingBody{reader: r.Body}
-	request := placement.Request{Route: route, Workspace: workspace}
+	request := placement.Request{Route: route, Workspace: workspace, Bytes: max(0, r.ContentLength)}
 	for tries := 1; ; tries++ {
 		grant, err := h.choose(request)
 		if err != nil {
@@ -29,7 +29,8 @@
 			return
 		}
 		h.Log.Info().Str("request", id).Str("route", route.Name).Str("workspace", workspace).
-			Str("target", grant.Target.Name).Int("try", tries).Msg("placement: chose a target")
+			Str("target", grant.Target.Name).
+			Str("region", grant.Region).Str("reason", string(grant.Reason)).Int("try", tries).Msg("placement: chose a target")
 		response, outcome := h.try(ctx, r, body, route, grant, id)
 		if response != nil {
 			h.forward(w, response, grant)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,5 +1,11 @@
 // Package placement chooses the target that runs a request. It is a
 // deterministic core without I/O.
+//
+// What all instances share, that is the slots of targets, the requests in a
+// region and the bytes on links, is kept as pools of whole units. A fixed rule
+// deals the units of a pool out over the seats of the fleet, so that the
+// requests in flight of all instances together stay in bound although no
+// instance knows what the others do.
 package placement
 
 import (
@@ -8,6 +14,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/invariant"
+	"github.com/turmericfield/turmericfield/internal/seat"
 )
 
 // Errors of a choice. Either way the request was not run.
@@ -20,16 +28,38 @@
 type Request struct {
 	Route     *config.Route
 	Workspace string
+	// Bytes is the size of the request's body if it is known.
+	Bytes int64
 	// Exclude names targets that were tried already.
 	Exclude []string
 }
 
+// Reason tells why a target was chosen.
+type Reason string
+
+// Reasons of a choice.
+const (
+	ReasonOwnZone   Reason = "own-zone"
+	ReasonOwnRegion Reason = "own-region"
+	ReasonAcross    Reason = "across"
+	ReasonShift     Reason = "shift"
+)
+
 // Grant is the right to run one request on a target. It is given back with
 // Done.
 type Grant struct {
 	Target config.Target
 	// Region of the target.
 	Region string
+	// Reason of the choice.
+	Reason Reason
+
+	target *target
+	region *region
+	across bool
+	links  linkUse // zero unless the target is in another region
+	shift  *shift  // nil unless the route is being shifted from here
+	start  time.Time
 }
 
 // Outcome is how the use of a grant ended.
@@ -42,73 +72,176 @@
 	Unknown
 )
 
+// Options configure a placer.
+type Options struct {
+	// AvailabilityZone of the instance.
+	AvailabilityZone string
+	// Seats tells which share of the fleet this instance may use.
+	Seats seat.Holder
+	// LayoutBound is the time after which every instance has taken over a new
+	// configuration or seat table, or has lost its right to place.
+	LayoutBound time.Duration
+	// Invariants records violations; nil checks nothing.
+	Invariants *invariant.Recorder
+}
+
 // Placer places requests on behalf of one instance. It is not safe for
 // concurrent use.
 type Placer struct {
-	zone     string
+	options  Options
 	snapshot *config.Snapshot
-	inFlight map[string]int
+	fleet    right // to the shares dealt out over the whole fleet
+	zone     right // to the shares dealt out over the own availability zone
+	services map[string]*service
+	targets  map[string]*target
+	regions  map[string]*region
+	home     *region // region of the instance
+	shifts   map[string]*shift
+	settle   time.Duration // the longest time that any unit stays in use
+	choices  uint64        // counts choices; marks cached link headroom
+	shares   uint64        // counts changes of shares; marks cached ones
 }
 
-// New returns a placer for an instance in an availability zone.
-func New(zone string) *Placer {
-	return &Placer{zone: zone, inFlight: map[string]int{}}
+// New returns a placer.
+func New(o Options) *Placer {
+	return &Placer{
+		options: o, services: map[string]*service{}, targets: map[string]*target{},
+		regions: map[string]*region{}, shifts: map[string]*shift{},
+	}
 }
 
-// Update takes over a configuration.
-func (p *Placer) Update(snapshot *config.Snapshot, _ time.Time) { p.snapshot = snapshot }
-
-// Choose picks the target with the fewest requests in flight from here: in the
-// own availability zone, else in the own region, else anywhere.
-func (p *Placer) Choose(r Request, _ time.Time) (Grant, error) {
+// Choose picks a target. Near ones come first: the own availability zone, then
+// the own region, then the region whose link has most room. Among equally near
+// ones it picks the lowest score (see target.score).
+func (p *Placer) Choose(r Request, now time.Time) (Grant, error) {
 	if p.snapshot == nil {
 		return Grant{}, ErrNoTarget
 	}
-	service := p.snapshot.Services[r.Route.Service]
-	var best *config.Target
-	bestDistance, usable := 0, false
-	for i := range service.Targets {
-		t := &service.Targets[i]
-		if p.snapshot.Drained(t.Name) || contains(r.Exclude, t.Name) {
+	s := p.services[r.Route.Service]
+	if s == nil {
+		return Grant{}, ErrNoTarget
+	}
+	p.choices++
+	p.observeSeat(now)
+	use := useOf(r)
+	shift := p.shiftOf(r, now)
+	best, usable := (*target)(nil), false
+	moved := false
+	if shift != nil && shift.mayMove() {
+		best, _ = p.pick(s, r, use, p.regions[shift.To], now)
+		moved = best != nil
+	}
+	if best == nil {
+		best, usable = p.pick(s, r, use, nil, now)
+	}
+	if best == nil && usable {
+		return Grant{}, ErrOverloaded
+	}
+	if best == nil {
+		return Grant{}, ErrNoTarget
+	}
+	return p.grant(best, use, shift, moved, now), nil
+}
+
+// pick returns the best target, or nil. The result usable tells whether any
+// target could be used if it had room. A region, unless nil, is the only one
+// considered.
+func (p *Placer) pick(s *service, r Request, use linkUse, only *region, now time.Time) (best *target, usable bool) {
+	var bestScore float64
+	for _, t := range s.targets {
+		if only != nil && t.region != only || !t.accepts(now) || excluded(r.Exclude, t.Name) {
 			continue
 		}
 		usable = true
-		if p.inFlight[t.Name] >= service.Slots {
+		if best != nil && t.distance > best.distance {
+			continue
+		}
+		limit := p.slots(t, now)
+		if t.used >= t.warm(limit, now) || !p.regionHasRoom(t.region, now) {
 			continue
 		}
-		d := p.distance(t)
-		if best == nil || d < bestDistance || d == bestDistance && p.inFlight[t.Name] < p.inFlight[best.Name] {
-			best, bestDistance = t, d
+		score := t.score(limit, now)
+		if t.distance == distanceAcross {
+			headroom := p.linkHeadroom(t.region, use, now)
+			if headroom <= 0 {
+				continue
+			}
+			score /= headroom
+		}
+		if best == nil || t.distance < best.distance || score < bestScore {
+			best, bestScore = t, score
 		}
 	}
-	if best == nil && usable {
-		return Grant{}, ErrOverloaded
+	return best, usable
+}
+
+func (p *Placer) grant(t *target, use linkUse, shift *shift, moved bool, now time.Time) Grant {
+	g := Grant{Target: t.Target, Region: t.region.name, target: t, region: t.region, across: t.distance == distanceAcross, start: now, shift: shift, Reason: reasons[t.distance]}
+	if shift != nil {
+		shift.place(moved)
 	}
-	if best == nil {
-		return Grant{}, ErrNoTarget
+	if moved {
+		g.Reason = ReasonShift
+	}
+	t.used++
+	t.region.used++
+	t.lastChoice = p.choices
+	if g.across {
+		g.links = use
+		p.takeLinks(g.region, use, 1)
+	}
+	p.check(&g, now)
+	return g
+}
+
+// check asserts that a grant is within every budget.
+func (p *Placer) check(g *Grant, now time.Time) {
+	t, rec := g.target, p.options.Invariants
+	if share := p.slots(t, now); t.used > share {
+		rec.Check(false, invariant.TargetWithinSlots, "%s: %d in flight of %d", t.Name, t.used, share)
+	}
+	if share := p.regionShare(t.region, now); t.region.used > share {
+		rec.Check(false, invariant.RegionWithinBudget, "%s: %d in flight of %d", t.region.name, t.region.used, share)
+	}
+	if g.across && !p.linksWithin(g.region, g.links, now) {
+		rec.Check(false, invariant.LinkWithinBudget, "between %s and %s", p.home.name, t.region.name)
+	}
+	if t.drained || t.leaving {
+		rec.Check(false, invariant.LeavingGetsNothing, "%s", t.Name)
+	}
+	if s := g.shift; s != nil && s.moved*ppm > s.capPPM*s.seen {
+		rec.Check(false, invariant.ShiftWithinCap, "%s: %d of %d", s.Name, s.moved, s.seen)
 	}
-	p.inFlight[best.Name]++
-	return Grant{Target: *best, Region: p.snapshot.RegionOf(best.AvailabilityZone)}, nil
 }
 
 // Done gives a grant back.
-func (p *Placer) Done(g Grant, _ Outcome, _ time.Time) {
-	if p.inFlight[g.Target.Name]--; p.inFlight[g.Target.Name] <= 0 {
-		delete(p.inFlight, g.Target.Name)
+func (p *Placer) Done(g Grant, outcome Outcome, now time.Time) {
+	t := g.target
+	if t == nil {
+		return
+	}
+	t.used--
+	g.region.used--
+	if g.across {
+		p.takeLinks(g.region, g.links, -1)
+	}
+	took := now.Sub(g.start)
+	t.learn(outcome, took, now)
+	if g.shift != nil {
+		g.shift.learn(g.Reason == ReasonShift, outcome, took, now)
 	}
 }
 
-func (p *Placer) distance(t *config.Target) int {
-	switch {
-	case t.AvailabilityZone == p.zone:
-		return 0
-	case p.snapshot.RegionOf(t.AvailabilityZone) == p.snapshot.RegionOf(p.zone):
-		return 1
+// InFlight returns the number of requests that this instance has in flight on
+// a target.
+func (p *Placer) InFlight(name string) int {
+	if t := p.targets[name]; t != nil {
+		return t.used
 	}
-	return 2
+	return 0
 }
 
-func contains(names []string, name string) bool {
+func excluded(names []string, name string) bool {
 	for _, n := range names {
 		if n == name {
 			return true
--- /dev/null
+++ b/internal/placement/poll.go
@@ -0,0 +1,55 @@
+package placement
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// pollers is the number of instances that poll one target.
+	pollers = 2
+	// pollPeriod is the time between two polls of a target by one instance.
+	pollPeriod = time.Second
+	// returnPeriod is the time between two polls of a leaving target by each
+	// instance that keeps off it.
+	returnPeriod = 5 * time.Second
+)
+
+// Polls returns the targets that this instance has to poll now: its part of
+// those of its own availability zone, and the leaving ones, whose return each
+// instance finds out for itself. zoneInstances are the live instances of the
+// zone.
+func (p *Placer) Polls(self string, zoneInstances []string, now time.Time) []string {
+	var due []string
+	for name, t := range p.targets {
+		period := returnPeriod
+		if !t.leaving {
+			period = pollPeriod
+		}
+		mine := t.leaving || t.distance == distanceZone && isPoller(self, zoneInstances, name)
+		if t.drained || !mine || now.Sub(t.polled) < period {
+			continue
+		}
+		t.polled = now
+		due = append(due, name)
+	}
+	return due
+}
+
+// isPoller tells whether fewer than the wanted number of instances come before
+// this one in the target's rendezvous order.
+func isPoller(self string, instances []string, target string) bool {
+	own, before := rendezvous(self, target), 0
+	for _, name := range instances {
+		if h := rendezvous(name, target); h > own || h == own && strings.Compare(name, self) > 0 {
+			before++
+		}
+	}
+	return before < pollers
+}
+
+func rendezvous(instance, target string) uint64 {
+	return xxhash.Sum64String(instance + "/" + target)
+}
--- /dev/null
+++ b/internal/placement/target_test.go
@@ -0,0 +1,170 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+)
+
+// fill places requests until one is refused.
+func fill(p *Placer, r Request, now time.Time) (grants []Grant) {
+	for {
+		g, err := p.Choose(r, now)
+		if err != nil {
+			return grants
+		}
+		grants = append(grants, g)
+	}
+}
+
+func TestNearTargetsComeFirst(t *testing.T) {
+	doc := testDocument(12, 6)
+	p, _ := newTestPlacer(t, doc, 0, 7)
+	last := distanceZone
+	for _, g := range fill(p, request(doc, 0), start) {
+		if g.target.distance < last {
+			t.Fatalf("%s at distance %d after %d", g.Target.Name, g.target.distance, last)
+		}
+		last = g.target.distance
+	}
+	if last != distanceAcross {
+		t.Fatal("nothing went across")
+	}
+}
+
+func TestPhotoPacksLeaveTheScoreboardsLink(t *testing.T) {
+	doc := testDocument(30, 40)
+	for i := range doc.Regions {
+		doc.Regions[i].LinkMbps = 20
+	}
+	p, _ := newTestPlacer(t, doc, 0, 7)
+	photos := 0
+	for _, g := range fill(p, request(doc, 1), start) {
+		if g.across {
+			photos++
+		}
+	}
+	if photos != 0 {
+		t.Fatalf("%d photo packs went across, none fits the seat's share", photos)
+	}
+	p, _ = newTestPlacer(t, doc, 0, 7)
+	doc.Routes[1].TypicalResponseBytes = 100_000
+	fill(p, request(doc, 1), start)
+	if g, err := p.Choose(Request{Route: &doc.Routes[0], Exclude: nil}, start); err == nil && g.links.class != config.ClassInteractive {
+		t.Fatal("a scoreboard read took a bulk budget")
+	}
+	if h := p.linkHeadroom(p.regions["costa"], useOf(request(doc, 0)), start); h <= 0.5 {
+		t.Fatalf("bulk left a headroom of %g to interactive requests", h)
+	}
+}
+
+// Whichever source gives the first sign, the next choice obeys it.
+func TestLeavingTargetGetsNothingFromTheFirstSign(t *testing.T) {
+	doc := testDocument(12, 6)
+	later := start.Add(time.Second)
+	signs := map[string]func(p *Placer, name string){
+		"health": func(p *Placer, name string) { p.Report(Report{Target: name, Draining: true}, later) },
+		"answer": func(p *Placer, name string) { p.Leave(name, later) },
+		"drain": func(p *Placer, name string) {
+			drained := *doc
+			drained.Drains = []config.Drain{{Kind: config.DrainTarget, Name: name}}
+			p.Update(config.Compile(2, &drained), later)
+		},
+		"removal": func(p *Placer, name string) {
+			removed := *doc
+			removed.Services = []config.Service{{Name: "listings", Slots: 6, Targets: doc.Services[0].Targets[1:]}}
+			p.Update(config.Compile(2, &removed), later)
+		},
+	}
+	for source, sign := range signs {
+		p, _ := newTestPlacer(t, doc, 0, 7)
+		before, _ := p.Choose(request(doc, 0), start)
+		sign(p, "listings-1")
+		for _, g := range fill(p, request(doc, 0), later) {
+			if g.Target.Name == "listings-1" {
+				t.Errorf("%s: a leaving target got new work", source)
+			}
+		}
+		p.Done(before, Answered, later)
+	}
+}
+
+// An older report cannot bring a leaving target back, and one that returns
+// starts cold.
+func TestOnlyANewerReportEndsLeaving(t *testing.T) {
+	doc := testDocument(12, 6)
+	p, _ := newTestPlacer(t, doc, 0, 7)
+	now := start.Add(10 * time.Second)
+	p.Leave("listings-1", now)
+	p.Report(Report{Target: "listings-1", Age: time.Second}, now)
+	if !p.targets["listings-1"].leaving {
+		t.Fatal("an old report ended the leaving")
+	}
+	p.Report(Report{Target: "listings-1"}, now.Add(time.Second))
+	target := p.targets["listings-1"]
+	if target.leaving || target.warmth(now.Add(time.Second)) > 0.3 {
+		t.Fatalf("leaving %t, warmth %g", target.leaving, target.warmth(now.Add(time.Second)))
+	}
+	if target.warmth(now.Add(time.Second+slowStart)) != 1 {
+		t.Fatal("the target stays cold")
+	}
+}
+
+// Frozen reports and reports of no load change neither the budgets nor the
+// order by local evidence.
+func TestReportsAreOnlyAHint(t *testing.T) {
+	doc := testDocument(12, 6)
+	honest, _ := newTestPlacer(t, doc, 0, 7)
+	lied, _ := newTestPlacer(t, doc, 0, 7)
+	for i := range doc.Services[0].Targets {
+		lied.Report(Report{Target: doc.Services[0].Targets[i].Name, InFlight: 0, Slots: 6}, start)
+	}
+	if a, b := len(fill(honest, request(doc, 0), start)), len(fill(lied, request(doc, 0), start)); a != b {
+		t.Fatalf("%d requests placed, %d with lying reports", a, b)
+	}
+	busy, _ := newTestPlacer(t, doc, 0, 7)
+	g, _ := busy.Choose(request(doc, 0), start)
+	busy.Report(Report{Target: g.Target.Name, InFlight: 0, Slots: 6}, start)
+	busy.Report(Report{Target: "listings-7", InFlight: 6, Slots: 6}, start)
+	next, _ := busy.Choose(request(doc, 0), start)
+	if next.Target.Name == g.Target.Name {
+		t.Fatal("a report of no load outweighed the local count")
+	}
+}
+
+func TestEjectionIsBounded(t *testing.T) {
+	doc := testDocument(12, 6)
+	p, _ := newTestPlacer(t, doc, 0, 7)
+	for range 20 * ejectAfter {
+		if g, err := p.Choose(request(doc, 0), start); err == nil {
+			p.Done(g, Unknown, start)
+		}
+	}
+	ejected := 0
+	for _, target := range p.targets {
+		if start.Before(target.ejectUntil) {
+			ejected++
+		}
+	}
+	if ejected != 12/maxEjectedPart {
+		t.Fatalf("%d of 12 targets ejected", ejected)
+	}
+}
+
+func benchmarkChoose(b *testing.B, targets int) {
+	doc := testDocument(targets, 100)
+	p, _ := newTestPlacer(b, doc, 0, 7)
+	r := request(doc, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		g, err := p.Choose(r, start)
+		if err != nil {
+			b.Fatal(err)
+		}
+		p.Done(g, Answered, start)
+	}
+}
+
+func BenchmarkChoose32(b *testing.B)  { benchmarkChoose(b, 32) }
+func BenchmarkChoose300(b *testing.B) { benchmarkChoose(b, 300) }
--- a/internal/seat/keeper.go
+++ b/internal/seat/keeper.go
@@ -99,12 +99,16 @@
 
 // Seat implements Holder.
 func (k *Keeper) Seat(now time.Time) (Seat, bool) {
-	return k.use(now, k.usable, k.bounds.Use)
+	s, ok := k.use(now, k.usable, k.bounds.Use)
+	s.Clean = ok && k.table.Entries[k.index].Clean
+	return s, ok
 }
 
 // Reserve implements Holder.
 func (k *Keeper) Reserve(now time.Time) (Seat, bool) {
-	return k.use(now, k.reserveFrom, k.bounds.Reserve)
+	s, ok := k.use(now, k.reserveFrom, k.bounds.Reserve)
+	s.Clean = ok && k.table.Entries[k.index].ReserveClean
+	return s, ok
 }
 
 func (k *Keeper) use(now, from time.Time, bound time.Duration) (Seat, bool) {
@@ -116,7 +120,8 @@
 	}
 	return Seat{
 		AvailabilityZone: k.zone, Index: k.index, ZoneSeats: k.layout.ZoneSeats,
-		Number: k.layout.First + k.index, FleetSeats: k.layout.FleetSeats, Version: k.table.Version,
+		Number: k.layout.First + k.index, FleetSeats: k.layout.FleetSeats,
+		Version: k.table.Version, Tenure: k.since,
 	}, true
 }
 
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -8,6 +8,8 @@
 
 // Seat is one share of a fleet's capacity.
 type Seat struct {
+	// Clean says that nobody else has ever used what this answer permits.
+	Clean bool
 	// AvailabilityZone that the seat belongs to.
 	AvailabilityZone string
 	// Index of the seat among those of its availability zone, from 0.
@@ -20,6 +22,9 @@
 	FleetSeats int
 	// Version of the seat table.
 	Version uint64
+	// Tenure is the version of the table that gave the seat to its holder. A
+	// holder with a new tenure takes nothing over from an earlier one.
+	Tenure uint64
 }
 
 // Holder tells which seat an instance holds.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -67,10 +67,11 @@
 	}
 	s := &Server{
 		options: o, security: security, metrics: metrics.New(), log: logging.New(logs, o.LogLevel), platform: client,
-		placer: placement.New(o.AvailabilityZone), limiter: limit.NewStaticShares(1),
+		limiter: limit.NewStaticShares(1),
 	}
 	s.snapshot.Store(config.Compile(0, &config.Document{}))
 	s.invariants = &invariant.Recorder{OnViolation: s.reportViolation}
+	s.placer = s.newPlacer(&placement.StaticSeat{AvailabilityZone: o.AvailabilityZone, ZoneSeats: 1, FleetSeats: 1, Clean: true})
 	s.view = membership.New(membership.Member{
 		Name: o.Name, AvailabilityZone: o.AvailabilityZone, Address: o.Listen, PeerAddress: o.PeerListen,
 	})
@@ -128,6 +129,8 @@
 	group.Go(func() error { return s.network.Serve(ctx, s.peers, s.security.peerServer) })
 	group.Go(func() error { s.followConfiguration(ctx); return nil })
 	group.Go(func() error { s.followInstances(ctx); return nil })
+	group.Go(func() error { s.followSeat(ctx); return nil })
+	group.Go(func() error { s.followTargets(ctx); return nil })
 	group.Go(func() error { s.followSteering(ctx); return nil })
 	group.Go(func() error {
 		select {
