--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -97,7 +97,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = client.Close() })
-		limiter, placer := limit.NewStaticShares(1), placement.New("sierra-1")
+		limiter, placer := limit.NewStaticShares(1), placement.New(placement.Options{AvailabilityZone: "sierra-1", Seats: &placement.StaticSeat{AvailabilityZone: "sierra-1", ZoneSeats: 1, FleetSeats: 1, Clean: true}})
 		limiter.Update(snapshot, time.Now())
 		placer.Update(snapshot, time.Now())
 		h := NewHandler(Options{
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -97,7 +97,8 @@
 		return c.handle(attempt.NoTarget, false)
 	}
 	c.Log.Info().Str("request", c.id).Str("route", c.route.Name).Str("workspace", c.placement.Workspace).
-		Str("target", grant.Target.Name).Int("try", c.machine.Tries()).Msg("placement: chose a target")
+		Str("target", grant.Target.Name).Str("region", grant.Region).Str("reason", string(grant.Reason)).
+		Int("try", c.machine.Tries()).Msg("placement: chose a target")
 	c.grant = grant
 	kind := c.send(d)
 	if kind == attempt.AnswerHeader {
