Replace connections between instances that have gone silent

Cause: a connection that something between the ends has forgotten takes every call to its timeout, while a new one would work; and connections were never given up. Keepalive alone needs up to 13 s.

Change: after two calls in a row without an answer a connection is closed and dialled anew; at most 128 are kept, the least recently used one goes first; a test may drop or delay calls by address. Send, Pull and StatusOf have a timeout of their own, a confirm keeps its caller's.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -53,7 +53,8 @@
 	handlers Handlers
 
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn // by IP:port
+	links map[string]*link // by IP:port
+	fault Fault
 }
 
 // New returns a network for the named instance. Nil credentials mean plain
@@ -62,7 +63,7 @@
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
-	return &Network{self: self, creds: creds, handlers: handlers, conns: map[string]*grpc.ClientConn{}}
+	return &Network{self: self, creds: creds, handlers: handlers, links: map[string]*link{}}
 }
 
 // Serve receives messages on the listener until the context ends. Nil server
@@ -108,80 +109,51 @@
 }
 
 // ConfirmAt asks the instance at an IP:port to confirm a plan. An error leaves
-// it open whether the plan was accepted.
+// it open whether the plan was accepted. The context should bound the wait.
 func (n *Network) ConfirmAt(ctx context.Context, address, planID string) (*peerpb.ConfirmResponse, error) {
-	conn, err := n.conn(address)
-	if err != nil {
-		return nil, err
-	}
-	response, err := peerpb.NewPeerClient(conn).Confirm(ctx, &peerpb.ConfirmRequest{PlanId: planID})
+	var response *peerpb.ConfirmResponse
+	err := n.call(ctx, address, func(ctx context.Context, client peerpb.PeerClient) (err error) {
+		response, err = client.Confirm(ctx, &peerpb.ConfirmRequest{PlanId: planID})
+		return err
+	})
 	return response, errors.Wrapf(err, "confirm at %s", address)
 }
 
-// Pull asks the instance at an IP:port for what this one lacks.
+// Pull asks the instance at an IP:port for what this one lacks. The context
+// should bound the wait.
 func (n *Network) Pull(ctx context.Context, address string, r *peerpb.SyncRequest) (*peerpb.SyncResponse, error) {
-	conn, err := n.conn(address)
-	if err != nil {
-		return nil, err
-	}
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	r.From = n.self
-	response, err := peerpb.NewPeerClient(conn).Sync(ctx, r)
+	var response *peerpb.SyncResponse
+	err := n.call(ctx, address, func(ctx context.Context, client peerpb.PeerClient) (err error) {
+		response, err = client.Sync(ctx, r)
+		return err
+	})
 	return response, errors.Wrapf(err, "pull from %s", address)
 }
 
 // Send delivers a message to the instance at an IP:port. An error leaves it
 // open whether the message arrived.
 func (n *Network) Send(ctx context.Context, address string, e *peerpb.Envelope) error {
-	conn, err := n.conn(address)
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	e.From = n.self
-	_, err = peerpb.NewPeerClient(conn).Deliver(ctx, e)
+	err := n.call(ctx, address, func(ctx context.Context, client peerpb.PeerClient) error {
+		_, err := client.Deliver(ctx, e)
+		return err
+	})
 	return errors.Wrapf(err, "send to %s", address)
 }
 
 // StatusOf asks the instance at an IP:port for its state.
 func (n *Network) StatusOf(ctx context.Context, address string) (*peerpb.StatusResponse, error) {
-	conn, err := n.conn(address)
-	if err != nil {
-		return nil, err
-	}
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	status, err := peerpb.NewPeerClient(conn).Status(ctx, &peerpb.StatusRequest{})
-	return status, errors.Wrapf(err, "status of %s", address)
-}
-
-// Close closes all connections.
-func (n *Network) Close() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for address, conn := range n.conns {
-		_ = conn.Close()
-		delete(n.conns, address)
-	}
-}
-
-func (n *Network) conn(address string) (*grpc.ClientConn, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if conn := n.conns[address]; conn != nil {
-		return conn, nil
-	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(n.creds),
-		grpc.WithDisableRetry(),
-		grpc.WithDisableServiceConfig(),
-		grpc.WithIdleTimeout(idleTimeout),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}))
-	if err != nil {
-		return nil, errors.Wrapf(err, "peer address %q", address)
-	}
-	n.conns[address] = conn
-	return conn, nil
+	var response *peerpb.StatusResponse
+	err := n.call(ctx, address, func(ctx context.Context, client peerpb.PeerClient) (err error) {
+		response, err = client.Status(ctx, &peerpb.StatusRequest{})
+		return err
+	})
+	return response, errors.Wrapf(err, "status of %s", address)
 }
