--- a/internal/peer/evidence.go
+++ b/api/peerpb/evidence.go
@@ -1,25 +1,24 @@
-package peer
+package peerpb
 
 import (
 	"time"
 
-	"github.com/turmericfield/turmericfield/api/peerpb"
 	"github.com/turmericfield/turmericfield/internal/freshness"
 )
 
 // EvidenceToProto renders evidence for a peer.
-func EvidenceToProto(e freshness.Evidence) *peerpb.Evidence {
-	out := &peerpb.Evidence{ConfigVersion: e.Versions.Config, SeatsVersion: e.Versions.Seats, AgeUs: -1}
+func EvidenceToProto(e freshness.Evidence) *Evidence {
+	out := &Evidence{ConfigVersion: e.Versions.Config, SeatsVersion: e.Versions.Seats, AgeUs: -1}
 	if e.Age >= 0 {
 		out.AgeUs = ageUp(e.Age)
 	}
 	for _, v := range e.Vouchers {
-		p := &peerpb.Voucher{
+		p := &Voucher{
 			Instance: v.Writer.Instance, Incarnation: v.Writer.Incarnation,
 			ConfigVersion: v.Config, AgeUs: ageUp(v.Age), Final: v.Final,
 		}
 		for _, s := range v.Seats {
-			p.Seats = append(p.Seats, &peerpb.SeatsVersion{AvailabilityZone: s.AvailabilityZone, Version: s.Version})
+			p.Seats = append(p.Seats, &SeatsVersion{AvailabilityZone: s.AvailabilityZone, Version: s.Version})
 		}
 		out.Vouchers = append(out.Vouchers, p)
 	}
@@ -27,7 +26,7 @@
 }
 
 // EvidenceFromProto reads a peer's evidence.
-func EvidenceFromProto(p *peerpb.Evidence) freshness.Evidence {
+func EvidenceFromProto(p *Evidence) freshness.Evidence {
 	e := freshness.Evidence{Versions: freshness.Versions{Config: p.GetConfigVersion(), Seats: p.GetSeatsVersion()}, Age: -1}
 	if p != nil && p.GetAgeUs() >= 0 {
 		e.Age = time.Duration(p.GetAgeUs()) * time.Microsecond
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -41,6 +41,7 @@
 	f.StringVar(&o.OperatorListen, "operator-listen", "", "IP:port of the operators' API, health and metrics")
 	f.StringVar(&o.Platform, "platform", "", "IP:port of the platform")
 	f.StringVar(&o.OperatorToken, "operator-token", "", "credential of the operators' API")
+	f.StringSliceVar(&o.Seeds, "seed", nil, "IP:ports of other instances' peer addresses, asked while the platform cannot be reached")
 	f.DurationVar(&o.KeyFreshness, "key-freshness", defaultKeyFreshness, "how long keys are trusted without news from the store")
 	f.DurationVar(&o.DrainDelay, "drain-delay", defaultDrainDelay, "how long a leaving instance serves callers that hold cached look-up answers")
 	f.StringVar(&o.TLSCertificate, "tls-cert", "", "certificate for callers, operators and peers: a PEM file or PEM text")
--- /dev/null
+++ b/internal/dissemination/dissemination.go
@@ -0,0 +1,251 @@
+// Package dissemination brings the accepted configuration and the seat tables
+// to every instance. It is a deterministic core without I/O.
+//
+// A few instances of each availability zone, the watchers, read the store. The
+// others pull from them through a tree of small fan-out, and the answers carry
+// what changed and evidence of how recent it is (see package freshness). A
+// watcher that cannot read the store pulls from watchers of other zones. After
+// a change an instance hints at it to those that pull from it, and they pull
+// at once. An instance that knows no version learns the newest from any peer.
+package dissemination
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/turmericfield/turmericfield/api/peerpb"
+	"github.com/turmericfield/turmericfield/internal/freshness"
+	"github.com/turmericfield/turmericfield/internal/invariant"
+	"github.com/turmericfield/turmericfield/internal/membership"
+)
+
+const (
+	// ReadPeriod is the time between two reads of the store by a watcher.
+	ReadPeriod = 500 * time.Millisecond
+	// PullPeriod is the time between two pulls of the others.
+	PullPeriod = time.Second
+	// PullTimeout is how long an answer is waited for.
+	PullTimeout = 400 * time.Millisecond
+	// staleTime is the age of the evidence from which other sources than the
+	// usual one are asked as well.
+	staleTime = 3 * time.Second
+	// maxReads bounds the reads of the store that wait for an answer.
+	maxReads = 4
+	// reportTime is how long a report of a puller counts.
+	reportTime = 3 * time.Second
+)
+
+// Options set up a core.
+type Options struct {
+	Self       membership.Member
+	Tracker    *freshness.Tracker
+	Invariants *invariant.Recorder
+	Rand       *rand.Rand
+	Now        time.Time
+	// Seeds are IP:ports that are pulled from while no member is known.
+	Seeds []string
+	// AsOfReceipt takes evidence as of the arrival of the answer and
+	// LowerVersions accepts lower versions. Both are wrong; tests show what
+	// the rules prevent.
+	AsOfReceipt, LowerVersions bool
+}
+
+// Pull is one request to another instance. Every pull must be concluded by
+// Pulled or Failed, with an answer that came after PullTimeout as Failed.
+type Pull struct {
+	ID          uint64
+	PeerAddress string // IP:port
+	Request     *peerpb.SyncRequest
+}
+
+// Actions is what the shell is asked to do.
+type Actions struct {
+	// ReadStore asks for a read that is concluded by StoreRead or StoreFailed.
+	ReadStore bool
+	Pulls     []Pull
+	// Hints are IP:ports to send the hint to.
+	Hints []string
+	Hint  *peerpb.Hint
+}
+
+// Core is the dissemination of one instance. It is not safe for concurrent
+// use.
+type Core struct {
+	options Options
+	tree    tree
+	history history
+	// fetching is a newer version whose chunks are still being pulled.
+	fetching *Record
+	applied  uint64 // version in force
+	seats    seatTables
+	// allAsOf is the moment up to which the seat tables of all zones and the
+	// configuration in force are known.
+	allAsOf time.Time
+	// waiting is the newest claim whose version is not in force yet.
+	waiting claim
+
+	nextRead, nextPull time.Time
+	reading            int // reads of the store without an answer yet
+	storeOK            bool
+	open               map[uint64]openPull
+	lastID             uint64
+	turn               int // rotates over the sources
+	failures           int // pulls that failed since the members changed
+	hintDue            bool
+	reports            map[string]childReport
+}
+
+type openPull struct {
+	sent     time.Time
+	allZones bool
+}
+
+// claim says that all that was accepted before asOf is in the versions.
+type claim struct {
+	asOf     time.Time
+	versions freshness.Versions
+	allZones bool // also in the seat tables of all zones
+}
+
+type childReport struct {
+	at     time.Time
+	report *peerpb.InForceReport
+}
+
+// New returns a core that holds nothing.
+func New(o Options) *Core {
+	c := &Core{
+		options: o, open: map[uint64]openPull{}, reports: map[string]childReport{},
+		seats:    seatTables{own: o.Self.AvailabilityZone, tables: map[string]*peerpb.SeatTable{}},
+		nextRead: o.Now, nextPull: o.Now, storeOK: true,
+	}
+	c.SetMembers(nil)
+	return c
+}
+
+// SetMembers takes the members that are not gone, this instance among them.
+func (c *Core) SetMembers(members []membership.Member) {
+	if len(members) == 0 {
+		members = []membership.Member{c.options.Self}
+	}
+	c.failures = 0
+	c.tree.build(c.options.Self, members)
+}
+
+// Watcher tells whether this instance reads the store.
+func (c *Core) Watcher() bool { return c.tree.watcher() }
+
+// Newest returns the newest whole record; version 0 if there is none.
+func (c *Core) Newest() *Record { return c.history.newest() }
+
+// Applied says that a version is in force, so that evidence for it counts.
+func (c *Core) Applied(version uint64) {
+	if !c.options.LowerVersions && !c.options.Invariants.Check(version >= c.applied, invariant.VersionNeverReverts, "%d after %d", version, c.applied) {
+		return
+	}
+	c.hintDue = c.hintDue || version != c.applied
+	c.applied = version
+	c.observe(c.waiting)
+}
+
+func (c *Core) held() freshness.Versions {
+	return freshness.Versions{Config: c.applied, Seats: c.seats.version(c.options.Self.AvailabilityZone)}
+}
+
+// Tick returns what is due. Call it several times per ReadPeriod.
+func (c *Core) Tick(now time.Time) Actions {
+	var a Actions
+	if c.tree.watcher() && c.reading < maxReads && !now.Before(c.nextRead) {
+		c.reading++
+		c.nextRead = now.Add(ReadPeriod)
+		a.ReadStore = true
+	}
+	if !now.Before(c.nextPull) {
+		c.nextPull = now.Add(PullPeriod)
+		if peer, ok := c.source(now); ok {
+			a.Pulls = append(a.Pulls, c.pull(now, peer))
+		}
+	}
+	if c.hintDue {
+		c.hintDue = false
+		a.Hint = &peerpb.Hint{ConfigVersion: c.applied}
+		for _, m := range c.tree.children() {
+			a.Hints = append(a.Hints, m.PeerAddress)
+		}
+	}
+	return a
+}
+
+// source chooses whom to pull from next. While the evidence is stale, other
+// sources than the usual ones take turns with them.
+func (c *Core) source(now time.Time) (string, bool) {
+	if c.tree.watcher() && c.storeOK && c.fetching == nil {
+		return "", false
+	}
+	c.turn++
+	parents := c.tree.parents()
+	fresh := c.options.Tracker.Fresh(now, staleTime)
+	if len(parents) == 0 || !fresh && c.turn%2 == 0 {
+		return c.otherSource()
+	}
+	return parents[c.failures%len(parents)].PeerAddress, true
+}
+
+// otherSource returns a watcher of another zone, an instance of the own zone
+// or a seed.
+func (c *Core) otherSource() (string, bool) {
+	candidates := c.tree.other
+	if len(candidates) == 0 || c.turn%4 == 0 && len(c.tree.zone) > 1 {
+		candidates = c.tree.zone
+	}
+	if len(candidates) > 0 {
+		m := candidates[c.options.Rand.IntN(len(candidates))]
+		if m.Name != c.options.Self.Name {
+			return m.PeerAddress, true
+		}
+	}
+	if len(c.options.Seeds) > 0 {
+		return c.options.Seeds[c.options.Rand.IntN(len(c.options.Seeds))], true
+	}
+	return "", false
+}
+
+func (c *Core) pull(now time.Time, address string) Pull {
+	c.lastID++
+	c.open[c.lastID] = openPull{sent: now, allZones: c.tree.watcher()}
+	r := &peerpb.SyncRequest{
+		From: c.options.Self.Name, ConfigVersion: c.history.newest().Version,
+		AvailabilityZone: c.options.Self.AvailabilityZone, Seats: c.seats.versions(c.tree.watcher()),
+		AllZones: c.tree.watcher(), Report: c.Report(now),
+	}
+	if c.fetching != nil {
+		for _, h := range c.fetching.missing() {
+			r.WantedChunks = append(r.WantedChunks, []byte(h))
+		}
+	}
+	return Pull{ID: c.lastID, PeerAddress: address, Request: r}
+}
+
+// Failed concludes a pull without an answer; another source is asked soon.
+func (c *Core) Failed(now time.Time, id uint64) {
+	if _, ok := c.open[id]; !ok {
+		return
+	}
+	delete(c.open, id)
+	c.failures++
+	c.nextPull = earlier(c.nextPull, now)
+}
+
+// Hinted makes this instance pull at once if the hint is news.
+func (c *Core) Hinted(now time.Time, h *peerpb.Hint) {
+	if h.GetConfigVersion() > c.history.newest().Version && len(c.open) == 0 {
+		c.nextPull = earlier(c.nextPull, now)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/dissemination/tree.go
@@ -0,0 +1,93 @@
+package dissemination
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericfield/turmericfield/internal/membership"
+)
+
+const (
+	// WatchersPerZone is the number of instances of an availability zone that
+	// read the store.
+	WatchersPerZone = 2
+	// fanOut is the number of instances that pull from one instance.
+	fanOut = 4
+)
+
+// tree orders the instances of each availability zone by rendezvous hashing.
+// The first ones are watchers; each of the others pulls from the instance that
+// its place names. Views may differ: any instance answers any pull.
+type tree struct {
+	zone  []ranked // own zone in rank order
+	rank  int      // own place, -1 if unknown
+	other []ranked // watchers of the other zones
+}
+
+// ranked is a member with its rendezvous score.
+type ranked struct {
+	membership.Member
+	score uint64
+}
+
+func (t *tree) build(self membership.Member, members []membership.Member) {
+	t.zone = t.zone[:0]
+	best := map[string][]ranked{}
+	var zones []string
+	for _, m := range members {
+		if m.Name != self.Name && m.State != membership.Live {
+			continue
+		}
+		r := ranked{Member: m, score: xxhash.Sum64String("watch/" + m.Name)}
+		if m.AvailabilityZone == self.AvailabilityZone {
+			t.zone = append(t.zone, r)
+			continue
+		}
+		first := best[m.AvailabilityZone]
+		if first == nil {
+			zones = append(zones, m.AvailabilityZone)
+		}
+		first = append(first, r)
+		slices.SortFunc(first, compareRanked)
+		best[m.AvailabilityZone] = first[:min(WatchersPerZone, len(first))]
+	}
+	slices.SortFunc(t.zone, compareRanked)
+	t.rank = slices.IndexFunc(t.zone, func(m ranked) bool { return m.Name == self.Name })
+	t.other = t.other[:0]
+	slices.Sort(zones)
+	for _, zone := range zones {
+		t.other = append(t.other, best[zone]...)
+	}
+}
+
+func compareRanked(a, b ranked) int {
+	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.Name, b.Name))
+}
+
+func (t *tree) watcher() bool { return t.rank >= 0 && t.rank < WatchersPerZone }
+
+// parents returns whom to pull from, the usual one first.
+func (t *tree) parents() []ranked {
+	if t.rank < WatchersPerZone {
+		return nil
+	}
+	first := (t.rank - WatchersPerZone) / fanOut
+	out := []ranked{t.zone[first]}
+	for i := range WatchersPerZone {
+		if i != first {
+			out = append(out, t.zone[i])
+		}
+	}
+	return out
+}
+
+// children returns the instances that usually pull from this one.
+func (t *tree) children() []ranked {
+	if t.rank < 0 {
+		return nil
+	}
+	first := min(WatchersPerZone+fanOut*t.rank, len(t.zone))
+	return t.zone[first:min(first+fanOut, len(t.zone))]
+}
--- /dev/null
+++ b/internal/fleettest/fleet.go
@@ -0,0 +1,155 @@
+package fleettest
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/invariant"
+	"github.com/turmericfield/turmericfield/internal/membership"
+	"github.com/turmericfield/turmericfield/internal/platform"
+)
+
+// KeyFreshness is the bound on the age of the evidence behind trust in a key.
+const KeyFreshness = 5 * time.Second
+
+const maxViolations = 20
+
+// Options set up a fleet.
+type Options struct {
+	Size, Zones, Regions int
+	Seed                 uint64
+	Faults               Faults
+	// TickPeriod is how often each process looks at its timers.
+	TickPeriod time.Duration
+	// ListLag is how far the platform's list is behind.
+	ListLag time.Duration
+	// Chunks and ChunkBytes are the shape of the configuration record.
+	Chunks, ChunkBytes int
+	// Deliberately broken variants, see the options of the cores.
+	WithoutLocalHealth, AsOfReceipt, LowerVersions bool
+}
+
+// Fleet is a set of processes, their network and their platform.
+type Fleet struct {
+	Options    Options
+	Bus        *Bus
+	Store      *Store
+	Nodes      []*Node
+	Invariants invariant.Recorder
+	// Violations are the guarantees that were broken, with their moment.
+	Violations []string
+
+	byAddress map[string]*Node
+	groups    map[Site]int // sites of different groups cannot reach each other
+	onKeyUse  func(n *Node, fresh bool)
+	addresses int
+}
+
+// New returns a fleet whose processes all start now.
+func New(o Options) *Fleet {
+	if o.TickPeriod == 0 {
+		o.TickPeriod = 100 * time.Millisecond
+	}
+	o.Chunks, o.ChunkBytes = max(o.Chunks, 1), max(o.ChunkBytes, 1)
+	f := &Fleet{
+		Options: o, Bus: NewBus(o.Seed), Store: newStore(o.Seed, o.Chunks, o.ChunkBytes, o.ListLag),
+		byAddress: map[string]*Node{}, groups: map[Site]int{},
+	}
+	f.Bus.Faults = o.Faults
+	f.Bus.CutOff = func(a, b Site) bool { return f.groups[a] != f.groups[b] }
+	f.Invariants.OnViolation = func(name invariant.Name, detail string) { f.check(false, "%s: %s", name, detail) }
+	for i := range o.Size {
+		zone := i % o.Zones
+		f.start(fmt.Sprintf("instance-%d", i), Site{Region: zone % o.Regions, Zone: zone}, nil)
+	}
+	f.Store.list = []listVersion{{at: Start, instances: f.instances()}}
+	return f
+}
+
+func (f *Fleet) start(name string, site Site, seeds []string) *Node {
+	f.addresses++
+	n := f.addresses
+	m := membership.Member{
+		Name: name, AvailabilityZone: fmt.Sprintf("region-%d-zone-%d", site.Region, site.Zone),
+		Address:     fmt.Sprintf("10.%d.%d.%d:17000", n>>16, n>>8&255, n&255),
+		PeerAddress: fmt.Sprintf("10.%d.%d.%d:17001", n>>16, n>>8&255, n&255),
+	}
+	node := f.newNode(m, site, seeds)
+	f.byAddress[m.PeerAddress] = node
+	f.Nodes = append(f.Nodes, node)
+	return node
+}
+
+// Start starts a new process and enters it in the platform's list.
+func (f *Fleet) Start(name string, site Site, seeds ...string) *Node {
+	n := f.start(name, site, seeds)
+	f.Store.setList(f.Bus.Now, f.instances())
+	return n
+}
+
+// Kill ends a process without a word.
+func (f *Fleet) Kill(n *Node) {
+	n.Alive = false
+	delete(f.byAddress, n.Member.PeerAddress)
+	for i := range f.Nodes {
+		if f.Nodes[i] == n {
+			f.Nodes = append(f.Nodes[:i:i], f.Nodes[i+1:]...)
+			break
+		}
+	}
+	f.Store.setList(f.Bus.Now, f.instances())
+}
+
+// Leave lets a process announce that it leaves.
+func (f *Fleet) Leave(n *Node) {
+	n.Leaving = true
+	n.deliver(n.View.SetLeaving(f.Bus.Now))
+}
+
+// Pause stops a process for a time; messages to it wait.
+func (f *Fleet) Pause(n *Node, d time.Duration) { n.pausedUntil = f.Bus.Now.Add(d) }
+
+// Partition puts sites into groups that cannot reach each other. Sites that
+// are not named, are in group 0.
+func (f *Fleet) Partition(group func(Site) int) {
+	f.groups = map[Site]int{}
+	for _, n := range f.Nodes {
+		f.groups[n.Site] = group(n.Site)
+	}
+	f.groups[f.Store.Site] = group(f.Store.Site)
+}
+
+// Heal ends all partitions.
+func (f *Fleet) Heal() { f.groups = map[Site]int{} }
+
+func (f *Fleet) instances() []platform.Instance {
+	out := make([]platform.Instance, len(f.Nodes))
+	for i, n := range f.Nodes {
+		out[i] = platform.Instance{
+			Name: n.Member.Name, AvailabilityZone: n.Member.AvailabilityZone, Address: n.Member.Address,
+			PeerAddress: n.Member.PeerAddress, State: platform.InstanceLive,
+		}
+	}
+	return out
+}
+
+// Beliefs counts how many living processes hold each state of a member;
+// unknown and forgotten members count as gone.
+func (f *Fleet) Beliefs(name string) map[membership.State]int {
+	out := map[membership.State]int{}
+	for _, n := range f.Nodes {
+		out[n.View.State(name)]++
+	}
+	return out
+}
+
+// InForceEverywhere tells whether all living processes have a version, or a
+// higher one, in force.
+func (f *Fleet) InForceEverywhere(version uint64) bool {
+	for _, n := range f.Nodes {
+		if n.InForce < version {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/fleettest/measure.go
@@ -0,0 +1,200 @@
+package fleettest
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/membership"
+)
+
+// Shape of the fleet that the figures are for.
+const (
+	measuredLoss       = 0.05
+	measuredJitter     = 5 * time.Millisecond
+	measuredListLag    = 30 * time.Second
+	measuredChunks     = 256
+	measuredChunkBytes = 4 << 10
+	settlePeriod       = 60 * time.Second
+	steadyPeriod       = 60 * time.Second
+	changeCount        = 5
+	changePeriod       = 20 * time.Second
+	step               = 100 * time.Millisecond
+	patience           = 2 * time.Minute
+)
+
+// Figures are the costs of one fleet.
+type Figures struct {
+	Size int
+	// SentPerSecond and ReceivedPerSecond are means over the instances, in
+	// bytes; BusiestPerSecond is the highest sum of both.
+	SentPerSecond, ReceivedPerSecond, BusiestPerSecond float64
+	CallsPerSecond                                     float64
+	// CPU is the processor time of an instance per second, in percent of a
+	// core. It includes the driver's own.
+	CPU float64
+	// FalseSuspicions counts the living members that anyone suspected, FalseDeaths
+	// those that anyone took as gone, in the steady period.
+	FalseSuspicions, FalseDeaths int
+	// StoreReads and ListReads are calls per second at the platform.
+	StoreReads, ListReads float64
+	// AgeMedian and AgeMax are ages of the evidence behind trust in keys.
+	AgeMedian, Age99, AgeMax time.Duration
+	// InForce is the time until a change was in force on the last instance.
+	InForce time.Duration
+	// BytesPerChange is what a change adds to the bytes sent by an instance.
+	BytesPerChange float64
+	// InForceRestart is the same while one zone restarts.
+	InForceRestart time.Duration
+	// Suspected and Gone are the times until nobody takes a dead instance as
+	// live, and until all take it as gone.
+	Suspected, Gone time.Duration
+	Violations      int
+}
+
+// Measured returns the options of the fleet that the figures are for.
+func Measured(size int, seed uint64) Options {
+	zones, regions := 22, 8
+	if size < 3*zones {
+		zones, regions = 6, 3
+	}
+	return Options{
+		Size: size, Zones: zones, Regions: regions, Seed: seed,
+		Faults: Faults{Loss: measuredLoss, Jitter: measuredJitter}, ListLag: measuredListLag,
+		Chunks: measuredChunks, ChunkBytes: measuredChunkBytes,
+	}
+}
+
+// Measure runs a fleet through a steady period, changes, the restart of a zone
+// and a death.
+func Measure(size int, seed uint64) Figures {
+	f := New(Measured(size, seed))
+	f.Bus.RunUntil(patience, step, func() bool { return f.InForceEverywhere(1) })
+	f.Bus.Run(settlePeriod)
+	out := Figures{Size: size}
+	f.steady(&out)
+	f.changes(&out)
+	version := f.Store.Accept(f.Bus.Now)
+	f.RestartZone(0)
+	out.InForceRestart, _ = f.Bus.RunUntil(patience, step, func() bool { return f.InForceEverywhere(version) })
+	f.Bus.Run(settlePeriod)
+	f.death(&out)
+	out.Violations = len(f.Violations)
+	return out
+}
+
+func (f *Fleet) steady(out *Figures) {
+	var ages []time.Duration
+	f.onKeyUse = func(n *Node, _ bool) {
+		if f.Bus.Rand.IntN(16) == 0 {
+			ages = append(ages, f.Bus.Now.Sub(n.Tracker.AsOf()))
+		}
+	}
+	before, reads, lists, cpu := f.traffic(), f.Store.Reads, f.Store.ListReads, processTime()
+	suspected, gone := map[string]bool{}, map[string]bool{}
+	for end := f.Bus.Now.Add(steadyPeriod); f.Bus.Now.Before(end); {
+		f.Bus.Run(time.Second)
+		f.falseBeliefs(suspected, gone)
+	}
+	f.onKeyUse = nil
+	after := f.traffic()
+	seconds, size := steadyPeriod.Seconds(), float64(len(f.Nodes))
+	for n, t := range after {
+		sent, received := float64(t.Sent-before[n].Sent), float64(t.Received-before[n].Received)
+		out.SentPerSecond += sent / seconds / size
+		out.ReceivedPerSecond += received / seconds / size
+		out.CallsPerSecond += float64(t.Calls-before[n].Calls) / seconds / size
+		out.BusiestPerSecond = max(out.BusiestPerSecond, (sent+received)/seconds)
+	}
+	out.CPU = 100 * (processTime() - cpu).Seconds() / seconds / size
+	out.StoreReads, out.ListReads = float64(f.Store.Reads-reads)/seconds, float64(f.Store.ListReads-lists)/seconds
+	out.FalseSuspicions, out.FalseDeaths = len(suspected), len(gone)
+	slices.Sort(ages)
+	out.AgeMedian, out.Age99, out.AgeMax = ages[len(ages)/2], ages[len(ages)*99/100], ages[len(ages)-1]
+}
+
+// falseBeliefs collects living members that anyone suspects or takes as gone.
+func (f *Fleet) falseBeliefs(suspected, gone map[string]bool) {
+	living := map[string]bool{}
+	for _, n := range f.Nodes {
+		living[n.Member.Name] = true
+	}
+	for _, n := range f.Nodes {
+		for _, m := range n.View.Known() {
+			switch {
+			case !living[m.Name]:
+			case m.State == membership.Suspected:
+				suspected[m.Name] = true
+			case m.State == membership.Gone:
+				gone[m.Name] = true
+			}
+		}
+	}
+}
+
+func (f *Fleet) changes(out *Figures) {
+	before := f.traffic()
+	for range changeCount {
+		version := f.Store.Accept(f.Bus.Now)
+		took, _ := f.Bus.RunUntil(changePeriod, step, func() bool { return f.InForceEverywhere(version) })
+		out.InForce = max(out.InForce, took)
+		f.Bus.Run(changePeriod - took)
+	}
+	sent := 0.0
+	for n, t := range f.traffic() {
+		sent += float64(t.Sent - before[n].Sent)
+	}
+	out.BytesPerChange = sent/float64(len(f.Nodes))/changeCount - out.SentPerSecond*changePeriod.Seconds()
+}
+
+func (f *Fleet) death(out *Figures) {
+	victim := f.Nodes[len(f.Nodes)/2]
+	f.Kill(victim)
+	name := victim.Member.Name
+	out.Suspected, _ = f.Bus.RunUntil(patience, step, func() bool { return f.Beliefs(name)[membership.Live] == 0 })
+	rest, _ := f.Bus.RunUntil(patience, step, func() bool { return f.Beliefs(name)[membership.Gone] == len(f.Nodes) })
+	out.Gone = out.Suspected + rest
+}
+
+// RestartZone kills all processes of a zone and starts fresh ones.
+func (f *Fleet) RestartZone(zone int) {
+	for _, n := range slices.Clone(f.Nodes) {
+		if n.Site.Zone == zone {
+			f.Kill(n)
+			f.Start(n.Member.Name, n.Site)
+		}
+	}
+}
+
+func (f *Fleet) traffic() map[*Node]Traffic {
+	out := make(map[*Node]Traffic, len(f.Nodes))
+	for _, n := range f.Nodes {
+		out[n] = n.Traffic
+	}
+	return out
+}
+
+// processTime returns the processor time that this process has used.
+func processTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// WriteFigures prints a table with one line for each fleet.
+func WriteFigures(w io.Writer, all []Figures) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "size\tsent B/s\treceived B/s\tbusiest B/s\tcalls/s\tCPU %\tfalse susp.\tfalse deaths\tstore reads/s\tlist reads/s\tage p50\tage p99\tage max\tin force\tB/change\tin force, zone restart\tsuspected\tgone\tviolations")
+	for _, f := range all {
+		fmt.Fprintf(t, "%d\t%.0f\t%.0f\t%.0f\t%.1f\t%.3f\t%d\t%d\t%.1f\t%.1f\t%s\t%s\t%s\t%s\t%.0f\t%s\t%s\t%s\t%d\n",
+			f.Size, f.SentPerSecond, f.ReceivedPerSecond, f.BusiestPerSecond, f.CallsPerSecond, f.CPU, f.FalseSuspicions, f.FalseDeaths,
+			f.StoreReads, f.ListReads, f.AgeMedian.Round(step), f.Age99.Round(step), f.AgeMax.Round(step), f.InForce,
+			f.BytesPerChange, f.InForceRestart, f.Suspected, f.Gone, f.Violations)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/fleettest/node.go
@@ -0,0 +1,247 @@
+package fleettest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/turmericfield/turmericfield/internal/dissemination"
+	"github.com/turmericfield/turmericfield/internal/freshness"
+	"github.com/turmericfield/turmericfield/internal/membership"
+)
+
+const (
+	// RPCOverheadBytes is added to the messages of each remote call: frames and
+	// headers of HTTP/2, TCP and IP, in both directions together.
+	RPCOverheadBytes = 300
+	listPeriod       = 5 * time.Second
+	storeTimeout     = 2 * time.Second
+)
+
+// Traffic counts what one instance sent and received, in bytes.
+type Traffic struct {
+	Calls, Sent, Received int64
+}
+
+// Node is one process of the fleet: its cores and what a shell keeps.
+type Node struct {
+	Member  membership.Member
+	Site    Site
+	View    *membership.View
+	Core    *dissemination.Core
+	Tracker *freshness.Tracker
+	Traffic Traffic
+	Alive   bool
+	Leaving bool
+	// InForce is the version in force.
+	InForce uint64
+
+	fleet       *Fleet
+	pausedUntil time.Time
+	viewVersion uint64
+	membersAt   time.Time
+	nextList    time.Time
+}
+
+func (f *Fleet) newNode(m membership.Member, site Site, seeds []string) *Node {
+	now := f.Bus.Now
+	n := &Node{Member: m, Site: site, Tracker: &freshness.Tracker{}, Alive: true, fleet: f, nextList: now}
+	source := func() *rand.Rand { return rand.New(rand.NewPCG(f.Bus.Rand.Uint64(), 3)) }
+	n.View = membership.New(membership.Options{
+		Self: m, Incarnation: uint64(now.Sub(Start)/time.Second) + 1, Seeds: seeds, Rand: source(), Now: now,
+		WithoutLocalHealth: f.Options.WithoutLocalHealth,
+	})
+	n.Core = dissemination.New(dissemination.Options{
+		Self: m, Tracker: n.Tracker, Invariants: &f.Invariants, Rand: source(), Now: now, Seeds: seeds,
+		AsOfReceipt: f.Options.AsOfReceipt, LowerVersions: f.Options.LowerVersions,
+	})
+	f.Bus.After(time.Duration(f.Bus.Rand.Int64N(int64(f.Options.TickPeriod))), n.tick)
+	return n
+}
+
+// at runs f in the process, later if it is paused, never if it has ended.
+func (n *Node) at(f func()) {
+	switch now := n.fleet.Bus.Now; {
+	case !n.Alive:
+	case now.Before(n.pausedUntil):
+		n.fleet.Bus.After(n.pausedUntil.Sub(now), func() { n.at(f) })
+	default:
+		f()
+	}
+}
+
+func (n *Node) tick() {
+	n.at(func() {
+		n.work()
+		n.fleet.Bus.After(n.fleet.Options.TickPeriod, n.tick)
+	})
+}
+
+func (n *Node) work() {
+	now := n.fleet.Bus.Now
+	n.deliver(n.View.Tick(now))
+	if n.View.Version() != n.viewVersion && now.Sub(n.membersAt) >= time.Second {
+		n.viewVersion, n.membersAt = n.View.Version(), now
+		n.Core.SetMembers(n.View.Members())
+	}
+	if !now.Before(n.nextList) && (n.Core.Watcher() || len(n.View.Members()) < 2) {
+		n.nextList = now.Add(listPeriod)
+		n.fleet.readList(n)
+	}
+	n.act()
+	n.fleet.checkKeys(n)
+}
+
+// act carries out what the dissemination core asks for.
+func (n *Node) act() {
+	a := n.Core.Tick(n.fleet.Bus.Now)
+	if a.ReadStore {
+		n.fleet.readStore(n)
+	}
+	for _, p := range a.Pulls {
+		n.pull(p)
+	}
+	for _, address := range a.Hints {
+		n.send(address, proto.Size(a.Hint), func(to *Node) {
+			to.Core.Hinted(n.fleet.Bus.Now, a.Hint)
+			to.act()
+		})
+	}
+}
+
+func (n *Node) deliver(outputs []membership.Output) {
+	for _, o := range outputs {
+		n.send(o.PeerAddress, proto.Size(o.Message), func(to *Node) {
+			to.deliver(to.View.Step(n.fleet.Bus.Now, o.Message))
+		})
+	}
+}
+
+// send counts a message and hands it to the process at an address.
+func (n *Node) send(address string, size int, f func(*Node)) {
+	to := n.fleet.byAddress[address]
+	n.count(size+RPCOverheadBytes, 0)
+	if to == nil {
+		return
+	}
+	n.fleet.Bus.Send(n.Site, to.Site, func() {
+		to.at(func() {
+			to.count(0, size+RPCOverheadBytes)
+			f(to)
+		})
+	})
+}
+
+func (n *Node) count(sent, received int) {
+	n.Traffic.Calls++
+	n.Traffic.Sent += int64(sent)
+	n.Traffic.Received += int64(received)
+}
+
+func (n *Node) pull(p dissemination.Pull) {
+	bus := n.fleet.Bus
+	n.send(p.PeerAddress, proto.Size(p.Request), func(to *Node) {
+		answer := to.Core.Answer(bus.Now, p.Request)
+		size := proto.Size(answer)
+		to.Traffic.Sent += int64(size)
+		bus.Send(to.Site, n.Site, func() {
+			n.at(func() {
+				n.Traffic.Received += int64(size)
+				n.Core.Pulled(bus.Now, p.ID, answer)
+				n.apply()
+				n.act()
+			})
+		})
+	})
+	bus.After(dissemination.PullTimeout, func() {
+		n.at(func() { n.Core.Failed(bus.Now, p.ID) })
+	})
+}
+
+// apply puts the newest whole record in force.
+func (n *Node) apply() {
+	r := n.Core.Newest()
+	if r.Version == n.InForce {
+		return
+	}
+	n.fleet.check(r.Version > n.InForce, "%s went from version %d to %d", n.Member.Name, n.InForce, r.Version)
+	for _, h := range r.Hashes {
+		n.fleet.check(r.Chunks[h] != nil, "%s lacks a chunk of version %d", n.Member.Name, r.Version)
+	}
+	n.InForce = r.Version
+	n.Core.Applied(r.Version)
+}
+
+func (f *Fleet) check(ok bool, format string, args ...any) {
+	if !ok && len(f.Violations) < maxViolations {
+		f.Violations = append(f.Violations, fmt.Sprintf("%s: ", f.Bus.Now.Sub(Start))+fmt.Sprintf(format, args...))
+	}
+}
+
+// checkKeys asserts that an instance that would trust its keys now knows every
+// withdrawal older than the bound.
+func (f *Fleet) checkKeys(n *Node) {
+	now := f.Bus.Now
+	fresh := n.Tracker.Fresh(now, KeyFreshness)
+	if f.onKeyUse != nil {
+		f.onKeyUse(n, fresh)
+	}
+	if fresh {
+		due := f.Store.acceptedBefore(now.Add(-KeyFreshness))
+		f.check(n.InForce >= due, "%s trusts keys of version %d although %d was accepted over %s ago", n.Member.Name, n.InForce, due, KeyFreshness)
+	}
+}
+
+func (f *Fleet) readStore(n *Node) {
+	sent := f.Bus.Now
+	answered := false
+	f.askStore(n, func() func() {
+		f.Store.Reads++
+		record := f.Store.newest()
+		return func() {
+			if answered {
+				return
+			}
+			answered = true
+			if record.Version <= n.Core.Newest().Version {
+				record = nil
+			}
+			n.Core.StoreRead(sent, record, nil)
+			n.apply()
+			n.act()
+		}
+	})
+	f.Bus.After(storeTimeout, func() {
+		n.at(func() {
+			if !answered {
+				answered = true
+				n.Core.StoreFailed()
+			}
+		})
+	})
+}
+
+func (f *Fleet) readList(n *Node) {
+	f.askStore(n, func() func() {
+		f.Store.ListReads++
+		list := f.Store.listAt(f.Bus.Now)
+		return func() { n.View.ApplyList(f.Bus.Now, list) }
+	})
+}
+
+// askStore sends a call to the store and runs what read returns with the
+// answer.
+func (f *Fleet) askStore(n *Node, read func() func()) {
+	f.Bus.Send(n.Site, f.Store.Site, func() {
+		if f.Store.Down {
+			return
+		}
+		answer := read()
+		if f.Store.LostAnswers > 0 && f.Bus.Rand.Float64() < f.Store.LostAnswers {
+			return
+		}
+		f.Bus.Send(f.Store.Site, n.Site, func() { n.at(answer) })
+	})
+}
--- /dev/null
+++ b/internal/membership/gossip.go
@@ -0,0 +1,171 @@
+package membership
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/turmericfield/turmericfield/api/peerpb"
+)
+
+const (
+	// maxUpdates bounds the updates of one probe or acknowledgement.
+	maxUpdates = 6
+	// maxCompareUpdates bounds the updates that answer a comparison.
+	maxCompareUpdates = 64
+	// spreadFactor times log2 of the fleet's size is how often an update is sent.
+	spreadFactor = 2
+	// comparePeriod bounds how often one instance sends its bucket digests.
+	comparePeriod = 5 * time.Second
+)
+
+// gossipQueue holds the members whose news this instance still spreads.
+type gossipQueue struct {
+	pending []pendingUpdate // least sent first
+}
+
+type pendingUpdate struct {
+	name string
+	sent int
+}
+
+func (q *gossipQueue) push(name string) {
+	q.pending = slices.DeleteFunc(q.pending, func(p pendingUpdate) bool { return p.name == name })
+	q.pending = slices.Insert(q.pending, 0, pendingUpdate{name: name})
+}
+
+// take returns the names to send now.
+func (q *gossipQueue) take(fleet int) []string {
+	n := min(len(q.pending), maxUpdates)
+	limit := spreadFactor * bits.Len(uint(fleet))
+	names := make([]string, n)
+	for i := range names {
+		names[i] = q.pending[i].name
+		q.pending[i].sent++
+	}
+	q.pending = slices.DeleteFunc(q.pending, func(p pendingUpdate) bool { return p.sent >= limit })
+	slices.SortStableFunc(q.pending, func(a, b pendingUpdate) int { return a.sent - b.sent })
+	return names
+}
+
+// message returns a message with the news that is due.
+func (v *View) message(kind peerpb.MembershipKind) *peerpb.MembershipMessage {
+	m := &peerpb.MembershipMessage{Kind: kind, Digest: v.digest(), ReplyTo: v.self.PeerAddress}
+	for _, name := range v.gossip.take(len(v.members)) {
+		if e := v.members[name]; e != nil {
+			m.Updates = append(m.Updates, e.update())
+		}
+	}
+	return m
+}
+
+// apply merges what another instance believes. The many updates of a
+// comparison are not spread further: the members themselves do that.
+func (v *View) apply(now time.Time, updates []*peerpb.MemberUpdate) {
+	spread := len(updates) <= maxUpdates+1
+	for _, u := range updates {
+		if u.GetName() == "" {
+			continue
+		}
+		if u.GetName() == v.self.Name {
+			v.aboutSelf(u)
+			continue
+		}
+		if v.aboutOther(now, u) && spread {
+			v.gossip.push(u.GetName())
+		}
+	}
+}
+
+// aboutSelf refutes what others wrongly believe of this instance.
+func (v *View) aboutSelf(u *peerpb.MemberUpdate) {
+	other := u.GetPeerAddress() != v.self.PeerAddress
+	stale := u.GetIncarnation() < v.self.incarnation
+	agreed := u.GetIncarnation() == v.self.incarnation && !other && stateFromProto(u.GetState()) == v.self.State
+	if v.superseded || stale || agreed {
+		return
+	}
+	if other && u.GetState() != peerpb.MemberState_MEMBER_STATE_GONE && v.prober.now.Sub(v.started) > settleTime {
+		v.superseded = true
+		return
+	}
+	v.touch(v.self, func() { v.self.incarnation = u.GetIncarnation() + 1 })
+	v.gossip.push(v.self.Name)
+}
+
+// aboutOther merges an update and tells whether it was news.
+func (v *View) aboutOther(now time.Time, u *peerpb.MemberUpdate) bool {
+	state := stateFromProto(u.GetState())
+	e := v.members[u.GetName()]
+	if e == nil {
+		if state == Gone {
+			return false // not worth remembering for one that was never known
+		}
+		m := Member{Name: u.GetName(), AvailabilityZone: u.GetAvailabilityZone(), Address: u.GetAddress(), PeerAddress: u.GetPeerAddress(), State: state}
+		v.add(m, u.GetIncarnation(), now)
+		return true
+	}
+	if state == Gone && v.cutOff() && (e.listed || !v.listKnown) {
+		state = Suspected // others on this side of the cut may err as well
+	}
+	newer := u.GetIncarnation() > e.incarnation
+	if !newer && (u.GetIncarnation() < e.incarnation || state.rank() <= e.State.rank()) {
+		return false
+	}
+	v.touch(e, func() {
+		e.incarnation, e.State = u.GetIncarnation(), state
+		e.AvailabilityZone, e.Address, e.PeerAddress = u.GetAvailabilityZone(), u.GetAddress(), u.GetPeerAddress()
+	})
+	e.since = now
+	return true
+}
+
+// compare asks a peer whose digest differs for the members that differ, once
+// the news in flight has had time to settle.
+func (v *View) compare(now time.Time, m *peerpb.MembershipMessage) []Output {
+	settled := len(v.gossip.pending) == 0 || now.Sub(v.compared) >= 2*comparePeriod
+	if m.GetDigest() == v.digest() || !settled || now.Sub(v.compared) < comparePeriod {
+		return nil
+	}
+	v.compared = now
+	out := v.message(peerpb.MembershipKind_MEMBERSHIP_KIND_COMPARE)
+	out.Buckets = slices.Clone(v.buckets[:])
+	return []Output{{PeerAddress: m.GetReplyTo(), Message: out}}
+}
+
+// answerCompare sends this instance's members of the buckets that differ; all
+// of them to an instance that knows hardly any member.
+func (v *View) answerCompare(m *peerpb.MembershipMessage) []Output {
+	if len(m.GetBuckets()) != bucketCount {
+		return nil
+	}
+	empty := 0
+	for _, b := range m.GetBuckets() {
+		if b == 0 {
+			empty++
+		}
+	}
+	messages := 1
+	if empty > bucketCount/2 {
+		messages = 1 + len(v.names)/maxCompareUpdates
+	}
+	var out []Output
+	var updates []*peerpb.MemberUpdate
+	first := v.options.Rand.IntN(len(v.names))
+	for i := range v.names {
+		e := v.members[v.names[(first+i)%len(v.names)]]
+		bucket := e.rings[0] % bucketCount
+		if v.buckets[bucket] != m.GetBuckets()[bucket] {
+			updates = append(updates, e.update())
+		}
+		if len(updates) == maxCompareUpdates || i == len(v.names)-1 {
+			answer := v.message(peerpb.MembershipKind_MEMBERSHIP_KIND_UPDATES)
+			answer.Updates = append(answer.Updates, updates...)
+			out, updates = append(out, Output{PeerAddress: m.GetReplyTo(), Message: answer}), nil
+		}
+		if len(out) == messages {
+			break
+		}
+	}
+	return out
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,12 +1,20 @@
-// Package membership decides which instances are live, suspected or leaving.
-// It is a deterministic core without I/O.
+// Package membership decides which instances are live, suspected, leaving or
+// gone. It is a deterministic core without I/O.
+//
+// Each instance probes its successors on a few hash rings, one per period, so
+// that its cost does not depend on the size of the fleet. A member that
+// neither answers a probe nor one through other members is suspected; the
+// suspicion spreads with the probes, and a member that hears of it refutes it
+// with a higher incarnation. The platform's lagging list names addresses and
+// newly started instances. Nothing here is agreed: views may differ.
 package membership
 
 import (
-	"slices"
-	"strings"
+	"time"
 
-	"github.com/turmericfield/turmericfield/internal/platform"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericfield/turmericfield/api/peerpb"
 )
 
 // State is what this instance believes of another one.
@@ -17,6 +25,7 @@
 	Live      State = "live"
 	Suspected State = "suspected"
 	Leaving   State = "leaving"
+	Gone      State = "gone"
 )
 
 // Member is one instance.
@@ -28,47 +37,56 @@
 	State            State
 }
 
-// View is the set of known instances. It is not safe for concurrent use.
-type View struct {
-	self    Member
-	members map[string]Member
+// Output is one message to another instance.
+type Output struct {
+	PeerAddress string // IP:port
+	Message     *peerpb.MembershipMessage
 }
 
-// New returns a view that holds only this instance.
-func New(self Member) *View {
-	self.State = Live
-	return &View{self: self, members: map[string]Member{self.Name: self}}
+// entry is one member with what orders the news about it.
+type entry struct {
+	Member
+	incarnation uint64
+	since       time.Time // when the state began here
+	listed      bool      // the platform's newest list names it
+	rings       [ringCount]uint64
 }
 
-// ApplyList replaces the members by the platform's list. This instance stays a
-// member whether the list names it or not.
-func (v *View) ApplyList(list []platform.Instance) {
-	members := map[string]Member{v.self.Name: v.self}
-	for _, in := range list {
-		if in.Name == v.self.Name {
-			continue
-		}
-		m := Member{Name: in.Name, AvailabilityZone: in.AvailabilityZone, Address: in.Address, PeerAddress: in.PeerAddress, State: Live}
-		if in.State == platform.InstanceLeaving {
-			m.State = Leaving
-		}
-		members[in.Name] = m
+// rank orders the states of one incarnation: higher ones replace lower ones.
+func (s State) rank() int {
+	switch s {
+	case Leaving:
+		return 1
+	case Suspected:
+		return 2
+	case Gone:
+		return 3
 	}
-	v.members = members
+	return 0
+}
+
+// digest changes whenever the entry's identity, incarnation or state does.
+func (e *entry) digest() uint64 {
+	const mix = 0x9e3779b97f4a7c15
+	h := xxhash.Sum64String(e.Name + "\x00" + e.PeerAddress)
+	return (h ^ (e.incarnation*4 + uint64(e.State.rank()) + 1)) * mix
 }
 
-// SetLeaving marks this instance as leaving.
-func (v *View) SetLeaving() {
-	v.self.State = Leaving
-	v.members[v.self.Name] = v.self
+func (e *entry) update() *peerpb.MemberUpdate {
+	return &peerpb.MemberUpdate{
+		Name: e.Name, AvailabilityZone: e.AvailabilityZone, Address: e.Address, PeerAddress: e.PeerAddress,
+		State: peerpb.MemberState(e.State.rank()), Incarnation: e.incarnation,
+	}
 }
 
-// Members returns all members in name order.
-func (v *View) Members() []Member {
-	out := make([]Member, 0, len(v.members))
-	for _, m := range v.members {
-		out = append(out, m)
+func stateFromProto(s peerpb.MemberState) State {
+	switch s {
+	case peerpb.MemberState_MEMBER_STATE_LEAVING:
+		return Leaving
+	case peerpb.MemberState_MEMBER_STATE_SUSPECTED:
+		return Suspected
+	case peerpb.MemberState_MEMBER_STATE_GONE:
+		return Gone
 	}
-	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
-	return out
+	return Live
 }
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -4,47 +4,43 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/dissemination"
 	"github.com/turmericfield/turmericfield/internal/freshness"
 	"github.com/turmericfield/turmericfield/internal/invariant"
 	"github.com/turmericfield/turmericfield/internal/membership"
 	"github.com/turmericfield/turmericfield/internal/operator"
 )
 
-const (
-	listPeriod   = time.Second
-	readPeriod   = 500 * time.Millisecond
-	retryPeriod  = 500 * time.Millisecond
-	storeTimeout = 2 * time.Second
-)
-
-// followConfiguration keeps the newest accepted configuration in force.
-func (s *Server) followConfiguration(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := s.watchConfiguration(ctx); err != nil && ctx.Err() == nil {
-			s.part("config").Warn().Err(err).Msg("config: lost the store")
-		}
-		sleep(ctx, retryPeriod)
+// readConfiguration reads the record once. What was accepted before the read
+// was sent is in force afterwards.
+func (s *Server) readConfiguration(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	sent := time.Now()
+	err := s.readRecord(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var record *dissemination.Record
+	if err == nil && s.held.Manifest().Revision > s.syncer.Newest().Version {
+		record, err = recordOf(&s.held)
 	}
-}
-
-func (s *Server) watchConfiguration(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if err := s.readConfiguration(ctx); err != nil {
-			return err
+	if err != nil {
+		s.syncer.StoreFailed()
+		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			s.part("config").Warn().Err(err).Msg("config: lost the store")
 		}
-		sleep(ctx, readPeriod)
+		return
 	}
-	return ctx.Err()
+	s.syncer.StoreRead(sent, record, nil)
+	s.syncer.Applied(s.held.Manifest().Revision)
 }
 
-// readConfiguration reads the record once. What was accepted before the read
-// was sent is in force afterwards.
-func (s *Server) readConfiguration(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	sent := time.Now()
-	entry, err := s.platform.Get(callCtx, operator.RecordKey)
+// readRecord brings the store's record in force if it is newer.
+func (s *Server) readRecord(ctx context.Context) error {
+	entry, err := s.platform.Get(ctx, operator.RecordKey)
 	if err != nil {
 		return err
 	}
@@ -52,17 +48,11 @@
 	if err != nil {
 		return err
 	}
-	chunks, err := operator.ReadChunks(callCtx, s.platform, s.missingChunks(manifest))
+	chunks, err := operator.ReadChunks(ctx, s.platform, s.missingChunks(manifest))
 	if err != nil {
 		return err
 	}
-	if err := s.takeRecord(manifest, chunks); err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.freshness.Observe(sent, freshness.Versions{Config: manifest.Revision})
-	return nil
+	return s.takeRecord(manifest, chunks)
 }
 
 // missingChunks lists the chunks of a manifest that this instance lacks.
@@ -97,6 +87,7 @@
 	defer s.mu.Unlock()
 	s.freshness.Hold(freshness.Versions{Config: record.Revision})
 	s.freshness.SetWriters(writerIDs(record.Writers))
+	s.syncer.Applied(record.Revision)
 	return nil
 }
 
@@ -116,24 +107,9 @@
 	return s.freshness.Fresh(now, s.options.KeyFreshness)
 }
 
-// followInstances merges the platform's list into the view.
-func (s *Server) followInstances(ctx context.Context) {
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		list, err := s.platform.ListInstances(callCtx)
-		cancel()
-		if err == nil {
-			s.mu.Lock()
-			s.view.ApplyList(list)
-			s.mu.Unlock()
-		}
-		sleep(ctx, listPeriod)
-	}
-}
-
 // Instances implements operator.Fleet by asking every member.
 func (s *Server) Instances(ctx context.Context) []operator.InstanceStatus {
-	members := s.members()
+	members := s.known()
 	out := make([]operator.InstanceStatus, len(members))
 	done := make(chan struct{}, len(members))
 	for i, m := range members {
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -1,5 +1,168 @@
 package server
 
-import "github.com/turmericfield/turmericfield/api/peerpb"
+import (
+	"context"
+	"math/rand/v2"
+	"time"
 
-func (s *Server) receiveMembership(_ string, _ *peerpb.MembershipMessage) {}
+	"github.com/turmericfield/turmericfield/api/peerpb"
+	"github.com/turmericfield/turmericfield/internal/dissemination"
+	"github.com/turmericfield/turmericfield/internal/membership"
+)
+
+const (
+	fleetTick    = 100 * time.Millisecond
+	listPeriod   = 5 * time.Second
+	storeTimeout = 2 * time.Second
+	// listTrust is how long a read of the platform's list tells which
+	// instances are not in it.
+	listTrust = 3 * listPeriod
+	// maxOutgoing bounds the messages to other instances that wait for their
+	// acknowledgement; more are dropped, as a network may drop them.
+	maxOutgoing = 64
+)
+
+// listed is the platform's list of instances as last read.
+type listed struct {
+	readAt time.Time
+	names  map[string]bool
+}
+
+// provisionFleet makes the cores of membership and dissemination.
+func (s *Server) provisionFleet() {
+	now := time.Now()
+	self := membership.Member{
+		Name: s.options.Name, AvailabilityZone: s.options.AvailabilityZone,
+		Address: s.options.Listen, PeerAddress: s.options.PeerListen,
+	}
+	s.view = membership.New(membership.Options{
+		Self: self, Incarnation: uint64(now.Unix()), Seeds: s.options.Seeds, Now: now,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	s.syncer = dissemination.New(dissemination.Options{
+		Self: self, Tracker: &s.freshness, Invariants: s.invariants, Seeds: s.options.Seeds, Now: now,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+}
+
+// report sums up the versions in force at the instances that pull from here.
+func (s *Server) report() *peerpb.InForceReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.syncer.Report(time.Now())
+}
+
+// followFleet runs the cores of membership and dissemination.
+func (s *Server) followFleet(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		now := time.Now()
+		outputs := s.view.Tick(now)
+		if s.view.Version() != s.viewVersion {
+			s.viewVersion = s.view.Version()
+			s.syncer.SetMembers(s.view.Members())
+		}
+		readList := !now.Before(s.nextList) && (s.syncer.Watcher() || len(s.view.Members()) < 2)
+		if readList {
+			s.nextList = now.Add(listPeriod)
+		}
+		superseded := s.view.Superseded()
+		actions := s.syncer.Tick(now)
+		s.mu.Unlock()
+		if superseded && s.supersededOnce.CompareAndSwap(false, true) {
+			s.part("membership").Error().Msg("membership: another process has taken this instance's name")
+		}
+		s.deliver(ctx, outputs)
+		s.carryOut(ctx, actions)
+		if readList {
+			go s.readList(ctx)
+		}
+		sleep(ctx, fleetTick)
+	}
+}
+
+// readList merges the platform's list into the view.
+func (s *Server) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	sent := time.Now()
+	list, err := s.platform.ListInstances(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.nextList = sent.Add(storeTimeout)
+		return
+	}
+	s.list = listed{readAt: sent, names: map[string]bool{}}
+	for _, in := range list {
+		s.list.names[in.Name] = true
+	}
+	s.view.ApplyList(time.Now(), list)
+}
+
+// isListed tells whether an instance is a member or may be in the platform's
+// list. Only a recent list can tell that it is not.
+func (s *Server) isListed(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recent := time.Since(s.list.readAt) < listTrust
+	return s.view.State(name) != membership.Gone || !recent || s.list.names[name]
+}
+
+// known returns the members and those that cannot be reached although they may
+// still run.
+func (s *Server) known() []membership.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Known()
+}
+
+// deliver sends the messages of the membership core.
+func (s *Server) deliver(ctx context.Context, outputs []membership.Output) {
+	for _, o := range outputs {
+		s.post(ctx, o.PeerAddress, &peerpb.Envelope{Message: &peerpb.Envelope_Membership{Membership: o.Message}})
+	}
+}
+
+// post sends a message that may be lost.
+func (s *Server) post(ctx context.Context, address string, e *peerpb.Envelope) {
+	select {
+	case s.outgoing <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-s.outgoing }()
+		if err := s.network.Send(ctx, address, e); err != nil {
+			s.part("membership").Debug().Err(err).Msg("membership: message not acknowledged")
+		}
+	}()
+}
+
+func (s *Server) receiveMembership(_ string, m *peerpb.MembershipMessage) {
+	s.mu.Lock()
+	outputs := s.view.Step(time.Now(), m)
+	s.mu.Unlock()
+	s.deliver(context.Background(), outputs)
+}
+
+// announceLeaving tells the other instances that this one leaves.
+func (s *Server) announceLeaving(ctx context.Context) {
+	s.mu.Lock()
+	outputs := s.view.SetLeaving(time.Now())
+	s.mu.Unlock()
+	s.deliver(ctx, outputs)
+}
+
+// carryOut does what the dissemination core asks for.
+func (s *Server) carryOut(ctx context.Context, a dissemination.Actions) {
+	if a.ReadStore {
+		go s.readConfiguration(ctx)
+	}
+	for _, p := range a.Pulls {
+		go s.pull(ctx, p)
+	}
+	for _, address := range a.Hints {
+		s.post(ctx, address, &peerpb.Envelope{Message: &peerpb.Envelope_Hint{Hint: a.Hint}})
+	}
+}
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -22,6 +22,9 @@
 	Platform string
 	// OperatorToken is the credential of the operators' API.
 	OperatorToken string
+	// Seeds are IP:ports of other instances that are asked for the fleet and
+	// its configuration when the platform cannot be reached.
+	Seeds []string
 	// KeyFreshness bounds how long keys are trusted without news from the
 	// store.
 	KeyFreshness time.Duration
@@ -49,6 +52,9 @@
 	p.Address("peer-listen", o.PeerListen)
 	p.Address("operator-listen", o.OperatorListen)
 	p.Address("platform", o.Platform)
+	for _, seed := range o.Seeds {
+		p.Address("seed", seed)
+	}
 	p.NonEmpty("operator-token", o.OperatorToken)
 	if (o.TLSCertificate == "") != (o.TLSKey == "") {
 		p.Add("tls-cert", "must be set together with --tls-key")
--- a/internal/server/receive.go
+++ b/internal/server/receive.go
@@ -11,6 +11,8 @@
 		s.receivePlacement(e.GetFrom(), m.Placement)
 	case *peerpb.Envelope_Membership:
 		s.receiveMembership(e.GetFrom(), m.Membership)
+	case *peerpb.Envelope_Hint:
+		s.receiveHint(m.Hint)
 	case *peerpb.Envelope_Seat:
 		s.receiveSeat(e.GetFrom(), m.Seat)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -19,6 +19,7 @@
 
 	"github.com/turmericfield/turmericfield/api/peerpb"
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/dissemination"
 	"github.com/turmericfield/turmericfield/internal/entry"
 	"github.com/turmericfield/turmericfield/internal/freshness"
 	"github.com/turmericfield/turmericfield/internal/invariant"
@@ -50,10 +51,18 @@
 
 	taking sync.Mutex // lets one record be put in force at a time
 
-	mu        sync.Mutex // guards view, freshness and held
+	mu        sync.Mutex // guards the fields below
 	view      *membership.View
+	syncer    *dissemination.Core
 	freshness freshness.Tracker
 	held      config.Held
+	// viewVersion is the version of the view that syncer knows.
+	viewVersion uint64
+	list        listed
+	nextList    time.Time
+
+	outgoing       chan struct{} // one token for each message on its way
+	supersededOnce atomic.Bool
 
 	// incarnation tells this process from earlier ones of its name.
 	incarnation uint64
@@ -82,9 +91,8 @@
 	s.freshness = freshness.Tracker{Zone: o.AvailabilityZone, Author: freshness.Author{ID: freshness.WriterID(author{s}.Self())}}
 	s.control = &operator.Service{Store: client, Fleet: s, Author: author{s}, Now: time.Now}
 	s.invariants = &invariant.Recorder{OnViolation: s.reportViolation}
-	s.view = membership.New(membership.Member{
-		Name: o.Name, AvailabilityZone: o.AvailabilityZone, Address: o.Listen, PeerAddress: o.PeerListen,
-	})
+	s.outgoing = make(chan struct{}, maxOutgoing)
+	s.provisionFleet()
 	s.steering = newSteerer(s.part("steering"))
 	s.network = peer.New(o.Name, security.peerClient, peer.Handlers{Receive: s.receive, Status: s.peerStatus, Sync: s.answerSync, Confirm: s.confirmForPeer})
 	s.entry = entry.NewHandler(entry.Options{
@@ -137,8 +145,7 @@
 	group.Go(func() error { return serveHTTP(callers, s.callers) })
 	group.Go(func() error { return serveHTTP(operators, s.operators) })
 	group.Go(func() error { return s.network.Serve(ctx, s.peers, s.security.peerServer) })
-	group.Go(func() error { s.followConfiguration(ctx); return nil })
-	group.Go(func() error { s.followInstances(ctx); return nil })
+	group.Go(func() error { s.followFleet(ctx); return nil })
 	group.Go(func() error { s.followSteering(ctx); return nil })
 	group.Go(func() error { s.followWriters(ctx); return nil })
 	group.Go(func() error {
@@ -165,9 +172,7 @@
 // refuses new requests and finishes those in flight.
 func (s *Server) leave(kill context.Context, callers *http.Server) {
 	s.part("server").Info().Msg("server: leaving")
-	s.mu.Lock()
-	s.view.SetLeaving()
-	s.mu.Unlock()
+	s.announceLeaving(kill)
 	s.rebuildSteering()
 	s.resign(kill)
 	select {
@@ -197,7 +202,7 @@
 func (s *Server) peerStatus() *peerpb.StatusResponse {
 	return &peerpb.StatusResponse{
 		Name: s.options.Name, AvailabilityZone: s.options.AvailabilityZone,
-		Version: s.snapshot.Load().Version, InFlight: s.entry.InFlight(), Incarnation: s.writingIncarnation(),
+		Version: s.snapshot.Load().Version, InFlight: s.entry.InFlight(), Incarnation: s.writingIncarnation(), Report: s.report(),
 	}
 }
 
--- a/internal/server/writers.go
+++ b/internal/server/writers.go
@@ -178,11 +178,6 @@
 	return "", false
 }
 
-func (s *Server) isListed(name string) bool {
-	_, ok := s.peerAddressOf(name)
-	return ok
-}
-
 func (s *Server) listedWriters() []config.Writer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
