--- a/internal/server/placement.go
+++ b/internal/server/placement.go
@@ -150,7 +150,7 @@
 	})
 	s.logChange(r.Target, change, "poll")
 	if change == placement.BeganLeaving {
-		s.announceLeaving(ctx, r)
+		s.announceTarget(ctx, r)
 	}
 }
 
@@ -163,7 +163,7 @@
 	}
 }
 
-func (s *Server) announceLeaving(ctx context.Context, r placement.Report) {
+func (s *Server) announceTarget(ctx context.Context, r placement.Report) {
 	message := &peerpb.PlacementMessage{Reports: []*peerpb.TargetReport{{
 		Target: r.Target, Draining: r.Draining, AgeMillis: r.Age.Milliseconds(),
 	}}}
