Carry client blocks as shards of the accepted record

Cause: blocks could only stand as prefixes in the configuration document. Change: plan assign-blocks packs a file by shard; the record keeps shards as chunks beside the document's, so they travel like any other chunk, and an instance replaces only the shards that differ in its table.

--- /dev/null
+++ b/internal/command/blocks.go
@@ -0,0 +1,105 @@
+package command
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/intent"
+	"github.com/turmericfield/turmericfield/internal/steering"
+)
+
+// maxBlockFindings bounds the findings of one file of blocks.
+const maxBlockFindings = 100
+
+func newPlanAssignBlocks(f *clientFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:   "assign-blocks FILE",
+		Short: "Assign blocks of clients to sites",
+		Long: "Assign blocks of clients to sites. Each line of the file holds a block, an\n" +
+			"IPv4 /24 or an IPv6 /48, and the name of its site, or - to remove the block.\n" +
+			"Blocks that the file does not name stay as they are.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			blocks, err := readBlocks(args[0])
+			if err != nil {
+				return err
+			}
+			return submit(cmd, f, intent.Intent{Kind: intent.KindAssignBlocks, Blocks: blocks})
+		},
+	}
+}
+
+// readBlocks reads a file of assignments and packs it by shard.
+func readBlocks(name string) ([][]byte, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	shards := map[int][]steering.NamedAssignment{}
+	seen := map[steering.Block]int{}
+	var findings config.Findings
+	scanner := bufio.NewScanner(file)
+	for line := 1; scanner.Scan() && len(findings) < maxBlockFindings; line++ {
+		text := strings.TrimSpace(scanner.Text())
+		if text == "" || strings.HasPrefix(text, "#") {
+			continue
+		}
+		a, message := parseAssignment(text)
+		if message == "" && seen[a.Block] != 0 {
+			message = fmt.Sprintf("block %s stands on line %d already", a.Block.Prefix(), seen[a.Block])
+		}
+		if message != "" {
+			findings = append(findings, config.Finding{File: name, Line: line, Path: "block", Message: message})
+			continue
+		}
+		seen[a.Block] = line
+		shards[a.Block.Shard()] = append(shards[a.Block.Shard()], a)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, err
+	}
+	if len(findings) == 0 && len(shards) == 0 {
+		findings = append(findings, config.Finding{File: name, Path: "file", Message: "holds no block"})
+	}
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	return packShards(shards)
+}
+
+func parseAssignment(text string) (steering.NamedAssignment, string) {
+	var a steering.NamedAssignment
+	fields := strings.Fields(text)
+	if len(fields) != 2 {
+		return a, fmt.Sprintf("%q is not a block and a site", text)
+	}
+	block, err := steering.ParseBlock(fields[0])
+	if err != nil {
+		return a, err.Error()
+	}
+	a.Block = block
+	if fields[1] != "-" {
+		a.Site = fields[1]
+	}
+	return a, ""
+}
+
+func packShards(shards map[int][]steering.NamedAssignment) ([][]byte, error) {
+	var out [][]byte
+	for shard, assignments := range shards {
+		data, err := steering.Pack(shard, assignments)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, data)
+	}
+	slices.SortFunc(out, slices.Compare[[]byte])
+	return out, nil
+}
--- a/internal/command/plan.go
+++ b/internal/command/plan.go
@@ -18,7 +18,7 @@
 	cmd.AddCommand(
 		newPlanDrain(&f, intent.KindDrain), newPlanDrain(&f, intent.KindUndrain),
 		newPlanApply(&f), newPlanShift(&f), newPlanUnshift(&f),
-		newPlanAdmit(&f), newPlanCutOff(&f), newPlanWithdrawKey(&f))
+		newPlanAdmit(&f), newPlanCutOff(&f), newPlanWithdrawKey(&f), newPlanAssignBlocks(&f))
 	return cmd
 }
 
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -55,6 +55,9 @@
 	// Writers may write the next record; any process may write the first one.
 	Writers  []Writer  `json:"writers"`
 	Document *Document `json:"document"`
+	// Blocks are the shards of the table of client blocks, in the stored form
+	// of package steering, ordered by their hashes.
+	Blocks []Chunk `json:"-"`
 }
 
 // VersionOf returns the version that an operation led to.
@@ -101,13 +104,32 @@
 	if r.Document == nil {
 		return m, nil, nil
 	}
-	text, err := json.Marshal(r.Document)
+	chunks, err := splitDocument(r.Document)
 	if err != nil {
 		return m, nil, err
 	}
+	chunks = append(chunks, r.Blocks...)
+	for _, c := range chunks {
+		m.Chunks = append(m.Chunks, c.Hash)
+	}
+	return m, chunks, nil
+}
+
+// NewChunk returns the chunk of some data.
+func NewChunk(data []byte) Chunk { return Chunk{Hash: hashChunk(data), Data: data} }
+
+// holdsBlocks tells whether a chunk is a shard of client blocks and not a part
+// of the document.
+func holdsBlocks(data []byte) bool { return len(data) > 0 && data[0] != '{' }
+
+func splitDocument(doc *Document) ([]Chunk, error) {
+	text, err := json.Marshal(doc)
+	if err != nil {
+		return nil, err
+	}
 	var fields map[string][]json.RawMessage
 	if err := json.Unmarshal(text, &fields); err != nil {
-		return m, nil, err
+		return nil, err
 	}
 	names := make([]string, 0, len(fields))
 	for name := range fields {
@@ -118,14 +140,11 @@
 	for _, name := range names {
 		more, err := splitField(name, fields[name])
 		if err != nil {
-			return m, nil, err
+			return nil, err
 		}
 		chunks = append(chunks, more...)
 	}
-	for _, c := range chunks {
-		m.Chunks = append(m.Chunks, c.Hash)
-	}
-	return m, chunks, nil
+	return chunks, nil
 }
 
 func splitField(name string, items []json.RawMessage) ([]Chunk, error) {
@@ -139,7 +158,7 @@
 		if len(data) > MaxChunkBytes {
 			return nil, errors.Wrapf(ErrItemTooLarge, "%s[%d] has %d bytes, more than %d", name, first, len(data), MaxChunkBytes)
 		}
-		chunks = append(chunks, Chunk{Hash: hashChunk(data), Data: data})
+		chunks = append(chunks, NewChunk(data))
 		first = end
 	}
 	return chunks, nil
@@ -178,6 +197,10 @@
 		if hashChunk(data) != hash {
 			return Record{}, errors.Wrapf(ErrChunkCorrupt, "chunk %s", hash)
 		}
+		if holdsBlocks(data) {
+			r.Blocks = append(r.Blocks, Chunk{Hash: hash, Data: data})
+			continue
+		}
 		var body chunkBody
 		if err := json.Unmarshal(data, &body); err != nil {
 			return Record{}, errors.Wrapf(err, "chunk %s", hash)
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -16,6 +16,8 @@
 	// 0 is the empty configuration of an instance that knows none.
 	Version  uint64
 	Document *Document
+	// Blocks are the record's shards of client blocks.
+	Blocks []Chunk
 
 	Regions    map[string]*Region
 	Zones      map[string]*AvailabilityZone
@@ -33,6 +35,13 @@
 	workspace *Workspace
 }
 
+// CompileRecord builds the snapshot of an accepted record.
+func CompileRecord(r Record) *Snapshot {
+	s := Compile(r.Version, r.Document)
+	s.Blocks = r.Blocks
+	return s
+}
+
 // Compile builds the snapshot of a validated document.
 func Compile(version uint64, doc *Document) *Snapshot {
 	s := &Snapshot{
--- /dev/null
+++ b/internal/intent/blocks.go
@@ -0,0 +1,107 @@
+package intent
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/steering"
+)
+
+// blockCounts sums up a change of the table of client blocks.
+type blockCounts struct {
+	assigned, removed, shards int
+}
+
+func (c blockCounts) describe() []string {
+	if c.shards == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("assign %d client blocks to sites and remove %d, in %d of %d shards", c.assigned, c.removed, c.shards, steering.Shards)}
+}
+
+// assignBlocks returns the shards that changes, packed shards themselves, lead
+// to. Sites must exist in the document.
+func assignBlocks(blocks []config.Chunk, changes [][]byte, doc *config.Document) ([]config.Chunk, blockCounts, error) {
+	var counts blockCounts
+	if len(changes) == 0 {
+		return blocks, counts, nil
+	}
+	byShard, err := shardsOf(blocks)
+	if err != nil {
+		return nil, counts, err
+	}
+	sites := map[string]bool{}
+	for _, s := range doc.Sites {
+		sites[s.Name] = true
+	}
+	for i, data := range changes {
+		shard, assignments, err := steering.Unpack(data)
+		if err != nil {
+			return nil, counts, refuse(fmt.Sprintf("blocks[%d]", i), "%v", err)
+		}
+		if err := counts.add(assignments, sites); err != nil {
+			return nil, counts, err
+		}
+		if err := changeShard(byShard, shard, assignments); err != nil {
+			return nil, counts, err
+		}
+	}
+	return orderedChunks(byShard), counts, nil
+}
+
+// add counts assignments and checks their sites.
+func (c *blockCounts) add(assignments []steering.NamedAssignment, sites map[string]bool) error {
+	c.shards++
+	for _, a := range assignments {
+		switch {
+		case a.Site == "":
+			c.removed++
+		case sites[a.Site]:
+			c.assigned++
+		default:
+			return refuse("block "+a.Block.Prefix().String(), "site %q does not exist", a.Site)
+		}
+	}
+	return nil
+}
+
+func shardsOf(blocks []config.Chunk) (map[int]config.Chunk, error) {
+	byShard := make(map[int]config.Chunk, len(blocks))
+	for _, c := range blocks {
+		shard, err := steering.ShardOf(c.Data)
+		if err != nil {
+			return nil, err
+		}
+		byShard[shard] = c
+	}
+	return byShard, nil
+}
+
+func changeShard(byShard map[int]config.Chunk, shard int, changes []steering.NamedAssignment) error {
+	var before []steering.NamedAssignment
+	if old, ok := byShard[shard]; ok {
+		var err error
+		if _, before, err = steering.Unpack(old.Data); err != nil {
+			return err
+		}
+	}
+	after := steering.Merge(before, changes)
+	if len(after) == 0 {
+		delete(byShard, shard)
+		return nil
+	}
+	data, err := steering.Pack(shard, after)
+	byShard[shard] = config.NewChunk(data)
+	return err
+}
+
+func orderedChunks(byShard map[int]config.Chunk) []config.Chunk {
+	out := make([]config.Chunk, 0, len(byShard))
+	for _, c := range byShard {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b config.Chunk) int { return cmp.Compare(a.Hash, b.Hash) })
+	return out
+}
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -23,6 +23,8 @@
 	KindAdmit       Kind = "admit"
 	KindCutOff      Kind = "cut-off"
 	KindWithdrawKey Kind = "withdraw-key"
+	// KindAssignBlocks assigns blocks of clients to sites.
+	KindAssignBlocks Kind = "assign-blocks"
 )
 
 // Intent is one wish of an operator. The fields that its kind needs are set.
@@ -36,6 +38,8 @@
 	WorkspaceName string           `json:"workspace_name,omitempty"`
 	KeyID         string           `json:"key_id,omitempty"`
 	Document      *config.Document `json:"document,omitempty"`
+	// Blocks are the assignments and removals, a packed shard each.
+	Blocks [][]byte `json:"blocks,omitempty"`
 }
 
 // Apply returns the document that the intent leads to, or findings that
@@ -69,6 +73,8 @@
 		return admit(doc, *in.Workspace)
 	case in.Kind == KindCutOff && in.WorkspaceName != "":
 		return cutOff(doc, in.WorkspaceName)
+	case in.Kind == KindAssignBlocks && len(in.Blocks) > 0:
+		return nil // the document stays as it is; see assignBlocks
 	case in.Kind == KindWithdrawKey && in.KeyID != "":
 		return withdrawKey(doc, in.KeyID)
 	}
--- a/internal/intent/plan.go
+++ b/internal/intent/plan.go
@@ -61,7 +61,12 @@
 		plan.Refusals = refusals(err)
 		return plan
 	}
-	plan.Changes = describe(in, current, next)
+	_, counts, err := assignBlocks(record.Blocks, in.Blocks, next)
+	if err != nil {
+		plan.Refusals = refusals(err)
+		return plan
+	}
+	plan.Changes = append(describe(in, current, next), counts.describe()...)
 	plan.Headroom = headroom(current, next)
 	plan.Refusals = exhausted(plan.Headroom)
 	return plan
@@ -88,6 +93,9 @@
 		return record, false, errors.Mark(err, ErrRefused)
 	}
 	next = record
+	if next.Blocks, _, err = assignBlocks(record.Blocks, plan.Intent.Blocks, doc); err != nil {
+		return record, false, errors.Mark(err, ErrRefused)
+	}
 	next.Revision++
 	next.Version++
 	next.Document = doc
@@ -137,6 +145,8 @@
 		return []string{fmt.Sprintf("cut off workspace %s", in.WorkspaceName)}
 	case KindWithdrawKey:
 		return []string{fmt.Sprintf("withdraw key %s", in.KeyID)}
+	case KindAssignBlocks:
+		return nil
 	}
 	return []string{fmt.Sprintf("replace the configuration: %d services, %d routes, %d workspaces become %d, %d, %d",
 		len(before.Services), len(before.Routes), len(before.Workspaces),
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -81,7 +81,7 @@
 		return nil
 	}
 	if record.Version > current {
-		s.putInForce(config.Compile(record.Version, record.Document))
+		s.putInForce(config.CompileRecord(record))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/server/steering.go
+++ b/internal/server/steering.go
@@ -27,11 +27,12 @@
 	snapshot *config.Snapshot
 	members  []membership.Member
 	table    *steering.Table
+	shards   map[int]config.Chunk // in the table
 	sites    []steering.Site
 }
 
 func newSteerer(logger *log.Logger) *steerer {
-	s := &steerer{log: logger, table: &steering.Table{}}
+	s := &steerer{log: logger}
 	s.rebuild(config.Compile(0, &config.Document{}), nil)
 	return s
 }
@@ -45,7 +46,7 @@
 		return
 	}
 	if s.snapshot != snapshot {
-		s.table, s.sites = steeringTable(snapshot.Document.Sites)
+		s.takeTable(snapshot)
 	}
 	s.snapshot, s.members = snapshot, members
 	candidates := make([]steering.Candidate, len(members))
@@ -55,6 +56,55 @@
 	s.directory.Store(steering.Build(s.table, s.sites, snapshot, candidates, s.directory.Load()))
 }
 
+// takeTable brings the table to a configuration. While the sites stay the same
+// only the shards that differ are replaced.
+func (s *steerer) takeTable(snapshot *config.Snapshot) {
+	sites := snapshot.Document.Sites
+	if s.snapshot == nil || !slices.EqualFunc(s.snapshot.Document.Sites, sites, equalSites) {
+		s.table, s.shards = &steering.Table{}, map[int]config.Chunk{}
+		s.sites = steeringSites(sites, s.table)
+	}
+	number := map[string]steering.SiteID{}
+	for i, site := range sites {
+		number[site.Name] = steering.SiteID(i)
+	}
+	next := map[int]config.Chunk{}
+	for _, chunk := range snapshot.Blocks {
+		shard, err := steering.ShardOf(chunk.Data)
+		if err != nil {
+			s.log.Error().Err(err).Msg("steering: cannot read a shard of client blocks")
+			continue
+		}
+		next[shard] = chunk
+	}
+	for shard := range steering.Shards {
+		if s.shards[shard].Hash != next[shard].Hash {
+			s.replaceShard(s.shards[shard].Data, next[shard].Data, number)
+		}
+	}
+	s.shards = next
+}
+
+func (s *steerer) replaceShard(before, after []byte, number map[string]steering.SiteID) {
+	_, old, err := steering.Unpack(before)
+	if err == nil {
+		var current []steering.NamedAssignment
+		if _, current, err = steering.Unpack(after); err == nil {
+			s.table.ReplaceShard(old, current, func(name string) (steering.SiteID, bool) {
+				id, ok := number[name]
+				return id, ok
+			})
+		}
+	}
+	if err != nil {
+		s.log.Error().Err(err).Msg("steering: cannot read a shard of client blocks")
+	}
+}
+
+func equalSites(a, b config.Site) bool {
+	return a.Name == b.Name && a.AvailabilityZone == b.AvailabilityZone && a.Demand == b.Demand && slices.Equal(a.Clients, b.Clients)
+}
+
 func (s *steerer) lookup(caller netip.Addr) steering.Answer {
 	answer := s.directory.Load().Lookup(caller)
 	entry := s.log.Info().IPAddr("caller", caller.AsSlice())
@@ -65,9 +115,9 @@
 	return answer
 }
 
-// steeringTable returns the table and the sites of a configuration.
-func steeringTable(sites []config.Site) (*steering.Table, []steering.Site) {
-	table := &steering.Table{}
+// steeringSites returns the sites of a configuration, and enters their client
+// prefixes into the table. Assigned blocks go before these prefixes.
+func steeringSites(sites []config.Site, table *steering.Table) []steering.Site {
 	out := make([]steering.Site, len(sites))
 	for i, site := range sites {
 		out[i] = steering.Site{Name: site.Name, AvailabilityZone: site.AvailabilityZone, Demand: site.Demand}
@@ -75,19 +125,10 @@
 			out[i].Demand = 1
 		}
 		for _, text := range site.Clients {
-			assignPrefix(table, netip.MustParsePrefix(text), steering.SiteID(i))
+			table.AssignWide(netip.MustParsePrefix(text), steering.SiteID(i))
 		}
 	}
-	return table, out
-}
-
-func assignPrefix(table *steering.Table, prefix netip.Prefix, site steering.SiteID) {
-	block := steering.BlockOf(prefix.Addr())
-	if block.Prefix() == prefix {
-		table.Assign([]steering.Assignment{{Block: block, Site: site}})
-		return
-	}
-	table.AssignWide(prefix, site)
+	return out
 }
 
 // followSteering rebuilds the directory when the configuration or the members
--- a/internal/steering/pack.go
+++ b/internal/steering/pack.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/turmericfield/turmericfield/api/steeringpb"
@@ -111,6 +112,23 @@
 	return shard, assignments, nil
 }
 
+// ShardOf reads the number of a packed shard, which Pack writes first.
+func ShardOf(data []byte) (int, error) {
+	const shardField = 1
+	field, kind, n := protowire.ConsumeTag(data)
+	if n < 0 {
+		return 0, errors.Wrap(protowire.ParseError(n), "block shard")
+	}
+	if field != shardField || kind != protowire.VarintType {
+		return 0, nil // protobuf leaves out the number 0
+	}
+	shard, n := protowire.ConsumeVarint(data[n:])
+	if n < 0 || shard >= Shards {
+		return 0, errors.Newf("block shard %d is malformed", shard)
+	}
+	return int(shard), nil
+}
+
 // Merge applies changes to the assignments of a shard. Later changes of a block
 // win; removed blocks are left out.
 func Merge(assignments, changes []NamedAssignment) []NamedAssignment {
--- a/internal/steering/pack_test.go
+++ b/internal/steering/pack_test.go
@@ -38,6 +38,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if n, err := ShardOf(data); err != nil || n != shard {
+				t.Fatalf("shard %d is read as %d, %v", shard, n, err)
+			}
 			gotShard, got, err := Unpack(data)
 			if err != nil || gotShard != shard || !slices.Equal(got, list) {
 				t.Fatalf("shard %d: got %d %v, %v; want %v", shard, gotShard, got, err, list)
--- a/test/scripts/scripts_test.go
+++ b/test/scripts/scripts_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -115,15 +116,17 @@
 }
 
 // eventually is "eventually PATTERN COMMAND...": it repeats a turmericfield
-// command or an http request until its output holds the pattern.
+// command or an http request until its output matches the regular expression.
 func eventually(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: eventually PATTERN COMMAND...")
 	}
 	var output string
+	pattern, err := regexp.Compile(args[0])
+	ts.Check(err)
 	for range pollLimit {
 		output = attempt(ts, args[1:])
-		if strings.Contains(output, args[0]) {
+		if pattern.MatchString(output) {
 			return
 		}
 		time.Sleep(pollInterval)
