--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# Checks the models with spin. Each model must hold, and each of its broken
+# variants must fail, or the check itself could not fail.
+set -euo pipefail
+cd "$(dirname "$0")"
+spec=$PWD
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+# explore MODEL [DEFINE]: runs the verifier; prints its verdict.
+explore() {
+  local model=$1 dir="$work/$1-${2:-sound}"
+  mkdir "$dir"
+  (
+    cd "$dir"
+    spin -a ${2:+-D"$2"} "$spec/$model.pml" > spin.txt
+    cc -w -O2 -DSAFETY -DMEMLIM=1024 -o pan pan.c
+    # -E: a process that waits for ever is no error; the assertions count.
+    ./pan -n -E -m200000 > pan.txt 2>&1 || true
+    if grep -q 'errors: [1-9]' pan.txt && grep -q 'assertion violated' pan.txt; then
+      echo fails
+    elif grep -q 'errors: 0' pan.txt && ! grep -q 'not completed\|depth too small\|truncated' pan.txt; then
+      echo "holds, $(awk '/states, stored/ {print $1; exit}' pan.txt) states"
+    else
+      echo incomplete
+    fi
+  )
+}
+
+verdict=0
+for file in *.pml; do
+  model=${file%.pml}
+  found=$(explore "$model")
+  echo "$model: $found"
+  [[ $found == holds* ]] || verdict=1
+  for variant in $(grep -o '#if[n]*def BROKEN_[A-Z_]*' "$file" | awk '{print $2}' | sort -u); do
+    found=$(explore "$model" "$variant")
+    echo "$model with $variant: $found"
+    [[ $found == fails ]] || verdict=1
+  done
+done
+exit $verdict
