--- /dev/null
+++ b/internal/limit/bench_test.go
@@ -0,0 +1,37 @@
+package limit
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkTake measures a decision on the own share with tokens left.
+func BenchmarkTake(b *testing.B) {
+	seated := true
+	l, f := loneOwner(&seated)
+	f.configure(1, []ZoneSeats{{"a", 1}}, 1e9, 1e9)
+	l.Update(f.snapshot, f.now)
+	l.Refresh(f.now)
+	now := f.now.Add(time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		if !l.Take(testName, now).Allowed {
+			b.Fatal("refused")
+		}
+		l.Drain()
+	}
+}
+
+// BenchmarkTakeStatic is the baseline.
+func BenchmarkTakeStatic(b *testing.B) {
+	f := newFleet(1, nil, 1e9, 1e9)
+	l := NewStaticShares(1)
+	l.Update(f.snapshot, f.now)
+	now := f.now
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		l.Take(testName, now)
+	}
+}
--- /dev/null
+++ b/internal/limit/compare_test.go
@@ -0,0 +1,191 @@
+package limit
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Delays of the users' networks, one way.
+const (
+	nearDelay = time.Millisecond / 2
+	farDelay  = 20 * time.Millisecond
+)
+
+// regionalDelay is short within a region, which the first letter of a zone's
+// name gives.
+func regionalDelay(a, b string) time.Duration {
+	if a[0] == b[0] {
+		return nearDelay
+	}
+	return farDelay
+}
+
+// load is one way in which a workspace's requests arrive.
+type load struct {
+	name string
+	// next returns the time to the next arrival and how many come together.
+	next func(r *rand.Rand, rate float64) (time.Duration, int)
+	// pick chooses the instance of a request.
+	pick func(r *rand.Rand, instances int) int
+}
+
+func every(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
+
+func steadily(share float64) func(*rand.Rand, float64) (time.Duration, int) {
+	return func(_ *rand.Rand, rate float64) (time.Duration, int) { return every(rate * share), 1 }
+}
+
+func atRandom(share float64) func(*rand.Rand, float64) (time.Duration, int) {
+	return func(r *rand.Rand, rate float64) (time.Duration, int) {
+		return time.Duration(r.ExpFloat64() * float64(every(rate*share))), 1
+	}
+}
+
+func inBursts(share float64, size int) func(*rand.Rand, float64) (time.Duration, int) {
+	return func(r *rand.Rand, rate float64) (time.Duration, int) {
+		return time.Duration(r.ExpFloat64() * float64(every(rate*share/float64(size)))), size
+	}
+}
+
+func anyInstance(r *rand.Rand, instances int) int { return r.Intn(instances) }
+func oneInstance(*rand.Rand, int) int             { return 1 }
+
+var loads = []load{
+	{"even, steady at 90%", steadily(0.9), anyInstance},
+	{"skewed, steady at 90%", steadily(0.9), oneInstance},
+	{"even, random at 90%", atRandom(0.9), anyInstance},
+	{"skewed, random at 90%", atRandom(0.9), oneInstance},
+	{"even, bursts of 8 at 50%", inBursts(0.5, 8), anyInstance},
+	{"skewed, bursts of 8 at 50%", inBursts(0.5, 8), oneInstance},
+	{"even, random at 400%", atRandom(4), anyInstance},
+	{"skewed, random at 400%", atRandom(4), oneInstance},
+}
+
+// size is a fleet and a workspace's limit.
+type size struct {
+	name  string
+	zones []ZoneSeats
+	rate  float64
+	burst int
+	loss  float64
+}
+
+var smallZones = []ZoneSeats{{"a1", 2}, {"a2", 1}, {"b1", 1}, {"b2", 1}, {"c1", 1}, {"c2", 1}}
+
+// largeZones are 22 zones in 8 regions with 14 or 15 instances each.
+func largeZones() []ZoneSeats {
+	zones := make([]ZoneSeats, 22)
+	for i := range zones {
+		zones[i] = ZoneSeats{AvailabilityZone: fmt.Sprintf("%c%d", 'a'+i%8, i), Seats: 14 + i%2}
+	}
+	return zones
+}
+
+var sizes = []size{
+	{"7 instances, 100/s, burst 10", smallZones, 100, 10, 0},
+	{"7 instances, 100/s, burst 10, 5% loss", smallZones, 100, 10, 0.05},
+	{"7 instances, 20/s, burst 10", smallZones, 20, 10, 0},
+	{"7 instances, 500/s, burst 100", smallZones, 500, 100, 0},
+	{"319 instances, 100/s, burst 10", largeZones(), 100, 10, 0},
+	{"319 instances, 500/s, burst 100", largeZones(), 500, 100, 0},
+}
+
+// settled returns a fleet whose instances have their seats and full buckets.
+func (s size) settled() *fleet {
+	f := newFleet(1, s.zones, s.rate, s.burst)
+	f.delay = regionalDelay
+	for _, z := range s.zones {
+		for i := range z.Seats {
+			f.start(fmt.Sprintf("%s-%d", z.AvailabilityZone, i), z.AvailabilityZone)
+		}
+		f.write(z.AvailabilityZone)
+	}
+	f.advance(time.Second + time.Duration(float64(s.burst)/s.rate*float64(time.Second)))
+	f.faults.loss = s.loss
+	return f
+}
+
+// offer sends a load for some time. The shares of every instance are tried on
+// the same arrivals.
+func (f *fleet) offer(l load, rate float64, total time.Duration) (staticWrongful int) {
+	arrivals := rand.New(rand.NewSource(7))
+	static := f.staticShares()
+	central := newCentral(rate, int(f.limit.burst), f.now)
+	nodes := f.nodes
+	for end := f.now.Add(total); f.now.Before(end); {
+		wait, count := l.next(arrivals, rate)
+		f.advance(wait)
+		i := l.pick(arrivals, len(nodes))
+		for range count {
+			rightly := central.take(f.now)
+			if !static[i].Take(testName, f.now).Allowed && rightly {
+				staticWrongful++
+			}
+			f.request(nodes[i])
+		}
+	}
+	f.advance(time.Second)
+	return staticWrongful
+}
+
+func (f *fleet) staticShares() []*StaticShares {
+	out := make([]*StaticShares, len(f.nodes))
+	for i := range out {
+		out[i] = NewStaticShares(len(f.nodes))
+		out[i].Update(f.snapshot, f.now)
+	}
+	return out
+}
+
+func (r result) waitQuantile(q float64) time.Duration {
+	if len(r.waits) == 0 {
+		return 0
+	}
+	slices.Sort(r.waits)
+	return r.waits[int(q*float64(len(r.waits)-1))]
+}
+
+// TestWrongfulRefusals compares the limiter with equal static shares and with
+// one central bucket. Run it with -v for the table.
+func TestWrongfulRefusals(t *testing.T) {
+	const total = 30 * time.Second
+	for _, s := range sizes {
+		t.Logf("%s\n%-28s %8s %8s %8s %8s %8s %8s %9s %9s %9s", s.name, "load", "requests", "ideal", "static", "limiter",
+			"refused", "waited", "wait p50", "wait p99", "msg/s")
+		for _, l := range loads {
+			f := s.settled()
+			before := f.result.messages
+			static := f.offer(l, s.rate, total)
+			r := f.result
+			t.Logf("%-28s %8d %8d %8d %8d %8d %8d %9s %9s %9.1f", l.name, r.requests, r.idealRefused, static, r.wrongful,
+				r.refused, r.waited, r.waitQuantile(0.5).Round(time.Millisecond), r.waitQuantile(0.99).Round(time.Millisecond), float64(r.messages-before)/total.Seconds())
+			if f.violation != "" {
+				t.Errorf("%s: %s: %s", s.name, l.name, f.violation)
+			}
+			checkTargets(t, s, l, r, static)
+		}
+	}
+}
+
+// checkTargets fails if the limiter misses its targets. Under overload, which
+// of the requests are admitted is a matter of luck: only their number counts.
+// Lost messages cost tokens, so that a lossy network has no target at 90%.
+func checkTargets(t *testing.T, s size, l load, r result, static int) {
+	t.Helper()
+	if strings.Contains(l.name, "400%") {
+		if short := r.refused - r.idealRefused; short*50 > r.requests-r.idealRefused && s.loss == 0 {
+			t.Errorf("%s: %s: %d admissions fewer than ideal, want at most 2%%", s.name, l.name, short)
+		}
+		return
+	}
+	if strings.Contains(l.name, "steady") && s.loss == 0 && r.wrongful > 0 {
+		t.Errorf("%s: %s: %d wrongful refusals, want none", s.name, l.name, r.wrongful)
+	}
+	if strings.HasPrefix(l.name, "skewed") && r.wrongful*10 > static {
+		t.Errorf("%s: %s: %d wrongful refusals, want a tenth of %d", s.name, l.name, r.wrongful, static)
+	}
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -11,6 +11,9 @@
 // Decision is the answer to one request for a token.
 type Decision struct {
 	Allowed bool
+	// Ticket, if not 0, says that the decision is still open: it comes as the
+	// resolution of this ticket.
+	Ticket uint64
 	// RetryAfter is when a refused caller may try again.
 	RetryAfter time.Duration
 }
--- a/internal/seat/keeper.go
+++ b/internal/seat/keeper.go
@@ -116,7 +116,8 @@
 	}
 	return Seat{
 		AvailabilityZone: k.zone, Index: k.index, ZoneSeats: k.layout.ZoneSeats,
-		Number: k.layout.First + k.index, FleetSeats: k.layout.FleetSeats, Version: k.table.Version,
+		Number: k.layout.First + k.index, FleetSeats: k.layout.FleetSeats,
+		Version: k.table.Version, Tenure: k.since,
 	}, true
 }
 
