--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -11,6 +11,9 @@
 	maxNameLength  = 64
 	sha256HexChars = 64
 	maxRate        = 1e6
+	narrowestIPv4  = 24
+	narrowestIPv6  = 48
+	maxInstances   = 10000 // entry instances of one availability zone
 )
 
 var (
@@ -36,6 +39,7 @@
 	}
 	v.checkRegions(doc)
 	v.checkZones(doc)
+	v.checkSites(doc)
 	v.checkServices(doc)
 	v.checkRoutes(doc)
 	v.checkWorkspaces(doc)
@@ -92,9 +96,45 @@
 		path := fmt.Sprintf("availability_zones[%d]", i)
 		v.name(path+".name", z.Name, v.zones)
 		v.known(path+".region", "region", z.Region, v.regions)
+		if z.Instances < 0 || z.Instances > maxInstances {
+			v.add(path+".instances", "must be 0 to %d, is %d", maxInstances, z.Instances)
+		}
+		if !(z.ReserveShare >= 0 && z.ReserveShare <= 1) {
+			v.add(path+".reserve_share", "must be 0 to 1, is %g", z.ReserveShare)
+		}
 	}
 }
 
+func (v *validator) checkSites(doc *Document) {
+	names, clients := map[string]bool{}, map[string]string{}
+	for i, s := range doc.Sites {
+		path := fmt.Sprintf("sites[%d]", i)
+		v.name(path+".name", s.Name, names)
+		v.known(path+".availability_zone", "availability zone", s.AvailabilityZone, v.zones)
+		if s.Demand < 0 {
+			v.add(path+".demand", "must not be negative, is %g", s.Demand)
+		}
+		for j, text := range s.Clients {
+			v.checkClients(fmt.Sprintf("%s.clients[%d]", path, j), text, s.Name, clients)
+		}
+	}
+}
+
+func (v *validator) checkClients(path, text, site string, seen map[string]string) {
+	prefix, err := netip.ParsePrefix(text)
+	switch {
+	case err != nil:
+		v.add(path, "%q is not an address prefix", text)
+	case prefix != prefix.Masked():
+		v.add(path, "%q has bits set after its length", text)
+	case prefix.Addr().Is4() && prefix.Bits() > narrowestIPv4, prefix.Addr().Is6() && prefix.Bits() > narrowestIPv6:
+		v.add(path, "%q is narrower than an IPv4 /%d or an IPv6 /%d", text, narrowestIPv4, narrowestIPv6)
+	case seen[text] != "":
+		v.add(path, "%q belongs to site %q already", text, seen[text])
+	}
+	seen[text] = site
+}
+
 func (v *validator) checkServices(doc *Document) {
 	addresses := map[string]string{}
 	for i, s := range doc.Services {
--- a/internal/seat/keeper.go
+++ b/internal/seat/keeper.go
@@ -99,12 +99,16 @@
 
 // Seat implements Holder.
 func (k *Keeper) Seat(now time.Time) (Seat, bool) {
-	return k.use(now, k.usable, k.bounds.Use)
+	s, ok := k.use(now, k.usable, k.bounds.Use)
+	s.Clean = ok && k.table.Entries[k.index].Clean
+	return s, ok
 }
 
 // Reserve implements Holder.
 func (k *Keeper) Reserve(now time.Time) (Seat, bool) {
-	return k.use(now, k.reserveFrom, k.bounds.Reserve)
+	s, ok := k.use(now, k.reserveFrom, k.bounds.Reserve)
+	s.Clean = ok && k.table.Entries[k.index].ReserveClean
+	return s, ok
 }
 
 func (k *Keeper) use(now, from time.Time, bound time.Duration) (Seat, bool) {
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -8,6 +8,8 @@
 
 // Seat is one share of a fleet's capacity.
 type Seat struct {
+	// Clean says that nobody else has ever used what this answer permits.
+	Clean bool
 	// AvailabilityZone that the seat belongs to.
 	AvailabilityZone string
 	// Index of the seat among those of its availability zone, from 0.
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -4,74 +4,94 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/dissemination"
 	"github.com/turmericfield/turmericfield/internal/freshness"
 	"github.com/turmericfield/turmericfield/internal/invariant"
 	"github.com/turmericfield/turmericfield/internal/membership"
 	"github.com/turmericfield/turmericfield/internal/operator"
-	"github.com/turmericfield/turmericfield/internal/platform"
-)
-
-const (
-	listPeriod   = time.Second
-	readPeriod   = 500 * time.Millisecond
-	retryPeriod  = 500 * time.Millisecond
-	storeTimeout = 2 * time.Second
 )
 
-// followConfiguration keeps the newest accepted configuration in force.
-func (s *Server) followConfiguration(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := s.watchConfiguration(ctx); err != nil && ctx.Err() == nil {
+// readConfiguration reads the record once. What was accepted before the read
+// was sent is in force afterwards.
+func (s *Server) readConfiguration(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	sent := time.Now()
+	err := s.readRecord(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var record *dissemination.Record
+	if err == nil && s.held.Manifest().Revision > s.syncer.Newest().Version {
+		record, err = recordOf(&s.held)
+	}
+	if err != nil {
+		s.syncer.StoreFailed()
+		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			s.part("config").Warn().Err(err).Msg("config: lost the store")
 		}
-		sleep(ctx, retryPeriod)
+		return
 	}
+	s.syncer.StoreRead(sent, record, nil)
+	s.syncer.Applied(s.held.Manifest().Revision)
 }
 
-func (s *Server) watchConfiguration(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if err := s.readConfiguration(ctx); err != nil {
-			return err
-		}
-		sleep(ctx, readPeriod)
+// readRecord brings the store's record in force if it is newer.
+func (s *Server) readRecord(ctx context.Context) error {
+	entry, err := s.platform.Get(ctx, operator.RecordKey)
+	if err != nil {
+		return err
 	}
-	return ctx.Err()
-}
-
-// readConfiguration reads the record once. What was accepted before the read
-// was sent is in force afterwards.
-func (s *Server) readConfiguration(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	sent := time.Now()
-	entry, err := s.platform.Get(callCtx, operator.RecordKey)
+	manifest, err := operator.DecodeManifest(entry)
 	if err != nil {
 		return err
 	}
-	s.accept(entry)
+	chunks, err := operator.ReadChunks(ctx, s.platform, s.missingChunks(manifest))
+	if err != nil {
+		return err
+	}
+	return s.takeRecord(manifest, chunks)
+}
+
+// missingChunks lists the chunks of a manifest that this instance lacks.
+func (s *Server) missingChunks(m config.Manifest) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held := freshness.Versions{Config: s.snapshot.Load().Version}
-	s.freshness.Hold(held)
-	s.freshness.Observe(sent, held)
-	return nil
+	if m.Revision <= s.held.Manifest().Revision {
+		return nil
+	}
+	return s.held.Missing(m)
 }
 
-func (s *Server) accept(entry platform.Entry) {
-	record, err := operator.DecodeRecord(entry)
-	if err != nil {
-		s.part("config").Error().Err(err).Msg("config: cannot read the record")
-		return
-	}
-	if record.Version == 0 || record.Version == s.snapshot.Load().Version {
-		return
+// takeRecord puts a record in force if it is newer than the present one, from
+// whichever source it came.
+func (s *Server) takeRecord(m config.Manifest, chunks []config.Chunk) error {
+	s.taking.Lock()
+	defer s.taking.Unlock()
+	s.mu.Lock()
+	record, newer, err := s.held.Take(m, chunks)
+	s.mu.Unlock()
+	if err != nil || !newer {
+		return err
 	}
 	current := s.snapshot.Load().Version
-	if !s.invariants.Check(record.Version > current, invariant.VersionNeverReverts, "store offers %d after %d", record.Version, current) {
-		return
+	if !s.invariants.Check(record.Version >= current, invariant.VersionNeverReverts, "offered version %d after %d", record.Version, current) {
+		return nil
+	}
+	if record.Version > current {
+		s.putInForce(config.Compile(record.Version, record.Document))
 	}
-	snapshot := config.Compile(record.Version, record.Document)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.freshness.Hold(freshness.Versions{Config: record.Revision})
+	s.freshness.SetWriters(writerIDs(record.Writers))
+	s.syncer.Applied(record.Revision)
+	return nil
+}
+
+func (s *Server) putInForce(snapshot *config.Snapshot) {
 	s.entry.Update(func(now time.Time) {
 		s.limiter.Update(snapshot, now)
 		s.placer.Update(snapshot, now)
@@ -87,24 +107,9 @@
 	return s.freshness.Fresh(now, s.options.KeyFreshness)
 }
 
-// followInstances merges the platform's list into the view.
-func (s *Server) followInstances(ctx context.Context) {
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		list, err := s.platform.ListInstances(callCtx)
-		cancel()
-		if err == nil {
-			s.mu.Lock()
-			s.view.ApplyList(list)
-			s.mu.Unlock()
-		}
-		sleep(ctx, listPeriod)
-	}
-}
-
 // Instances implements operator.Fleet by asking every member.
 func (s *Server) Instances(ctx context.Context) []operator.InstanceStatus {
-	members := s.members()
+	members := s.known()
 	out := make([]operator.InstanceStatus, len(members))
 	done := make(chan struct{}, len(members))
 	for i, m := range members {
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -22,12 +22,23 @@
 	Platform string
 	// OperatorToken is the credential of the operators' API.
 	OperatorToken string
+	// Seeds are IP:ports of other instances that are asked for the fleet and
+	// its configuration when the platform cannot be reached.
+	Seeds []string
 	// KeyFreshness bounds how long keys are trusted without news from the
 	// store.
 	KeyFreshness time.Duration
 	// DrainDelay is how long a leaving instance goes on serving callers that
 	// hold cached look-up answers.
 	DrainDelay time.Duration
+	// TLSCertificate and TLSKey serve callers and operators over TLS, and
+	// identify the instance to its peers. Each is a PEM file or PEM text.
+	TLSCertificate, TLSKey string
+	// PeerCA signs the certificates of all instances. If it is set, instances
+	// talk to each other over TLS only.
+	PeerCA string
+	// PlatformCA signs the platform's certificate; plain text without it.
+	PlatformCA string
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
@@ -41,7 +52,16 @@
 	p.Address("peer-listen", o.PeerListen)
 	p.Address("operator-listen", o.OperatorListen)
 	p.Address("platform", o.Platform)
+	for _, seed := range o.Seeds {
+		p.Address("seed", seed)
+	}
 	p.NonEmpty("operator-token", o.OperatorToken)
+	if (o.TLSCertificate == "") != (o.TLSKey == "") {
+		p.Add("tls-cert", "must be set together with --tls-key")
+	}
+	if o.PeerCA != "" && o.TLSCertificate == "" {
+		p.Add("peer-ca", "needs --tls-cert and --tls-key")
+	}
 	if o.KeyFreshness <= 0 {
 		p.Add("key-freshness", "must be above 0, is %s", o.KeyFreshness)
 	}
