--- a/internal/limit/faults_test.go
+++ b/internal/limit/faults_test.go
@@ -148,12 +148,16 @@
 }
 
 // successorStartsFull fills the bucket of a seat that is new to its holder.
-func successorStartsFull(n *node, _ []Outgoing) {
-	held, ok := n.keeper.Seat(n.now())
-	w := n.limiter.workspaces[testName]
-	if ok && w != nil && w.share.tenure != held.Tenure {
-		w.share.begin(held.Tenure, n.now())
-		w.share.tokens = w.share.now.burst
+func successorStartsFull() func(*node, []Outgoing) {
+	filled := map[*node]uint64{}
+	return func(n *node, _ []Outgoing) {
+		held, ok := n.keeper.Seat(n.now())
+		w := n.limiter.workspaces[testName]
+		if ok && w != nil && filled[n] != held.Tenure {
+			filled[n] = held.Tenure
+			w.share.begin(held.Tenure, n.now())
+			w.share.tokens = w.share.now.burst
+		}
 	}
 }
 
@@ -178,7 +182,7 @@
 	}{
 		{"lender does not deduct", 0, func(f *fleet) { f.tamper = lenderKeeps }},
 		{"lender forgets its loans", 0, func(f *fleet) { f.tamper = lenderForgets }},
-		{"successor starts full", 800, func(f *fleet) { f.tamper = successorStartsFull }},
+		{"successor starts full", 0, func(f *fleet) { f.tamper = successorStartsFull() }},
 		{"right is asked for once", 0, func(f *fleet) { f.change = rightIsRemembered }},
 		{"layout is in force at once", 0, func(f *fleet) { f.change = func(l *Limiter) { l.options.Settle = 0 } }},
 	}
@@ -233,6 +237,7 @@
 	if l.Take(testName, now.Add(testSettle-time.Second)).Allowed {
 		t.Fatal("the share is in force before the layout has settled")
 	}
+	l.Tick(now.Add(testSettle)) // ends the wait of the refused request
 	l.Refresh(now.Add(testSettle))
 	if !l.Take(testName, now.Add(testSettle+time.Second)).Allowed {
 		t.Fatal("the share is not in force after the layout has settled")
