--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -51,6 +51,15 @@
 	CutShort
 )
 
+// String returns the event's name in logs and metrics.
+func (k EventKind) String() string {
+	return [...]string{
+		NoTarget: "no-target", DialFailed: "dial-failed", WroteNothing: "wrote-nothing", Shed: "shed",
+		Broken: "broken", Silent: "silent", WrongRequestID: "wrong-request-id", Unprovable: "unprovable",
+		AnswerHeader: "answered", BodyComplete: "complete", CutShort: "cut-short",
+	}[k]
+}
+
 // ProvesNotRun tells whether the event proves that its try did not run.
 func (k EventKind) ProvesNotRun() bool { return k <= Shed }
 
--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/standin/target"
+)
+
+const benchDeadline = 10 * time.Second
+
+// BenchmarkProxy measures one request through an instance to a target without
+// service time, over pooled connections and over one of its own, and without
+// an instance as the baseline. It reports the median and the 99th percentile.
+func BenchmarkProxy(b *testing.B) {
+	s := newSystem(b, target.Options{Slots: 1000, AnswerBytes: 512}, benchDeadline)
+	direct := s.handlers[0].Snapshot().Services["reads"].Targets[0].Address
+	for _, c := range []struct{ name, address, path string }{
+		{"direct", direct, "/reads/1"},
+		{"pooled", s.addresses[0], "/reads/1"},
+		{"unpooled", s.addresses[0], "/writes/1"},
+	} {
+		b.Run(c.name, func(b *testing.B) { benchRequests(b, c.address, c.path, false) })
+	}
+	b.Run("unpooled-claimed", func(b *testing.B) { benchRequests(b, s.addresses[0], "/writes/1", true) })
+}
+
+func benchRequests(b *testing.B, address, path string, withID bool) {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	times := make([]time.Duration, 0, b.N)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		r, _ := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+		r.Header.Set(KeyHeader, testKey)
+		if withID {
+			r.Header.Set(RequestIDHeader, b.Name()+strconv.Itoa(b.N)+"-"+strconv.Itoa(i))
+		}
+		start := time.Now()
+		response, err := transport.RoundTrip(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		times = append(times, time.Since(start))
+		if response.StatusCode != http.StatusOK {
+			b.Fatal(response.Status)
+		}
+	}
+	b.StopTimer()
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-us")
+}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -40,8 +40,11 @@
 	if r.ContentLength == 0 {
 		return b, nil
 	}
-	reader := &progressReader{reader: http.MaxBytesReader(w, r.Body, maxBodyBytes), controller: http.NewResponseController(w)}
+	controller := http.NewResponseController(w)
+	reader := &progressReader{reader: http.MaxBytesReader(w, r.Body, maxBodyBytes), controller: controller}
 	if r.ContentLength < 0 || r.ContentLength > maxBufferedBytes {
+		// A target may answer before it has read the whole body.
+		_ = controller.EnableFullDuplex()
 		b.stream = reader
 		return b, nil
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/turmericfield/turmericfield/internal/attempt"
 	"github.com/turmericfield/turmericfield/internal/invariant"
+	"github.com/turmericfield/turmericfield/internal/metrics"
 	"github.com/turmericfield/turmericfield/internal/placement"
 )
 
@@ -39,6 +41,9 @@
 func (c *call) forward() attempt.Decision {
 	response := c.response
 	copyResponseHeader(c.writer.Header(), response.Header)
+	if c.leaving.Load() {
+		c.writer.Header().Set("Connection", "close")
+	}
 	out := &progressWriter{
 		writer: c.writer, controller: http.NewResponseController(c.writer),
 		flush: response.ContentLength < 0 || response.ContentLength > smallAnswerBytes,
@@ -74,6 +79,7 @@
 		outcome, message = placement.Answered, "entry: a caller did not take its answer"
 	}
 	c.done(c.grant, outcome)
+	c.Metrics.Add(metrics.Label("answers_cut_total", "by_caller", strconv.FormatBool(byCaller)), 1)
 	c.Log.Warn().Str("request", c.id).Str("target", c.grant.Target.Name).Err(err).Msg(message)
 	return c.handle(attempt.CutShort, true)
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -13,6 +13,7 @@
 	"github.com/turmericfield/turmericfield/internal/attempt"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/invariant"
+	"github.com/turmericfield/turmericfield/internal/metrics"
 	"github.com/turmericfield/turmericfield/internal/once"
 	"github.com/turmericfield/turmericfield/internal/placement"
 )
@@ -103,6 +104,7 @@
 	if kind == attempt.AnswerHeader {
 		return c.handle(kind, false)
 	}
+	c.Metrics.Add(metrics.Label("tries_failed_total", "event", kind.String()), 1)
 	outcome := placement.NotRun
 	if !kind.ProvesNotRun() {
 		c.unproven++
@@ -223,6 +225,7 @@
 }
 
 func (c *call) tellUnknown() {
+	c.Metrics.Add("unknown_total", 1)
 	c.Log.Warn().Str("request", c.id).Str("route", c.route.Name).Msg("entry: the outcome of a request is unknown")
 	c.writer.Header().Set(RequestIDHeader, c.id)
 	status := http.StatusBadGateway
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -89,7 +89,8 @@
 	s.network = peer.New(o.Name, security.peerClient, peer.Handlers{Receive: s.receive, Status: s.peerStatus, Sync: s.answerSync, Confirm: s.confirmForPeer})
 	s.entry = entry.NewHandler(entry.Options{
 		Snapshot: s.snapshot.Load, Lookup: s.steering.lookup, KeysFresh: s.keysFresh,
-		Limiter: s.limiter, Placer: s.placer, Invariants: s.invariants, Metrics: s.metrics,
+		Limiter: s.limiter, Placer: s.placer, Claims: s.claims(), ConnectionShare: s.connectionShare,
+		Invariants: s.invariants, Metrics: s.metrics,
 		Log: s.log.Part("entry"), Now: time.Now,
 	})
 	s.registerGauges()
@@ -155,6 +156,7 @@
 	s.part("server").Info().Str("name", s.options.Name).Str("zone", s.options.AvailabilityZone).
 		Str("listen", s.options.Listen).Msg("server: started")
 	err := group.Wait()
+	s.entry.Close()
 	s.network.Close()
 	_ = s.platform.Close()
 	s.part("server").Info().Msg("server: stopped")
@@ -165,6 +167,7 @@
 // refuses new requests and finishes those in flight.
 func (s *Server) leave(kill context.Context, callers *http.Server) {
 	s.part("server").Info().Msg("server: leaving")
+	s.entry.Leave()
 	s.mu.Lock()
 	s.view.SetLeaving()
 	s.mu.Unlock()
@@ -174,10 +177,7 @@
 	case <-time.After(s.options.DrainDelay):
 	case <-kill.Done():
 	}
-	s.entry.Drain()
-	if err := callers.Shutdown(kill); err != nil {
-		s.part("server").Warn().Err(err).Msg("server: ended with requests in flight")
-	}
+	s.finishRequests(kill, callers)
 }
 
 func serveHTTP(server *http.Server, listener net.Listener) error {
