--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -39,7 +39,7 @@
 		r, _ := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
 		r.Header.Set(KeyHeader, testKey)
 		if withID {
-			r.Header.Set(RequestIDHeader, b.Name()+strconv.Itoa(b.N)+"-"+strconv.Itoa(i))
+			r.Header.Set(RequestIDHeader, strconv.FormatInt(time.Now().UnixNano(), 36)+"-"+strconv.Itoa(i))
 		}
 		start := time.Now()
 		response, err := transport.RoundTrip(r)
