--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -16,9 +16,9 @@
 	// maxBufferedBytes is the size up to which a body is read before its
 	// request is sent, so that it can be sent again.
 	maxBufferedBytes = 64 << 10
-	// progressTimeout bounds how long a caller may take to send or take the
-	// next part of a body.
-	progressTimeout = 10 * time.Second
+	// defaultProgressTimeout bounds how long a caller may take to send or take
+	// the next part of a body.
+	defaultProgressTimeout = 10 * time.Second
 )
 
 // requestBody is a caller's body. A short one is read at once and can be sent
@@ -33,15 +33,16 @@
 	spent  bool
 }
 
-// newRequestBody prepares a body. An error means that the caller did not send
+// newRequestBody prepares a body, each part of which must come within the
+// progress time. An error means that the caller did not send
 // it whole or in time.
-func newRequestBody(w http.ResponseWriter, r *http.Request) (*requestBody, error) {
+func newRequestBody(w http.ResponseWriter, r *http.Request, progress time.Duration) (*requestBody, error) {
 	b := &requestBody{length: r.ContentLength}
 	if r.ContentLength == 0 {
 		return b, nil
 	}
 	controller := http.NewResponseController(w)
-	reader := &progressReader{reader: http.MaxBytesReader(w, r.Body, maxBodyBytes), controller: controller}
+	reader := &progressReader{reader: http.MaxBytesReader(w, r.Body, maxBodyBytes), controller: controller, timeout: progress}
 	if r.ContentLength < 0 || r.ContentLength > maxBufferedBytes {
 		// A target may answer before it has read the whole body.
 		_ = controller.EnableFullDuplex()
@@ -110,11 +111,12 @@
 type progressReader struct {
 	reader     io.Reader
 	controller *http.ResponseController
+	timeout    time.Duration
 }
 
 // Read implements io.Reader.
 func (r *progressReader) Read(p []byte) (int, error) {
-	_ = r.controller.SetReadDeadline(time.Now().Add(progressTimeout))
+	_ = r.controller.SetReadDeadline(time.Now().Add(r.timeout))
 	n, err := r.reader.Read(p)
 	if err != nil {
 		_ = r.controller.SetReadDeadline(time.Time{})
@@ -127,6 +129,7 @@
 type progressWriter struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
+	timeout    time.Duration
 	flush      bool
 	err        error
 }
@@ -134,7 +137,7 @@
 // header sends the header. A caller that has it does not take a cut answer for
 // a lost request, which some HTTP libraries send again by themselves.
 func (w *progressWriter) header(status int) {
-	_ = w.controller.SetWriteDeadline(time.Now().Add(progressTimeout))
+	_ = w.controller.SetWriteDeadline(time.Now().Add(w.timeout))
 	w.writer.WriteHeader(status)
 	if w.flush {
 		w.err = w.controller.Flush()
@@ -143,7 +146,7 @@
 
 // Write implements io.Writer.
 func (w *progressWriter) Write(p []byte) (int, error) {
-	_ = w.controller.SetWriteDeadline(time.Now().Add(progressTimeout))
+	_ = w.controller.SetWriteDeadline(time.Now().Add(w.timeout))
 	n, err := w.writer.Write(p)
 	if err == nil && w.flush {
 		err = w.controller.Flush()
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -45,7 +45,7 @@
 		c.writer.Header().Set("Connection", "close")
 	}
 	out := &progressWriter{
-		writer: c.writer, controller: http.NewResponseController(c.writer),
+		writer: c.writer, controller: http.NewResponseController(c.writer), timeout: c.progressTimeout,
 		flush: response.ContentLength < 0 || response.ContentLength > smallAnswerBytes,
 	}
 	out.header(response.StatusCode)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -78,14 +78,17 @@
 	mu        sync.Mutex // guards Limiter, Placer and budget
 	budget    *attempt.Budget
 	transport *targetTransport
-	inFlight  atomic.Int64
-	leaving   atomic.Bool
-	draining  atomic.Bool
+	// progressTimeout bounds the time for each part of a body.
+	progressTimeout time.Duration
+
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+	draining atomic.Bool
 }
 
 // NewHandler returns a handler.
 func NewHandler(o Options) *Handler {
-	return &Handler{Options: o, budget: attempt.NewBudget(), transport: newTargetTransport()}
+	return &Handler{Options: o, budget: attempt.NewBudget(), transport: newTargetTransport(), progressTimeout: defaultProgressTimeout}
 }
 
 // NewServer returns the HTTP server of the callers' listener, with limits on
@@ -126,7 +129,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetWriteDeadline(time.Time{})
-	defer func() { _ = controller.SetWriteDeadline(time.Now().Add(progressTimeout)) }()
+	defer func() { _ = controller.SetWriteDeadline(time.Now().Add(h.progressTimeout)) }()
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -189,7 +192,7 @@
 		c.id = rand.Text()
 	}
 	var err error
-	if c.body, err = newRequestBody(c.writer, c.request); err != nil {
+	if c.body, err = newRequestBody(c.writer, c.request, c.progressTimeout); err != nil {
 		return &refusal{http.StatusBadRequest, "body-incomplete", "the body did not come whole or in time", 0}
 	}
 	return nil
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -136,6 +137,19 @@
 	}
 }
 
+// TestSilentConnections lets every connection go silent after one answer:
+// reads on pooled ones are tried again on new ones, writes never meet them.
+func TestSilentConnections(t *testing.T) {
+	s := newSystem(t, target.Options{Slots: 10, MuteAfter: 1}, 2*time.Second)
+	for i := range 3 {
+		for _, path := range []string{"/reads/", "/writes/"} {
+			if got := ask(t, s.addresses[0], "POST", fmt.Sprint(path, i)); got.outcome != attempt.Answered {
+				t.Errorf("%s%d: %+v", path, i, got)
+			}
+		}
+	}
+}
+
 // TestStoreDown refuses what cannot be claimed, and runs the rest.
 func TestStoreDown(t *testing.T) {
 	s := newSystem(t, target.Options{Slots: 10}, testDeadline)
@@ -202,3 +216,46 @@
 		t.Errorf("outcomes %v, %d runs, %d at once", counts, len(executions(s.writes)), most.Load())
 	}
 }
+
+// TestSlowAndTruncatedCallers sends bodies in part, and takes no answer.
+func TestSlowAndTruncatedCallers(t *testing.T) {
+	s := newSystem(t, target.Options{Slots: 10, AnswerBytes: 64 << 20}, time.Minute)
+	h := s.handlers[0]
+	h.progressTimeout = 50 * time.Millisecond
+	for _, c := range []struct {
+		name, header, want string
+		hangUp             bool
+	}{
+		{"slow short body", "Content-Length: 100", "body-incomplete", false},
+		{"short body cut", "Content-Length: 100", "", true},
+		{"slow long body", "Content-Length: 1000000", "no-answer", false},
+		{"long body cut", "Content-Length: 1000000", "", true},
+		{"body too large", "Content-Length: 99000000000", "body-too-large", false},
+		{"answer not taken", "X-Request-Id: untaken\r\nContent-Length: 4", "", false},
+	} {
+		conn, err := net.Dial("tcp", s.addresses[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "POST /writes/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n%s: %s\r\n%s\r\n\r\npart", KeyHeader, testKey, c.header)
+		if c.hangUp {
+			_ = conn.Close()
+		}
+		if c.want != "" {
+			answer, _ := io.ReadAll(conn)
+			if !strings.Contains(string(answer), c.want) {
+				t.Errorf("%s: got %.300q, want %s", c.name, answer, c.want)
+			}
+		}
+		for c.name == "answer not taken" && executions(s.writes)["untaken"] == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		for h.InFlight() > 0 { // the test's own timeout catches a stuck handler
+			time.Sleep(time.Millisecond)
+		}
+		_ = conn.Close()
+	}
+	if n := len(executions(s.writes)); n > 3 {
+		t.Errorf("%d requests ran", n)
+	}
+}
