--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -18,7 +18,7 @@
 
 func newStandin() *cobra.Command {
 	cmd := &cobra.Command{Use: "standin", Short: "Run a stand-in for an outside system"}
-	cmd.AddCommand(newStandinPlatform(), newStandinTarget(), newStandinAuthority())
+	cmd.AddCommand(newStandinPlatform(), newStandinTarget(), newStandinTargets(), newStandinAuthority())
 	return cmd
 }
 
--- /dev/null
+++ b/internal/command/standintargets.go
@@ -0,0 +1,46 @@
+package command
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/turmericfield/turmericfield/internal/standin/target"
+)
+
+func newStandinTargets() *cobra.Command {
+	var file string
+	var serviceTime time.Duration
+	var answerBytes int
+	cmd := &cobra.Command{
+		Use:   "targets",
+		Short: "Run a stand-in for each target of a configuration, in one process",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			doc, err := readDocument(file)
+			if err != nil {
+				return err
+			}
+			stop, kill := signals(cmd.Context())
+			var group errgroup.Group
+			for _, service := range doc.Services {
+				for _, t := range service.Targets {
+					listener, err := bindListener("config", t.Address)
+					if err != nil {
+						return err
+					}
+					server := target.NewServer(target.New(target.Options{
+						Name: t.Name, Slots: service.Slots, ServiceTime: serviceTime, AnswerBytes: answerBytes,
+					}))
+					group.Go(func() error { return serveUntil(stop, kill, server, listener) })
+				}
+			}
+			return group.Wait()
+		},
+	}
+	cmd.Flags().StringVar(&file, "config", "", "configuration file that names the targets")
+	cmd.Flags().DurationVar(&serviceTime, "service-time", 5*time.Millisecond, "time that a request takes")
+	cmd.Flags().IntVar(&answerBytes, "answer-bytes", 512, "bytes of an answer, unless a request asks for another size")
+	return cmd
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/entry"
 )
 
@@ -101,10 +104,37 @@
 	}
 }
 
-func TestBuiltInMixesAreValid(t *testing.T) {
+// TestBuiltInMixesMatchExamples compares each built-in mix with the example
+// configuration that it is for: routes, keys, and what workspaces may use.
+func TestBuiltInMixesMatchExamples(t *testing.T) {
 	for _, name := range []string{"cooperative", "association"} {
-		if _, err := ReadMix(name); err != nil {
-			t.Errorf("mix %s: %v", name, err)
+		mix, err := ReadMix(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		file := "../../examples/" + name + ".yaml"
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		doc, err := config.Parse(file, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		snapshot := config.Compile(1, doc)
+		for _, w := range mix.Workspaces {
+			owner := snapshot.WorkspaceOf(w.Key)
+			if owner == nil || owner.Name != w.Name {
+				t.Errorf("%s: the key of workspace %s does not fit", name, w.Name)
+				continue
+			}
+			for _, r := range mix.Requests {
+				route := snapshot.Route(r.Method, r.Path)
+				if w.weightOf(r) > 0 && (route == nil || !route.Open && !slices.Contains(owner.Routes, route.Name) ||
+					route.Repeatable != r.Repeatable || route.Class != r.Class) {
+					t.Errorf("%s: workspace %s may not send %s", name, w.Name, r.Name)
+				}
+			}
 		}
 	}
 }
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -6,6 +6,7 @@
 	"embed"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,9 @@
 	Key string `yaml:"key"`
 	// Weight is the workspace's share relative to the others.
 	Weight float64 `yaml:"weight"`
+	// Requests names the kinds of requests that the workspace sends; empty means
+	// all of them.
+	Requests []string `yaml:"requests,omitempty"`
 }
 
 //go:embed mixes/*.yaml
@@ -93,6 +97,11 @@
 		if w.Weight <= 0 {
 			add(fmt.Sprintf("workspaces[%d].weight", i), fmt.Sprintf("must be above 0, is %g", w.Weight))
 		}
+		for j, name := range w.Requests {
+			if !slices.ContainsFunc(m.Requests, func(r Request) bool { return r.Name == name }) {
+				add(fmt.Sprintf("workspaces[%d].requests[%d]", i, j), fmt.Sprintf("request %q does not exist", name))
+			}
+		}
 	}
 	return findings.Err()
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,7 +52,10 @@
 // schedule draws the arrivals of a run. It depends on the options only.
 func schedule(o Options) []arrival {
 	random := rand.New(rand.NewPCG(o.Seed, 1))
-	requests := weights(len(o.Mix.Requests), func(i int) float64 { return o.Mix.Requests[i].Weight })
+	requests := make([][]float64, len(o.Mix.Workspaces))
+	for i, w := range o.Mix.Workspaces {
+		requests[i] = weights(len(o.Mix.Requests), func(j int) float64 { return w.weightOf(o.Mix.Requests[j]) })
+	}
 	workspaces := weights(len(o.Mix.Workspaces), func(i int) float64 { return o.Mix.Workspaces[i].Weight })
 	var out []arrival
 	at := 0.0
@@ -60,14 +64,22 @@
 		if at >= o.Duration.Seconds() {
 			return out
 		}
+		workspace := pick(workspaces, random.Float64())
 		out = append(out, arrival{
-			at:      time.Duration(at * float64(time.Second)),
-			request: pick(requests, random.Float64()), workspace: pick(workspaces, random.Float64()),
-			caller: random.IntN(max(o.Callers, 1)),
+			at: time.Duration(at * float64(time.Second)), workspace: workspace,
+			request: pick(requests[workspace], random.Float64()), caller: random.IntN(max(o.Callers, 1)),
 		})
 	}
 }
 
+// weightOf returns the weight of a request among those of the workspace.
+func (w Workspace) weightOf(r Request) float64 {
+	if len(w.Requests) > 0 && !slices.Contains(w.Requests, r.Name) {
+		return 0
+	}
+	return r.Weight
+}
+
 // weights returns the cumulative shares of n weights.
 func weights(n int, weight func(int) float64) []float64 {
 	out := make([]float64, n)
