--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -153,7 +153,7 @@
 	defer cancel()
 	c := &call{
 		Handler: h, ctx: ctx, writer: w, request: r, route: route,
-		service: snapshot.Services[route.Service], placement: placement.Request{Route: route, Workspace: workspace},
+		service: snapshot.Services[route.Service], placement: placement.Request{Route: route, Workspace: workspace, Bytes: max(0, r.ContentLength)},
 	}
 	if no := c.prepare(); no != nil {
 		h.refuse(w, r, *no)
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/turmericfield/turmericfield/internal/attempt"
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/placement"
 	"github.com/turmericfield/turmericfield/internal/standin/target"
 )
 
@@ -115,6 +116,9 @@
 		})})
 		snapshot.Services["reads"].Targets[i].Address = address
 	}
+	for _, h := range s.handlers {
+		h.Placer.(*placement.Placer).Update(config.Compile(snapshot.Version+1, snapshot.Document), time.Now())
+	}
 }
 
 // TestUnknownStaysUnknown sheds a retry after a try that ran: the request as a
--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -16,6 +16,7 @@
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/entry"
 	standinplatform "github.com/turmericfield/turmericfield/internal/standin/platform"
+	standintarget "github.com/turmericfield/turmericfield/internal/standin/target"
 )
 
 const drainDelay = time.Second
@@ -34,7 +35,10 @@
 	t.Cleanup(cancel)
 	go func() { _ = standinplatform.New(nil).Serve(ctx, platform) }()
 	target := listen(t)
-	targetServer := &http.Server{Handler: backend}
+	mux := http.NewServeMux()
+	mux.Handle("/", backend)
+	mux.Handle("/-/", standintarget.New(standintarget.Options{Slots: 1000})) // health and load
+	targetServer := &http.Server{Handler: mux}
 	go func() { _ = targetServer.Serve(target) }()
 	t.Cleanup(func() { _ = targetServer.Close() })
 	s, err := Provision(Options{
