--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -16,7 +16,6 @@
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/entry"
 	standinplatform "github.com/turmericfield/turmericfield/internal/standin/platform"
-	standintarget "github.com/turmericfield/turmericfield/internal/standin/target"
 )
 
 const drainDelay = time.Second
@@ -35,10 +34,7 @@
 	t.Cleanup(cancel)
 	go func() { _ = standinplatform.New(nil).Serve(ctx, platform) }()
 	target := listen(t)
-	mux := http.NewServeMux()
-	mux.Handle("/", backend)
-	mux.Handle("/-/", standintarget.New(standintarget.Options{Slots: 1000})) // health and load
-	targetServer := &http.Server{Handler: mux}
+	targetServer := &http.Server{Handler: withoutPolls(backend)}
 	go func() { _ = targetServer.Serve(target) }()
 	t.Cleanup(func() { _ = targetServer.Close() })
 	s, err := Provision(Options{
@@ -57,6 +53,17 @@
 	return r
 }
 
+// withoutPolls keeps the placement's polls for health and load from a handler.
+func withoutPolls(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/-/") {
+			http.NotFound(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
