--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -34,15 +34,17 @@
 }
 
 // newRequestBody prepares a body, each part of which must come within the
-// progress time. An error means that the caller did not send
+// progress time and all of it by the deadline. An error means that the caller did not send
 // it whole or in time.
-func newRequestBody(w http.ResponseWriter, r *http.Request, progress time.Duration) (*requestBody, error) {
+func newRequestBody(w http.ResponseWriter, r *http.Request, progress time.Duration, deadline time.Time) (*requestBody, error) {
 	b := &requestBody{length: r.ContentLength}
 	if r.ContentLength == 0 {
 		return b, nil
 	}
 	controller := http.NewResponseController(w)
-	reader := &progressReader{reader: http.MaxBytesReader(w, r.Body, maxBodyBytes), controller: controller, timeout: progress}
+	reader := &progressReader{
+		reader: http.MaxBytesReader(w, r.Body, maxBodyBytes), controller: controller, timeout: progress, deadline: deadline,
+	}
 	if r.ContentLength < 0 || r.ContentLength > maxBufferedBytes {
 		// A target may answer before it has read the whole body.
 		_ = controller.EnableFullDuplex()
@@ -112,11 +114,16 @@
 	reader     io.Reader
 	controller *http.ResponseController
 	timeout    time.Duration
+	deadline   time.Time
 }
 
 // Read implements io.Reader.
 func (r *progressReader) Read(p []byte) (int, error) {
-	_ = r.controller.SetReadDeadline(time.Now().Add(r.timeout))
+	limit := time.Now().Add(r.timeout)
+	if r.deadline.Before(limit) {
+		limit = r.deadline
+	}
+	_ = r.controller.SetReadDeadline(limit)
 	n, err := r.reader.Read(p)
 	if err != nil {
 		_ = r.controller.SetReadDeadline(time.Time{})
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -159,6 +159,13 @@
 		h.refuse(w, r, *no)
 		return
 	}
+	if !route.Open && len(c.body.buffered) > 0 {
+		// The key may have been withdrawn while the body came in.
+		if _, no := h.authenticate(h.Snapshot(), route, r); no != nil {
+			h.refuse(w, r, *no)
+			return
+		}
+	}
 	start := h.Now()
 	defer func() {
 		h.Metrics.Add(metrics.Label("requests_total", "route", route.Name), 1)
@@ -192,7 +199,8 @@
 		c.id = rand.Text()
 	}
 	var err error
-	if c.body, err = newRequestBody(c.writer, c.request, c.progressTimeout); err != nil {
+	deadline, _ := c.ctx.Deadline()
+	if c.body, err = newRequestBody(c.writer, c.request, c.progressTimeout, deadline); err != nil {
 		return &refusal{http.StatusBadRequest, "body-incomplete", "the body did not come whole or in time", 0}
 	}
 	return nil
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/turmericfield/turmericfield/internal/attempt"
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/limit"
 	"github.com/turmericfield/turmericfield/internal/placement"
 	"github.com/turmericfield/turmericfield/internal/standin/target"
 )
@@ -263,3 +264,66 @@
 		t.Errorf("%d requests ran", n)
 	}
 }
+
+// TestTricklingCaller sends a body so slowly that its request's deadline ends
+// before it.
+func TestTricklingCaller(t *testing.T) {
+	s := newSystem(t, target.Options{Slots: 10}, testDeadline)
+	conn, err := net.Dial("tcp", s.addresses[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /writes/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n%s: %s\r\nContent-Length: 500\r\n\r\n", KeyHeader, testKey)
+	go func() {
+		for range 500 {
+			if _, err := conn.Write([]byte("x")); err != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	answer := make([]byte, 4096)
+	n, _ := conn.Read(answer)
+	if !strings.Contains(string(answer[:n]), "400 Bad Request") || len(executions(s.writes)) > 0 {
+		t.Errorf("got %q, %d runs", answer[:n], len(executions(s.writes)))
+	}
+}
+
+// admitted tells when a request has passed its key and rate.
+type admitted struct {
+	Limiter
+	passed chan struct{}
+}
+
+func (a admitted) Take(workspace string, now time.Time) limit.Decision {
+	defer close(a.passed)
+	return a.Limiter.Take(workspace, now)
+}
+
+// TestKeyWithdrawnDuringBody withdraws the key between the two halves of a
+// body.
+func TestKeyWithdrawnDuringBody(t *testing.T) {
+	s := newSystem(t, target.Options{Slots: 10}, time.Minute)
+	h := s.handlers[0]
+	var current atomic.Pointer[config.Snapshot]
+	current.Store(h.Snapshot())
+	h.Snapshot = current.Load
+	passed := make(chan struct{})
+	h.Limiter = admitted{h.Limiter, passed}
+	conn, err := net.Dial("tcp", s.addresses[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /writes/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n%s: %s\r\nContent-Length: 8\r\n\r\nhalf", KeyHeader, testKey)
+	<-passed
+	withdrawn := *current.Load().Document
+	withdrawn.Workspaces = nil
+	current.Store(config.Compile(2, &withdrawn))
+	fmt.Fprint(conn, "half")
+	answer, _ := io.ReadAll(conn)
+	if !strings.Contains(string(answer), "unknown-key") || len(executions(s.writes)) > 0 {
+		t.Errorf("got %q, %d runs", answer, len(executions(s.writes)))
+	}
+}
