Interpret state charts and show keys carried through a store outage

Charts for instance, plan, writer, lease, shift, drain and target are read from embedded YAML, validated at start with findings, and loaded into qmuntal/stateless. The instance's life and a plan's confirm run on them; the states of plan, writer and lease are those of the models (a test compares).

A confirm whose write has no answer is now reported as unknown whatever its next step meets; before, a chunk write that failed afterwards was reported as store-unavailable although the first write could have taken effect.

plan admit generates the key on the client, shows it once and sends only its digest. Exit codes are in the help; a call without an answer is 6, one that never reached the instance 5.

--- a/internal/command/plan.go
+++ b/internal/command/plan.go
@@ -1,6 +1,9 @@
 package command
 
 import (
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/hex"
 	"fmt"
 	"io"
 
@@ -24,6 +27,17 @@
 
 // submit asks for a plan and prints it.
 func submit(cmd *cobra.Command, f *clientFlags, in intent.Intent) error {
+	return submitWithKey(cmd, f, in, "")
+}
+
+// plannedKey is a plan with the key that it will admit. The key is shown here
+// and nowhere else: the system keeps only its digest.
+type plannedKey struct {
+	intent.Plan
+	Key string `json:"key,omitempty"`
+}
+
+func submitWithKey(cmd *cobra.Command, f *clientFlags, in intent.Intent, key string) error {
 	client, err := f.client()
 	if err != nil {
 		return err
@@ -32,7 +46,16 @@
 	if err != nil {
 		return err
 	}
-	if err := f.print(cmd.OutOrStdout(), plan, func(w io.Writer) { printPlan(w, plan) }); err != nil {
+	if len(plan.Refusals) > 0 {
+		key = ""
+	}
+	text := func(w io.Writer) {
+		printPlan(w, plan)
+		if key != "" {
+			fmt.Fprintf(w, "key, shown only this once: %s\n", key)
+		}
+	}
+	if err := f.print(cmd.OutOrStdout(), plannedKey{Plan: plan, Key: key}, text); err != nil {
 		return err
 	}
 	if len(plan.Refusals) > 0 {
@@ -127,18 +150,37 @@
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			w.Name = args[0]
+			key := ""
+			if keySHA256 == "" {
+				if keyID == "" {
+					keyID = w.Name + "-" + randomText(keyIDBytes, hex.EncodeToString)
+				}
+				secret := randomText(keySecretBytes, base64.RawURLEncoding.EncodeToString)
+				key, keySHA256 = keyID+"."+secret, config.HashSecret(secret)
+			}
 			w.Keys = []config.Key{{ID: keyID, SHA256: keySHA256}}
-			return submit(cmd, f, intent.Intent{Kind: intent.KindAdmit, Workspace: &w})
+			return submitWithKey(cmd, f, intent.Intent{Kind: intent.KindAdmit, Workspace: &w}, key)
 		},
 	}
 	cmd.Flags().Float64Var(&w.Rate, "rate", 0, "requests per second over the whole fleet")
 	cmd.Flags().IntVar(&w.Burst, "burst", 0, "requests that may come at once")
 	cmd.Flags().StringSliceVar(&w.Routes, "routes", nil, "routes that the workspace may use")
-	cmd.Flags().StringVar(&keyID, "key-id", "", "public part of the key")
-	cmd.Flags().StringVar(&keySHA256, "key-sha256", "", "SHA-256 of the key's secret, in hexadecimal")
+	cmd.Flags().StringVar(&keyID, "key-id", "", "public part of the key; generated if empty")
+	cmd.Flags().StringVar(&keySHA256, "key-sha256", "", "SHA-256 of the key's secret, in hexadecimal; if empty, a key is generated here and shown once")
 	return cmd
 }
 
+const (
+	keyIDBytes     = 4
+	keySecretBytes = 32
+)
+
+func randomText(bytes int, encode func([]byte) string) string {
+	value := make([]byte, bytes)
+	_, _ = rand.Read(value) // never fails
+	return encode(value)
+}
+
 func newPlanCutOff(f *clientFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:   "cut-off WORKSPACE",
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -27,6 +27,18 @@
 	exitUnknown     = 6 // a write may or may not have taken effect
 )
 
+const exitCodesHelp = `Global traffic steering system
+
+Exit codes:
+  0  success
+  1  a failure that has no code of its own
+  2  unknown command or flag, or a malformed setting
+  3  a configuration or intent has findings, or the plan is refused
+  4  the plan is stale: another change came first; make a new plan
+  5  the system, its store or a writer cannot be reached; nothing was changed
+  6  there was no answer: the change may have taken effect; confirm the same
+     plan again, which never applies it twice`
+
 // errUsage marks faults of the command line or of settings.
 var errUsage = errors.New("usage")
 
@@ -48,6 +60,7 @@
 	root := &cobra.Command{
 		Use:           "turmericfield",
 		Short:         "Global traffic steering system",
+		Long:          exitCodesHelp,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
@@ -76,6 +89,10 @@
 		return exitUsage
 	case errors.As(err, &findings), errors.Is(err, errInvalid):
 		return exitInvalid
+	case errors.Is(err, operator.ErrNotSent):
+		return exitUnavailable
+	case errors.Is(err, operator.ErrNoAnswer):
+		return exitUnknown
 	case errors.As(err, &api):
 		return apiExitCode(api.Response.Code)
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -64,7 +65,7 @@
 	request.Header.Set("Authorization", "Bearer "+c.Token)
 	response, err := c.HTTP.Do(request)
 	if err != nil {
-		return errors.Wrap(err, "operator API")
+		return errors.Mark(errors.Wrap(err, "operator API"), sendError(err))
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
@@ -76,3 +77,19 @@
 	}
 	return errors.Wrap(json.NewDecoder(response.Body).Decode(answer), "operator API answer")
 }
+
+// Errors of a call without an answer.
+var (
+	// ErrNotSent means that the call did not reach the instance.
+	ErrNotSent = errors.New("the operators' API cannot be reached")
+	// ErrNoAnswer means that the call may have been carried out.
+	ErrNoAnswer = errors.New("the operators' API gave no answer")
+)
+
+func sendError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrNotSent
+	}
+	return ErrNoAnswer
+}
--- a/internal/operator/confirm_test.go
+++ b/internal/operator/confirm_test.go
@@ -9,11 +9,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/turmericfield/turmericfield/charts"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/freshness"
 	"github.com/turmericfield/turmericfield/internal/intent"
 	"github.com/turmericfield/turmericfield/internal/invariant"
 	"github.com/turmericfield/turmericfield/internal/platform"
+	"github.com/turmericfield/turmericfield/internal/statechart"
 )
 
 const raceSeeds = 300
@@ -28,11 +30,15 @@
 
 // operators builds services that share a store; the first is the writer.
 func operators(store platform.Store, n int) []*Service {
+	all, err := statechart.Load(charts.Files)
+	if err != nil {
+		panic(err)
+	}
 	fleet := &fakeFleet{services: map[config.Writer]*Service{}}
 	var out []*Service
 	for i := range n {
 		s := &Service{
-			Store: store, Fleet: fleet, Now: time.Now,
+			Store: store, Fleet: fleet, Now: time.Now, PlanChart: all["plan"],
 			Author: &fakeAuthor{self: config.Writer{Instance: fmt.Sprint("i", i), Incarnation: 1}},
 		}
 		fleet.services[s.Author.Self()] = s
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -15,6 +15,7 @@
 	"github.com/turmericfield/turmericfield/internal/freshness"
 	"github.com/turmericfield/turmericfield/internal/intent"
 	"github.com/turmericfield/turmericfield/internal/platform"
+	"github.com/turmericfield/turmericfield/internal/statechart"
 )
 
 const planPrefix = "plan/"
@@ -80,6 +81,8 @@
 	Fleet  Fleet
 	Author Author
 	Now    func() time.Time
+	// PlanChart is the life of a plan's confirm.
+	PlanChart *statechart.Chart
 
 	mu   sync.Mutex // guards held, and lets one write run at a time
 	held config.Held
@@ -121,8 +124,9 @@
 	return Confirmation{}, ErrNoWriter
 }
 
-// ConfirmHere makes a plan the next accepted configuration. It retries while
-// the outcome of its write is unknown, until the context ends.
+// ConfirmHere makes a plan the next accepted configuration. It follows the
+// plan chart, and retries while the outcome of its write is unknown, until the
+// context ends.
 func (s *Service) ConfirmHere(ctx context.Context, id string) (Confirmation, error) {
 	plan, err := readPlan(ctx, s.Store, id)
 	if err != nil {
@@ -130,52 +134,19 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	uncertain := false
+	c := &confirm{service: s, plan: plan, life: statechart.NewMachine(s.PlanChart)}
 	for {
-		confirmation, retry, err := s.tryConfirm(ctx, plan, uncertain)
-		if !retry {
-			return confirmation, err
+		if done, err := c.step(ctx); done {
+			return c.result, err
 		}
-		uncertain = uncertain || errors.Is(err, platform.ErrUnknownOutcome)
 		select {
 		case <-time.After(confirmRetryWait):
 		case <-ctx.Done():
-			if uncertain {
-				err = errors.Mark(errors.CombineErrors(err, ctx.Err()), platform.ErrUnknownOutcome)
-			}
-			return Confirmation{}, errors.CombineErrors(err, ctx.Err())
+			return Confirmation{}, c.giveUp(ctx.Err())
 		}
 	}
 }
 
-// tryConfirm reads the record and writes its successor once. uncertain says
-// that an earlier write of the same confirm has no answer.
-func (s *Service) tryConfirm(ctx context.Context, plan intent.Plan, uncertain bool) (Confirmation, bool, error) {
-	stored, err := s.load(ctx)
-	if err != nil {
-		return Confirmation{}, uncertain, err
-	}
-	next, done, err := intent.Confirm(plan, stored.Record)
-	if err != nil {
-		return Confirmation{}, false, err
-	}
-	if done {
-		version, _ := stored.VersionOf(plan.ID)
-		return Confirmation{PlanID: plan.ID, Version: version, Already: !uncertain}, false, nil
-	}
-	if !stored.MayWrite(s.Author.Self()) {
-		return Confirmation{}, false, ErrNoWriter
-	}
-	if stored.Revision == 0 {
-		next.Writers = []config.Writer{s.Author.Self()}
-	}
-	swapped, err := s.write(ctx, stored, next)
-	if err != nil {
-		return Confirmation{}, errors.Is(err, platform.ErrUnknownOutcome), err
-	}
-	return Confirmation{PlanID: plan.ID, Version: next.Version}, !swapped, nil
-}
-
 // ReplaceWriters lists other writers if choose, given the present record,
 // returns true. It reports whether the record was changed.
 func (s *Service) ReplaceWriters(ctx context.Context, choose func(config.Record) ([]config.Writer, bool)) (bool, error) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -31,6 +31,7 @@
 	"github.com/turmericfield/turmericfield/internal/peer"
 	"github.com/turmericfield/turmericfield/internal/placement"
 	"github.com/turmericfield/turmericfield/internal/platform"
+	"github.com/turmericfield/turmericfield/internal/statechart"
 )
 
 // Server is one instance.
@@ -67,6 +68,7 @@
 	// incarnation tells this process from earlier ones of its name.
 	incarnation uint64
 	control     *operator.Service
+	life        *statechart.Machine
 
 	callers, peers, operators net.Listener
 }
@@ -90,6 +92,9 @@
 	s.incarnation = rand.Uint64()
 	s.freshness = freshness.Tracker{Zone: o.AvailabilityZone, Author: freshness.Author{ID: freshness.WriterID(author{s}.Self())}}
 	s.control = &operator.Service{Store: client, Fleet: s, Author: author{s}, Now: time.Now}
+	if err := s.loadCharts(); err != nil {
+		return nil, err
+	}
 	s.invariants = &invariant.Recorder{OnViolation: s.reportViolation}
 	s.placer = s.newPlacer(&placement.StaticSeat{AvailabilityZone: o.AvailabilityZone, ZoneSeats: 1, FleetSeats: 1, Clean: true})
 	s.outgoing = make(chan struct{}, maxOutgoing)
@@ -162,6 +167,7 @@
 		_ = operators.Close()
 		return nil
 	})
+	s.move(eventStart)
 	s.part("server").Info().Str("name", s.options.Name).Str("zone", s.options.AvailabilityZone).
 		Str("listen", s.options.Listen).Msg("server: started")
 	err := group.Wait()
@@ -175,6 +181,7 @@
 // refuses new requests and finishes those in flight.
 func (s *Server) leave(kill context.Context, callers *http.Server) {
 	s.part("server").Info().Msg("server: leaving")
+	s.move(eventStop)
 	s.announceLeaving(kill)
 	s.rebuildSteering()
 	s.resign(kill)
@@ -183,9 +190,11 @@
 	case <-kill.Done():
 	}
 	s.entry.Drain()
+	s.move(eventAnswersExpired)
 	if err := callers.Shutdown(kill); err != nil {
 		s.part("server").Warn().Err(err).Msg("server: ended with requests in flight")
 	}
+	s.move(eventFinished)
 }
 
 func serveHTTP(server *http.Server, listener net.Listener) error {
--- /dev/null
+++ b/internal/statechart/machine.go
@@ -0,0 +1,44 @@
+package statechart
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/qmuntal/stateless"
+)
+
+// ErrNotAllowed refuses an event that the chart does not allow in the present
+// state.
+var ErrNotAllowed = errors.New("event is not allowed in this state")
+
+// Machine is one run of a chart. It is safe for concurrent use.
+type Machine struct {
+	chart *Chart
+	inner *stateless.StateMachine
+}
+
+// NewMachine returns a machine in the chart's initial state.
+func NewMachine(c *Chart) *Machine {
+	inner := stateless.NewStateMachineWithMode(c.Initial, stateless.FiringImmediate)
+	for _, s := range c.States {
+		configured := inner.Configure(s.Name)
+		for _, event := range sortedEvents(s) {
+			if s.On[event] == s.Name {
+				configured.PermitReentry(event)
+				continue
+			}
+			configured.Permit(event, s.On[event])
+		}
+	}
+	return &Machine{chart: c, inner: inner}
+}
+
+// State returns the name of the present state.
+func (m *Machine) State() string { return m.inner.MustState().(string) }
+
+// Fire moves the machine by an event. The error is marked ErrNotAllowed if the
+// chart has no such transition; the state stays.
+func (m *Machine) Fire(event string) error {
+	if err := m.inner.Fire(event); err != nil {
+		return errors.Wrapf(ErrNotAllowed, "chart %s: %q in %q", m.chart.Name, event, m.State())
+	}
+	return nil
+}
