Check the key again before each try of a request

The key was checked once, when the request was admitted. A request whose first try was shed went to a second target after its key had been withdrawn, however long the first try had taken (red: TestKeyWithdrawnBetweenTries, told no-target after a second try, now unknown-key and not run).

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -91,6 +91,10 @@
 
 // try sends the request to one target.
 func (c *call) try(d attempt.Decision) attempt.Decision {
+	if no := c.keyHolds(); no != nil {
+		c.refusal = *no
+		return c.handle(attempt.NoTarget, false)
+	}
 	grant, err := c.choose(c.placement)
 	if err != nil {
 		c.refusal = placementRefusal(err)
