--- /dev/null
+++ b/internal/fleettest/hour.go
@@ -0,0 +1,108 @@
+package fleettest
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/membership"
+)
+
+// HourFigures say what an hour of trouble and the return cost.
+type HourFigures struct {
+	Trouble string
+	Size    int
+	// FalseDeaths is the largest number of living members that one instance
+	// took as gone at the end of the hour.
+	FalseDeaths int
+	// InForce is the time after the end until the newest version is in force
+	// everywhere; Whole until also everybody takes everybody as live.
+	InForce, Whole time.Duration
+	// BytesPerSecond is what an instance sends while the fleet returns, as a
+	// mean; BusiestPerSecond is the busiest instance's.
+	BytesPerSecond, BusiestPerSecond float64
+	Violations                       int
+}
+
+// MeasureRegionsApart cuts one region off from all others and the store for an
+// hour with a change every 20 s.
+func MeasureRegionsApart(size int, seed uint64) HourFigures {
+	return measureHour("one region apart", size, seed, func(f *Fleet) {
+		f.Partition(func(s Site) int {
+			if s.Region == 1 {
+				return 1
+			}
+			return 0
+		})
+	}, (*Fleet).Heal)
+}
+
+// MeasureStoreDown takes the store away for an hour.
+func MeasureStoreDown(size int, seed uint64) HourFigures {
+	return measureHour("store down", size, seed, func(f *Fleet) { f.Store.Down = true }, func(f *Fleet) { f.Store.Down = false })
+}
+
+func measureHour(trouble string, size int, seed uint64, begin, end func(*Fleet)) HourFigures {
+	o := Measured(size, seed)
+	o.TickPeriod = 200 * time.Millisecond
+	f := New(o)
+	f.Bus.Run(settlePeriod)
+	begin(f)
+	for range int(time.Hour / changePeriod) {
+		if !f.Store.Down {
+			f.Store.Accept(f.Bus.Now)
+		}
+		f.Bus.Run(changePeriod)
+	}
+	out := HourFigures{Trouble: trouble, Size: size}
+	for _, n := range f.Nodes {
+		out.FalseDeaths = max(out.FalseDeaths, size-len(n.View.Members()))
+	}
+	end(f)
+	f.returning(&out)
+	out.Violations = len(f.Violations)
+	return out
+}
+
+func (f *Fleet) returning(out *HourFigures) {
+	before := f.traffic()
+	version := f.Store.Accept(f.Bus.Now)
+	out.InForce, _ = f.Bus.RunUntil(patience, step, func() bool { return f.InForceEverywhere(version) })
+	rest, _ := f.Bus.RunUntil(10*patience, time.Second, f.whole)
+	out.Whole = out.InForce + rest
+	for n, t := range f.traffic() {
+		rate := (t.sent() - before[n].sent()) / out.Whole.Seconds()
+		out.BytesPerSecond += rate / float64(len(f.Nodes))
+		out.BusiestPerSecond = max(out.BusiestPerSecond, rate)
+	}
+}
+
+// whole tells whether everybody takes all others as live, apart from single
+// suspicions.
+func (f *Fleet) whole() bool {
+	for _, n := range f.Nodes {
+		if len(n.View.Members()) != len(f.Nodes) {
+			return false
+		}
+	}
+	suspected := 0
+	for _, n := range f.Nodes {
+		for _, m := range n.View.Members() {
+			if m.State == membership.Suspected {
+				suspected++
+			}
+		}
+	}
+	return suspected <= len(f.Nodes)
+}
+
+// WriteHours prints a table with one line for each run.
+func WriteHours(w io.Writer, all []HourFigures) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "trouble\tsize\tfalse deaths\tin force\twhole\tB/s\tbusiest B/s\tviolations")
+	for _, f := range all {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%s\t%s\t%.0f\t%.0f\t%d\n", f.Trouble, f.Size, f.FalseDeaths, f.InForce, f.Whole, f.BytesPerSecond, f.BusiestPerSecond, f.Violations)
+	}
+	return t.Flush()
+}
--- a/internal/fleettest/node.go
+++ b/internal/fleettest/node.go
@@ -14,15 +14,19 @@
 
 const (
 	// RPCOverheadBytes is added to the messages of each remote call: frames and
-	// headers of HTTP/2, TCP and IP, in both directions together.
-	RPCOverheadBytes = 300
+	// headers of HTTP/2, and TCP and IP for 5 segments, in both directions
+	// together.
+	RPCOverheadBytes = 450
 	listPeriod       = 5 * time.Second
 	storeTimeout     = 2 * time.Second
 )
 
-// Traffic counts what one instance sent and received, in bytes.
+// Traffic counts the remote calls that one instance made and served, and their
+// bytes on the wire in both directions.
 type Traffic struct {
-	Calls, Sent, Received int64
+	Calls, Made, Served int64
+	// Changes is the part of Served that brings changes of the configuration.
+	Changes int64
 }
 
 // Node is one process of the fleet: its cores and what a shell keeps.
@@ -105,6 +109,7 @@
 	}
 	for _, address := range a.Hints {
 		n.send(address, proto.Size(a.Hint), func(to *Node) {
+			to.Traffic.Changes += int64(proto.Size(a.Hint) + RPCOverheadBytes)
 			to.Core.Hinted(n.fleet.Bus.Now, a.Hint)
 			to.act()
 		})
@@ -134,10 +139,10 @@
 	})
 }
 
-func (n *Node) count(sent, received int) {
+func (n *Node) count(made, served int) {
 	n.Traffic.Calls++
-	n.Traffic.Sent += int64(sent)
-	n.Traffic.Received += int64(received)
+	n.Traffic.Made += int64(made)
+	n.Traffic.Served += int64(served)
 }
 
 func (n *Node) pull(p dissemination.Pull) {
@@ -145,10 +150,13 @@
 	n.send(p.PeerAddress, proto.Size(p.Request), func(to *Node) {
 		answer := to.Core.Answer(bus.Now, p.Request)
 		size := proto.Size(answer)
-		to.Traffic.Sent += int64(size)
+		to.Traffic.Served += int64(size)
+		if answer.GetManifest() != nil {
+			to.Traffic.Changes += int64(size + proto.Size(p.Request) + RPCOverheadBytes)
+		}
 		bus.Send(to.Site, n.Site, func() {
 			n.at(func() {
-				n.Traffic.Received += int64(size)
+				n.Traffic.Made += int64(size)
 				n.Core.Pulled(bus.Now, p.ID, answer)
 				n.apply()
 				n.act()
--- a/internal/membership/health.go
+++ b/internal/membership/health.go
@@ -9,6 +9,9 @@
 	// maxOutcomes bounds the remembered outcomes of own probes.
 	maxOutcomes = 16
 	outcomeTime = time.Minute
+	// An instance takes itself as cut off when at least one of cutOffPart
+	// outcomes is a failure.
+	cutOffPart = 3
 	// rejoinTime is how long old suspicions are kept after this instance was
 	// cut off, so that the refutations of the others can arrive.
 	rejoinTime = 2 * time.Minute
@@ -45,7 +48,7 @@
 			failed++
 		}
 	}
-	return failed > 1 && 2*failed >= len(v.prober.outcomes) || v.prober.health == maxHealth
+	return failed > 1 && cutOffPart*failed >= len(v.prober.outcomes) || v.prober.health == maxHealth
 }
 
 // expireSuspicions declares gone whom nobody vouched for in time.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -65,11 +65,16 @@
 	return 0
 }
 
-// digest changes whenever the entry's identity, incarnation or state does.
+// digest changes whenever the entry's address or state does. The incarnation
+// of a live member is left out: who knows an older one has nothing to learn
+// until the state changes.
 func (e *entry) digest() uint64 {
 	const mix = 0x9e3779b97f4a7c15
 	h := xxhash.Sum64String(e.Name + "\x00" + e.PeerAddress)
-	return (h ^ (e.incarnation*4 + uint64(e.State.rank()) + 1)) * mix
+	if e.State != Live {
+		h ^= e.incarnation*4 + uint64(e.State.rank())
+	}
+	return h * mix
 }
 
 func (e *entry) update() *peerpb.MemberUpdate {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -106,12 +106,12 @@
 func (v *View) Tick(now time.Time) []Output {
 	v.prober.now = now
 	out := v.expireProbes(now)
-	v.expireSuspicions(now)
 	if now.Before(v.prober.next) || v.superseded {
 		return out
 	}
 	v.prober.next = now.Add(ProbePeriod)
 	v.prober.round++
+	v.expireSuspicions(now)
 	if e := v.target(); e != nil {
 		out = append(out, v.probe(now, e, 1))
 	} else {
@@ -124,16 +124,12 @@
 }
 
 // target chooses whom to probe: the successors in turn, and while anyone is
-// suspected every other time a random member, so that the outcomes show how
-// much of the fleet can be reached.
+// suspected or gone every other time a random member, so that the outcomes
+// show how much of the fleet can be reached.
 func (v *View) target() *entry {
-	if v.suspected > 0 && v.prober.round%2 == 0 {
-		first := v.options.Rand.IntN(len(v.names))
-		for i := range v.names {
-			e := v.members[v.names[(first+i)%len(v.names)]]
-			if e != v.self && e.State != Gone {
-				return e
-			}
+	if v.suspected+v.gone > 0 && v.prober.round%2 == 0 {
+		if e := v.random(func(e *entry) bool { return e != v.self && v.mayRun(e) }); e != nil {
+			return e
 		}
 	}
 	targets := v.prober.successors(v)
@@ -176,13 +172,21 @@
 	if v.suspected+v.gone == 0 {
 		return nil
 	}
+	e := v.random(func(e *entry) bool { return e.State == Suspected || e.State == Gone && v.mayRun(e) })
+	if e == nil {
+		return nil
+	}
+	out := v.probe(now, e, maxAttempts)
+	v.prober.open[len(v.prober.open)-1].revisit = true
+	return []Output{out}
+}
+
+// random returns the first member that fits, from a random place on.
+func (v *View) random(fits func(*entry) bool) *entry {
 	first := v.options.Rand.IntN(len(v.names))
 	for i := range v.names {
-		e := v.members[v.names[(first+i)%len(v.names)]]
-		if e.State == Suspected || e.State == Gone && (e.listed || !v.listKnown) {
-			out := v.probe(now, e, maxAttempts)
-			v.prober.open[len(v.prober.open)-1].revisit = true
-			return []Output{out}
+		if e := v.members[v.names[(first+i)%len(v.names)]]; fits(e) {
+			return e
 		}
 	}
 	return nil
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -87,13 +87,17 @@
 func (v *View) Known() []Member {
 	var out []Member
 	for _, name := range v.names {
-		if e := v.members[name]; e.State != Gone || e.listed || !v.listKnown {
+		if e := v.members[name]; v.mayRun(e) {
 			out = append(out, e.Member)
 		}
 	}
 	return out
 }
 
+// mayRun tells whether a member is not gone, or not known to be gone by the
+// platform's list.
+func (v *View) mayRun(e *entry) bool { return e.State != Gone || e.listed || !v.listKnown }
+
 // Version changes whenever Members does.
 func (v *View) Version() uint64 { return v.version }
 
--- a/internal/server/gauges.go
+++ b/internal/server/gauges.go
@@ -1,6 +1,11 @@
 package server
 
-import "time"
+import (
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/membership"
+	"github.com/turmericfield/turmericfield/internal/metrics"
+)
 
 // registerGauges publishes the state of the instance's parts.
 func (s *Server) registerGauges() {
@@ -8,9 +13,33 @@
 	s.metrics.Gauge("requests_in_flight", s.entry.InFlight)
 	s.metrics.Gauge("log_lines_dropped", s.log.Dropped)
 	s.metrics.Gauge("members", func() int64 { return int64(len(s.members())) })
+	for _, state := range []membership.State{membership.Live, membership.Leaving, membership.Suspected} {
+		s.metrics.Gauge(metrics.Label("members_by_state", "state", string(state)), func() int64 { return s.membersIn(state) })
+	}
+	s.metrics.Gauge("store_watcher", s.watcherGauge)
 	s.metrics.Gauge("evidence_age_ms", s.evidenceAgeMillis)
 }
 
+func (s *Server) membersIn(state membership.State) int64 {
+	count := int64(0)
+	for _, m := range s.members() {
+		if m.State == state {
+			count++
+		}
+	}
+	return count
+}
+
+// watcherGauge is 1 while this instance reads the store for its zone.
+func (s *Server) watcherGauge() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.syncer.Watcher() {
+		return 1
+	}
+	return 0
+}
+
 // evidenceAgeMillis returns the age of the freshness evidence, -1 without any.
 func (s *Server) evidenceAgeMillis() int64 {
 	s.mu.Lock()
