--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -84,20 +84,22 @@
 	}
 	s := &Server{
 		options: o, security: security, metrics: metrics.New(), log: logging.New(logs, o.LogLevel), platform: client,
-		placer: placement.New(o.AvailabilityZone), limiter: limit.NewStaticShares(1),
+		limiter: limit.NewStaticShares(1),
 	}
 	s.snapshot.Store(config.Compile(0, &config.Document{}))
 	s.incarnation = rand.Uint64()
 	s.freshness = freshness.Tracker{Zone: o.AvailabilityZone, Author: freshness.Author{ID: freshness.WriterID(author{s}.Self())}}
 	s.control = &operator.Service{Store: client, Fleet: s, Author: author{s}, Now: time.Now}
 	s.invariants = &invariant.Recorder{OnViolation: s.reportViolation}
+	s.placer = s.newPlacer(&placement.StaticSeat{AvailabilityZone: o.AvailabilityZone, ZoneSeats: 1, FleetSeats: 1, Clean: true})
 	s.outgoing = make(chan struct{}, maxOutgoing)
 	s.provisionFleet()
 	s.steering = newSteerer(s.part("steering"))
 	s.network = peer.New(o.Name, security.peerClient, peer.Handlers{Receive: s.receive, Status: s.peerStatus, Sync: s.answerSync, Confirm: s.confirmForPeer})
 	s.entry = entry.NewHandler(entry.Options{
 		Snapshot: s.snapshot.Load, Lookup: s.steering.lookup, KeysFresh: s.keysFresh,
-		Limiter: s.limiter, Placer: s.placer, Invariants: s.invariants, Metrics: s.metrics,
+		Limiter: s.limiter, Placer: s.placer, Claims: s.claims(), ConnectionShare: s.connectionShare,
+		Invariants: s.invariants, Metrics: s.metrics,
 		Log: s.log.Part("entry"), Now: time.Now,
 	})
 	s.registerGauges()
@@ -146,6 +148,8 @@
 	group.Go(func() error { return serveHTTP(operators, s.operators) })
 	group.Go(func() error { return s.network.Serve(ctx, s.peers, s.security.peerServer) })
 	group.Go(func() error { s.followFleet(ctx); return nil })
+	group.Go(func() error { s.followSeat(ctx); return nil })
+	group.Go(func() error { s.followTargets(ctx); return nil })
 	group.Go(func() error { s.followSteering(ctx); return nil })
 	group.Go(func() error { s.followWriters(ctx); return nil })
 	group.Go(func() error {
@@ -162,6 +166,7 @@
 	s.part("server").Info().Str("name", s.options.Name).Str("zone", s.options.AvailabilityZone).
 		Str("listen", s.options.Listen).Msg("server: started")
 	err := group.Wait()
+	s.entry.Close()
 	s.network.Close()
 	_ = s.platform.Close()
 	s.part("server").Info().Msg("server: stopped")
@@ -172,6 +177,7 @@
 // refuses new requests and finishes those in flight.
 func (s *Server) leave(kill context.Context, callers *http.Server) {
 	s.part("server").Info().Msg("server: leaving")
+	s.entry.Leave()
 	s.announceLeaving(kill)
 	s.rebuildSteering()
 	s.resign(kill)
@@ -179,10 +185,7 @@
 	case <-time.After(s.options.DrainDelay):
 	case <-kill.Done():
 	}
-	s.entry.Drain()
-	if err := callers.Shutdown(kill); err != nil {
-		s.part("server").Warn().Err(err).Msg("server: ended with requests in flight")
-	}
+	s.finishRequests(kill, callers)
 }
 
 func serveHTTP(server *http.Server, listener net.Listener) error {
