--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -91,7 +91,7 @@
 
 // try sends the request to one target.
 func (c *call) try(d attempt.Decision) attempt.Decision {
-	grant, err := c.choose(c.placement)
+	grant, err := c.place()
 	if err != nil {
 		c.refusal = placementRefusal(err)
 		return c.handle(attempt.NoTarget, false)
--- /dev/null
+++ b/internal/placement/bench/bench_test.go
@@ -0,0 +1,51 @@
+package bench
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+)
+
+const benchSeed = 20261204
+
+var full = flag.Bool("full", false, "run every deployment, case and load")
+
+// TestCompare replays the same arrivals to each policy and prints a table. It
+// fails if the chosen policy ever passes a budget.
+func TestCompare(t *testing.T) {
+	loads := []float64{0.5, 0.8, 0.95, 1.2}
+	deployments, cases := Deployments(), Cases
+	if !*full {
+		loads, deployments, cases = loads[2:3], deployments[1:], []Case{Steady, Frozen, Rush, ZoneLost}
+	}
+	for _, d := range deployments {
+		for _, c := range cases {
+			for _, load := range loads {
+				t.Run(fmt.Sprintf("%s/%s/%g", d.Name, strings.ReplaceAll(string(c), " ", "-"), load*100), func(t *testing.T) {
+					t.Parallel()
+					compare(t, d, c, load)
+				})
+			}
+		}
+	}
+}
+
+func compare(t *testing.T, d Deployment, c Case, load float64) {
+	results := make([]Result, len(Policies))
+	var group sync.WaitGroup
+	for i, p := range Policies {
+		group.Go(func() { results[i] = Run(d, p, c, load, benchSeed) })
+	}
+	group.Wait()
+	for i, r := range results {
+		ms := func(q float64) float64 { return float64(r.Interactive.ValueAtQuantile(q)) / 1000 }
+		t.Logf("| %s | %s | %g | %s | %.0f | %.0f | %.0f | %.0f | %.2f | %.2f | %.1f | %.1f |", d.Name, c, load*100, Policies[i],
+			ms(50), ms(99), ms(99.9), float64(r.Bulk.ValueAtQuantile(99))/1000, r.PeakSlots, r.PeakLink,
+			100*float64(r.Refused)/float64(r.Sent), 100*r.WorstRefused)
+	}
+	if chosen := results[len(results)-1]; chosen.PeakSlots > 1 || chosen.Violations > 0 {
+		t.Errorf("the chosen policy used %.2f of a target's slots, %d violations", chosen.PeakSlots, chosen.Violations)
+	}
+}
--- /dev/null
+++ b/internal/placement/bench/loan.go
@@ -0,0 +1,53 @@
+package bench
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/placement"
+)
+
+// loanPeriod is the time between two looks at loans.
+const loanPeriod = 50 * time.Millisecond
+
+// lend lets an instance ask for loans and return them, again and again.
+func (m *model) lend(instance int) {
+	if m.now.Sub(m.start) >= Duration || !m.alive[instance] {
+		return
+	}
+	m.after(loanPeriod, func() { m.lend(instance) })
+	self, borrower := strconv.Itoa(instance), m.placer(instance)
+	for _, a := range borrower.Asks(m.peers(instance), m.now) {
+		to, _ := strconv.Atoi(a.To)
+		m.message(instance, to, func() {
+			loan := m.placer(to).Lend(a, self, m.now)
+			m.message(to, instance, func() { borrower.Borrow(loan, a.To, m.now) })
+		})
+	}
+	for _, r := range borrower.Returns(m.now) {
+		to, _ := strconv.Atoi(r.To)
+		m.message(instance, to, func() { m.placer(to).TakeBack(r.ID, self) })
+	}
+}
+
+func (m *model) placer(instance int) *placement.Placer { return m.choosers[instance].(*shares).Placer }
+
+func (m *model) peers(self int) (out []placement.Peer) {
+	for i := range instances {
+		if i != self && m.alive[i] {
+			out = append(out, placement.Peer{Name: strconv.Itoa(i), AvailabilityZone: seatOf(i).AvailabilityZone})
+		}
+	}
+	return out
+}
+
+// message delivers between two live instances.
+func (m *model) message(from, to int, deliver func()) {
+	m.result.Messages++
+	hops := (&target{zone: zoneOf(to)}).hops(zoneOf(from))
+	m.after(delayOf(hops), func() {
+		if m.alive[to] && m.alive[from] {
+			deliver()
+		}
+	})
+}
--- /dev/null
+++ b/internal/placement/bench/model.go
@@ -0,0 +1,321 @@
+package bench
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/placement"
+)
+
+const (
+	maxTries    = 3
+	workspaces  = 8
+	deadTimeout = 200 * time.Millisecond // until a lost target counts as failed
+	coldFactor  = 4                      // a cold target's work takes 1 + this times as long
+	coldDecay   = 4 * time.Second
+	lyingFactor = 3 // a lying target's work takes this times as long
+	rushFactor  = 10
+	faultAt     = 3 * time.Second
+	// Duration of a run in virtual time.
+	Duration = 12 * time.Second
+)
+
+// Case is a condition of a run.
+type Case string
+
+// Cases.
+const (
+	Steady       Case = "steady"
+	Skewed       Case = "skewed"
+	Stale        Case = "stale reports"
+	Frozen       Case = "frozen reports"
+	Lying        Case = "lying target"
+	Cold         Case = "cold targets"
+	Rush         Case = "photo-pack rush"
+	InstanceLost Case = "instance lost"
+	ZoneLost     Case = "zone lost"
+	RegionLost   Case = "region lost"
+)
+
+// Cases lists all cases.
+var Cases = []Case{Steady, Skewed, Stale, Frozen, Lying, Cold, Rush, InstanceLost, ZoneLost, RegionLost}
+
+// Result is the outcome of a run.
+type Result struct {
+	Interactive, Bulk *hdrhistogram.Histogram // microseconds, answered requests
+	Sent, Refused     int
+	// PeakSlots and PeakLink are the largest parts of a target's slots and of a
+	// link's budget that were granted at once by all instances.
+	PeakSlots, PeakLink float64
+	// WorstRefused is the largest part of one workspace's requests refused.
+	WorstRefused float64
+	// Violations of the program's own invariants.
+	Violations int
+	// Messages between instances about loans.
+	Messages int
+
+	sent, refused [workspaces]int
+}
+
+type target struct {
+	name           string
+	zone, slots    int
+	running        int
+	granted        int
+	reported       int
+	draining, lost bool
+	lying          bool
+	coldAt         time.Time
+	peak           int
+}
+
+func (t *target) hops(zone int) int {
+	switch {
+	case t.zone == zone:
+		return 0
+	case t.zone%regions == zone%regions:
+		return 1
+	}
+	return 2
+}
+
+type work struct {
+	Work
+	route   *config.Route
+	targets []*target
+	rate    float64 // arrivals per second
+}
+
+type model struct {
+	deployment Deployment
+	condition  Case
+	policy     Policy
+	now        time.Time
+	start      time.Time
+	queue      events
+	rng        *rand.Rand
+	choosers   []chooser
+	alive      [instances]bool
+	targets    map[string]*target
+	works      []*work
+	flows      [regions]int     // transfers on a region's link
+	link       [regions]float64 // bytes granted by class on a region's link
+	result     Result
+}
+
+// Run replays one case at a load, as a part of the whole capacity, to a policy.
+func Run(d Deployment, p Policy, c Case, load float64, seed uint64) Result {
+	m := &model{deployment: d, condition: c, policy: p, start: time.Unix(0, 0), now: time.Unix(0, 0), rng: rand.New(rand.NewPCG(seed, 1)), targets: map[string]*target{}}
+	m.result.Interactive = hdrhistogram.New(1, 60_000_000, 3)
+	m.result.Bulk = hdrhistogram.New(1, 60_000_000, 3)
+	m.build(load)
+	for i := range instances {
+		m.alive[i] = true
+		if p == Shares || p == Chosen {
+			m.choosers = append(m.choosers, newShares(m, i))
+		} else {
+			m.choosers = append(m.choosers, &baseline{policy: p, zone: zoneOf(i), rng: rand.New(rand.NewPCG(seed, uint64(i+2))), local: map[*target]int{}})
+		}
+	}
+	m.schedule(p)
+	for len(m.queue) > 0 {
+		e := heap.Pop(&m.queue).(event)
+		m.now = e.at
+		e.do()
+	}
+	m.finish()
+	return m.result
+}
+
+func (m *model) build(load float64) {
+	for _, s := range m.deployment.Document.Services {
+		for i, ct := range s.Targets {
+			m.targets[ct.Name] = &target{name: ct.Name, zone: i % zones, slots: s.Slots, lying: m.condition == Lying && i == 0}
+		}
+	}
+	for i, w := range m.deployment.Work {
+		route := &m.deployment.Document.Routes[i]
+		x := &work{Work: w, route: route}
+		slots := 0
+		for _, s := range m.deployment.Document.Services {
+			for _, ct := range s.Targets {
+				if s.Name == route.Service {
+					x.targets = append(x.targets, m.targets[ct.Name])
+					slots += s.Slots
+				}
+			}
+		}
+		busy := w.Service + transfer(route.TypicalResponseBytes, localMbps, 1)
+		x.rate = load * w.Part * float64(slots) / busy.Seconds()
+		m.works = append(m.works, x)
+	}
+}
+
+// schedule sets off arrivals, reports and the case's fault.
+func (m *model) schedule(p Policy) {
+	for _, w := range m.works {
+		m.arrive(w)
+	}
+	if p == Chosen {
+		for i := range instances {
+			m.lend(i)
+		}
+	}
+	period := 100 * time.Millisecond
+	if m.condition == Stale {
+		period = time.Second
+	}
+	for at := time.Duration(0); at < Duration; at += period {
+		if m.condition == Frozen && at >= faultAt {
+			break
+		}
+		m.after(at, m.report)
+	}
+	if m.condition == Cold {
+		m.setRegion(0, func(t *target) { t.draining = true })
+		m.announce()
+	}
+	m.after(faultAt, func() { m.fault() })
+}
+
+func (m *model) report() {
+	for _, t := range m.targets {
+		if t.reported = t.running; t.lying {
+			t.reported = 0
+		}
+	}
+}
+
+func (m *model) setRegion(region int, change func(*target)) {
+	for _, t := range m.targets {
+		if t.zone%regions == region {
+			change(t)
+		}
+	}
+}
+
+// announce tells the placers which targets are draining.
+func (m *model) announce() {
+	for i, c := range m.choosers {
+		s, ok := c.(*shares)
+		if !ok || !m.alive[i] {
+			continue
+		}
+		for _, t := range m.targets {
+			s.Report(placement.Report{Target: t.name, Draining: t.draining}, m.now)
+		}
+	}
+}
+
+func (m *model) fault() {
+	switch m.condition {
+	case InstanceLost:
+		m.alive[0] = false
+	case ZoneLost:
+		for _, t := range m.targets {
+			t.lost = t.lost || t.zone == 0
+		}
+		m.alive[0], m.alive[6] = false, false
+	case RegionLost:
+		m.setRegion(0, func(t *target) { t.lost = true })
+		for i := range instances {
+			m.alive[i] = zoneOf(i)%regions != 0
+		}
+	case Cold:
+		m.setRegion(0, func(t *target) { t.draining, t.coldAt = false, m.now })
+		m.announce()
+	}
+}
+
+// arrive runs one arrival and schedules the next.
+func (m *model) arrive(w *work) {
+	rate := w.rate
+	if m.condition == Rush && w.route.Class == config.ClassBulk && m.now.Sub(m.start) >= faultAt {
+		rate *= rushFactor
+	}
+	m.after(m.exponential(1/rate), func() {
+		if m.now.Sub(m.start) >= Duration {
+			return
+		}
+		m.send(w)
+		m.arrive(w)
+	})
+}
+
+func (m *model) send(w *work) {
+	workspace := int(float64(workspaces) * math.Pow(m.rng.Float64(), 2))
+	r := &request{work: w, instance: m.instanceOf(m.rng.IntN(zones)), workspace: workspace, sent: m.now, factor: m.rng.ExpFloat64()*0.5 + 0.5}
+	m.result.sent[workspace]++
+	m.try(r)
+}
+
+// instanceOf returns the instance that a caller of a zone uses: one of the zone
+// if any is alive. In the skewed case half of the callers are in one zone.
+func (m *model) instanceOf(zone int) int {
+	if m.condition == Skewed && m.rng.IntN(2) == 0 {
+		zone = 1
+	}
+	near := zone
+	if other := zone + zones; other < instances && m.rng.IntN(2) == 0 {
+		near = other
+	}
+	if m.alive[near] {
+		return near
+	}
+	for {
+		if i := m.rng.IntN(instances); m.alive[i] {
+			return i
+		}
+	}
+}
+
+func (m *model) after(d time.Duration, do func()) { m.at(m.now.Add(d), do) }
+
+func (m *model) at(at time.Time, do func()) { heap.Push(&m.queue, event{at, len(m.queue), do}) }
+
+func (m *model) exponential(mean float64) time.Duration {
+	return time.Duration(m.rng.ExpFloat64() * mean * float64(time.Second))
+}
+
+func (m *model) finish() {
+	r := &m.result
+	for i := range workspaces {
+		r.Sent += r.sent[i]
+		r.Refused += r.refused[i]
+		if r.sent[i] > 0 {
+			r.WorstRefused = max(r.WorstRefused, float64(r.refused[i])/float64(r.sent[i]))
+		}
+	}
+	for _, t := range m.targets {
+		r.PeakSlots = max(r.PeakSlots, float64(t.peak)/float64(t.slots))
+	}
+}
+
+// transfer returns the time of an answer over a link shared by some flows.
+func transfer(bytes, mbps, flows int) time.Duration {
+	return time.Duration(float64(bytes) * 8 * float64(flows) / float64(mbps) * float64(time.Microsecond))
+}
+
+type event struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/placement/bench/policy.go
@@ -0,0 +1,128 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/invariant"
+	"github.com/turmericfield/turmericfield/internal/placement"
+)
+
+// Policy names a way of choosing targets.
+type Policy string
+
+// Policies.
+const (
+	Random     Policy = "random"
+	TwoChoices Policy = "two choices"
+	LeastLocal Policy = "least local"
+	// Shares is the policy of package placement without loans between instances
+	// and without waiting for a slot.
+	Shares Policy = "shares"
+	// Chosen is the policy of package placement.
+	Chosen Policy = "chosen"
+)
+
+// Policies lists all policies, the chosen one last.
+var Policies = []Policy{Random, TwoChoices, LeastLocal, Shares, Chosen}
+
+// chooser is the policy of one instance.
+type chooser interface {
+	choose(w *work, tried []*target, now time.Time) (*target, func(placement.Outcome, time.Time))
+}
+
+// baseline chooses in the own region first and elsewhere on a further try.
+type baseline struct {
+	policy Policy
+	zone   int
+	rng    *rand.Rand
+	local  map[*target]int
+}
+
+func (b *baseline) choose(w *work, tried []*target, _ time.Time) (*target, func(placement.Outcome, time.Time)) {
+	t := b.pick(w, tried)
+	if t == nil {
+		return nil, nil
+	}
+	b.local[t]++
+	return t, func(placement.Outcome, time.Time) { b.local[t]-- }
+}
+
+func (b *baseline) pick(w *work, tried []*target) *target {
+	if b.policy == LeastLocal {
+		return b.least(w, tried)
+	}
+	near, far := []*target{}, []*target{}
+	for _, t := range w.targets {
+		switch {
+		case t.draining || contains(tried, t):
+		case t.zone%regions == b.zone%regions:
+			near = append(near, t)
+		default:
+			far = append(far, t)
+		}
+	}
+	if len(near) == 0 || len(tried) > 1 {
+		near = append(near, far...)
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	t := near[b.rng.IntN(len(near))]
+	if other := near[b.rng.IntN(len(near))]; b.policy == TwoChoices && other.reported < t.reported {
+		t = other
+	}
+	return t
+}
+
+// least picks the nearest target with the fewest requests in flight from here.
+func (b *baseline) least(w *work, tried []*target) (best *target) {
+	for _, t := range w.targets {
+		if t.draining || contains(tried, t) || b.local[t] >= t.slots {
+			continue
+		}
+		if best == nil || t.hops(b.zone) < best.hops(b.zone) || t.hops(b.zone) == best.hops(b.zone) && b.local[t] < b.local[best] {
+			best = t
+		}
+	}
+	return best
+}
+
+// shares is the policy of package placement.
+type shares struct {
+	*placement.Placer
+	targets map[string]*target
+}
+
+func newShares(m *model, instance int) *shares {
+	s := seatOf(instance)
+	static := placement.StaticSeat(s)
+	p := placement.New(placement.Options{
+		AvailabilityZone: s.AvailabilityZone, Seats: &static, FirstLoan: uint64(instance) << 32,
+		Invariants: &invariant.Recorder{OnViolation: func(invariant.Name, string) { m.result.Violations++ }},
+	})
+	p.Update(config.Compile(1, m.deployment.Document), m.now)
+	return &shares{Placer: p, targets: m.targets}
+}
+
+func (s *shares) choose(w *work, tried []*target, now time.Time) (*target, func(placement.Outcome, time.Time)) {
+	request := placement.Request{Route: w.route}
+	for _, t := range tried {
+		request.Exclude = append(request.Exclude, t.name)
+	}
+	g, err := s.Choose(request, now)
+	if err != nil {
+		return nil, nil
+	}
+	return s.targets[g.Target.Name], func(o placement.Outcome, at time.Time) { s.Done(g, o, at) }
+}
+
+func contains(list []*target, t *target) bool {
+	for _, other := range list {
+		if other == t {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/placement/loan_test.go
@@ -0,0 +1,106 @@
+package placement
+
+import (
+	"testing"
+	"time"
+)
+
+// loanPair returns a giver and a borrower that has asked at start.
+func loanPair(t *testing.T) (giver, borrower *Placer, ask Ask) {
+	doc := testDocument(12, 3)
+	giver, _ = newTestPlacer(t, doc, 1, 7)
+	borrower, _ = newTestPlacer(t, doc, 2, 7)
+	borrower.services["listings"].noteShortage(4)
+	asks := borrower.Asks([]Peer{{Name: "giver", AvailabilityZone: "costa-1"}}, start)
+	if len(asks) != 1 {
+		t.Fatalf("%d asks", len(asks))
+	}
+	return giver, borrower, asks[0]
+}
+
+// However late the answer comes, the borrower stops before the giver takes the
+// slots back, and nothing is returned while it is in use.
+func TestLoanEndsForTheBorrowerFirst(t *testing.T) {
+	giver, borrower, ask := loanPair(t)
+	loan := giver.Lend(ask, "borrower", start.Add(10*time.Millisecond))
+	if len(loan.Units) == 0 || giver.slots(giver.targets[loan.Units[0].Target], start) != 3-loan.Units[0].Units {
+		t.Fatalf("loan %+v", loan)
+	}
+	name := loan.Units[0].Target
+	arrived := start.Add(900 * time.Millisecond)
+	borrower.Borrow(loan, "giver", arrived)
+	borrower.Borrow(loan, "giver", arrived) // a doubled message
+	target := borrower.targets[name]
+	if target.borrowed != loan.Units[0].Units {
+		t.Fatalf("borrowed %d, lent %d", target.borrowed, loan.Units[0].Units)
+	}
+	target.used++
+	ended := start.Add(loanTime)
+	if out := borrower.Returns(ended); len(out) != 0 || target.borrowed != 0 {
+		t.Fatalf("returned %v with a request in flight; %d still borrowed", out, target.borrowed)
+	}
+	target.used--
+	out := borrower.Returns(ended)
+	if len(out) != 1 {
+		t.Fatalf("returned %v", out)
+	}
+	giver.TakeBack(out[0].ID, "borrower")
+	giver.TakeBack(out[0].ID, "borrower")
+	if n := giver.slots(giver.targets[name], ended); n != 3 {
+		t.Fatalf("the giver has %d slots", n)
+	}
+}
+
+// A loan whose return is lost comes back once its requests have ended; a seat's
+// next holder waits for the loans of the one before.
+func TestLostReturn(t *testing.T) {
+	giver, _, ask := loanPair(t)
+	loan := giver.Lend(ask, "borrower", start)
+	name := loan.Units[0].Target
+	giver.Tick(start)
+	for _, at := range []struct {
+		after time.Duration
+		slots int
+	}{{loanTime, 3 - loan.Units[0].Units}, {loanTime + routeTimeout, 3}} {
+		giver.Returns(start.Add(at.after))
+		if n := giver.slots(giver.targets[name], start.Add(at.after)); n != at.slots {
+			t.Errorf("%d slots after %s, want %d", n, at.after, at.slots)
+		}
+	}
+	if settle := giver.targets[name].slots.settle; settle < loanTime+routeTimeout {
+		t.Errorf("a successor waits %s", settle)
+	}
+}
+
+// An extension that is granted keeps the loan; one that meets a shortage at the
+// giver ends it.
+func TestLoanExtension(t *testing.T) {
+	giver, borrower, ask := loanPair(t)
+	loan := giver.Lend(ask, "borrower", start)
+	borrower.Borrow(loan, "giver", start)
+	target := borrower.targets[loan.Units[0].Target]
+	late := start.Add(loanTime - renewBefore)
+	for range 20 {
+		borrower.services["listings"].began(late)
+	}
+	peers := []Peer{{Name: "giver", AvailabilityZone: "costa-1"}}
+	asks := borrower.Asks(peers, late)
+	if len(asks) == 0 || asks[0].Extends != loan.ID {
+		t.Fatalf("asks %+v", asks)
+	}
+	borrower.Borrow(giver.Lend(asks[0], "borrower", late), "giver", late)
+	borrower.expireLoans(start.Add(loanTime))
+	if target.borrowed == 0 {
+		t.Fatal("an extended loan ended")
+	}
+	later := late.Add(loanTime - renewBefore)
+	for range 20 {
+		borrower.services["listings"].began(later)
+	}
+	giver.services["listings"].noteShortage(1)
+	borrower.Borrow(giver.Lend(borrower.Asks(peers, later)[0], "borrower", later), "giver", later)
+	borrower.expireLoans(late.Add(loanTime))
+	if target.borrowed != 0 {
+		t.Fatal("a loan went on that the giver needs")
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,11 +1,12 @@
 // Package placement chooses the target that runs a request. It is a
 // deterministic core without I/O.
 //
-// What all instances share, that is the slots of targets, the requests in a
-// region and the bytes on links, is kept as pools of whole units. A fixed rule
-// deals the units of a pool out over the seats of the fleet, so that the
-// requests in flight of all instances together stay in bound although no
-// instance knows what the others do.
+// What all instances share is kept as pools of whole units. A fixed rule deals
+// the units of a pool out over seats: the slots of a target over the seats of
+// its own availability zone, the requests in a region and the bytes on links
+// over the seats of the fleet. So the requests in flight of all instances
+// together stay in bound although no instance knows what the others do. An
+// instance that runs short borrows slots from others for a short time.
 package placement
 
 import (
@@ -79,8 +80,12 @@
 	// Seats tells which share of the fleet this instance may use.
 	Seats seat.Holder
 	// LayoutBound is the time after which every instance has taken over a new
-	// configuration or seat table, or has lost its right to place.
+	// number of seats, or has lost its right to its seat.
 	LayoutBound time.Duration
+	// ReserveBound is the same for the right to the own zone's targets.
+	ReserveBound time.Duration
+	// FirstLoan is a random number from which the IDs of loans count up.
+	FirstLoan uint64
 	// Invariants records violations; nil checks nothing.
 	Invariants *invariant.Recorder
 }
@@ -90,23 +95,25 @@
 type Placer struct {
 	options  Options
 	snapshot *config.Snapshot
-	fleet    right // to the shares dealt out over the whole fleet
-	zone     right // to the shares dealt out over the own availability zone
+	fleet    right // to shares of regions and links
+	zone     right // to shares of the own availability zone's targets
 	services map[string]*service
 	targets  map[string]*target
 	regions  map[string]*region
 	home     *region // region of the instance
 	shifts   map[string]*shift
 	settle   time.Duration // the longest time that any unit stays in use
-	choices  uint64        // counts choices; marks cached link headroom
-	shares   uint64        // counts changes of shares; marks cached ones
+	waiting  bool          // a share may change by the mere passing of time
+	ledger   ledger
+	choices  uint64 // counts choices; marks cached link headroom
+	shares   uint64 // counts changes of shares; marks cached ones
 }
 
 // New returns a placer.
 func New(o Options) *Placer {
 	return &Placer{
 		options: o, services: map[string]*service{}, targets: map[string]*target{},
-		regions: map[string]*region{}, shifts: map[string]*shift{},
+		regions: map[string]*region{}, shifts: map[string]*shift{}, ledger: ledger{next: o.FirstLoan},
 	}
 }
 
@@ -123,6 +130,7 @@
 	}
 	p.choices++
 	p.observeSeat(now)
+	p.expireLoans(now)
 	use := useOf(r)
 	shift := p.shiftOf(r, now)
 	best, usable := (*target)(nil), false
@@ -130,11 +138,16 @@
 	if shift != nil && shift.mayMove() {
 		best, _ = p.pick(s, r, use, p.regions[shift.To], now)
 		moved = best != nil
+		if !moved {
+			s.noteShortage(1)
+			s.toward = shift.To
+		}
 	}
 	if best == nil {
 		best, usable = p.pick(s, r, use, nil, now)
 	}
 	if best == nil && usable {
+		s.noteShortage(1)
 		return Grant{}, ErrOverloaded
 	}
 	if best == nil {
@@ -187,6 +200,7 @@
 	}
 	t.used++
 	t.region.used++
+	t.service.began(now)
 	t.lastChoice = p.choices
 	if g.across {
 		g.links = use
@@ -223,6 +237,7 @@
 		return
 	}
 	t.used--
+	t.service.used--
 	g.region.used--
 	if g.across {
 		p.takeLinks(g.region, g.links, -1)
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,15 +9,9 @@
 )
 
 const (
-	// reserveDivisor sets the part of a target's slots that belongs to the
-	// seats of its own availability zone: one slot in so many.
-	reserveDivisor = 3
 	// seatContinuity is the longest time between two observations of a right
 	// within which it cannot have passed to another instance and back.
 	seatContinuity = time.Second
-	// offsetStride separates the offsets of targets with consecutive numbers.
-	// It is prime, so that the offsets reach every seat evenly.
-	offsetStride = 101
 	// forever is longer than any bound.
 	forever = 24 * time.Hour
 )
@@ -139,10 +131,12 @@
 	s, held = p.options.Seats.Reserve(now)
 	held = held && s.AvailabilityZone == p.options.AvailabilityZone
 	changed = p.zone.observe(position{s.ZoneSeats, s.Index}, s, held, config, now) || changed
-	bound := p.options.LayoutBound
-	if changed || !p.fleet.steady(p.settle, bound, now) || !p.zone.steady(p.settle, bound, now) {
+	fleet, zone := p.options.LayoutBound, p.options.ReserveBound
+	waiting := !p.fleet.steady(p.settle, fleet, now) || !p.zone.steady(p.settle, zone, now)
+	if changed || waiting || p.waiting {
 		p.shares++
 	}
+	p.waiting = waiting
 }
 
 // Tick observes the right to place without placing anything. It is called
@@ -182,23 +176,9 @@
 	return (units-first-1)/p.seats + 1
 }
 
-// offsetOf spreads the first units of pools over the seats. Targets whose names
-// differ only in their trailing number get different seats.
-func offsetOf(group, name string) uint64 {
-	stem := strings.TrimRight(name, "0123456789")
-	n, err := strconv.ParseUint(name[len(stem):], 10, 32)
-	if err != nil {
-		n = 0
-	}
-	return xxhash.Sum64String(group+"/"+stem)>>32 + n*offsetStride
-}
-
-// reserveOffsetOf spreads the reserved slots of targets over the seats of their
-// availability zone. Numbered names may follow the order of the zones, so the
-// whole name counts.
-func reserveOffsetOf(service, name string) uint64 {
-	return xxhash.Sum64String("reserve/" + service + "/" + name)
-}
+// offsetOf returns the seat that the first unit of a pool goes to, so that the
+// first units of the pools of a group are spread over the seats.
+func offsetOf(group, name string) uint64 { return xxhash.Sum64String(group + "/" + name) }
 
 var _ seat.Holder = (*StaticSeat)(nil)
 
--- a/internal/placement/shift_test.go
+++ b/internal/placement/shift_test.go
@@ -37,6 +37,7 @@
 			h := &fakeHolder{seat: fleetSeat(doc, 0, 7, 1), held: true, reserve: true}
 			p := New(Options{AvailabilityZone: "sierra-1", Seats: h, Invariants: recorder(t)})
 			p.Update(config.Compile(1, doc), start)
+			borrowEverywhere(p, 3)
 			return p
 		}
 		placers := []*Placer{fresh(), fresh(), fresh()}
@@ -67,6 +68,7 @@
 func TestRampStepsHoldsAndStepsBack(t *testing.T) {
 	doc := shiftDocument()
 	p, _ := newTestPlacer(t, doc, 0, 7)
+	borrowEverywhere(p, 3)
 	now := start
 	drive := func(n int, outcome Outcome, moved time.Duration) float64 {
 		for range n {
@@ -109,6 +111,7 @@
 func TestRampHoldsWithoutEvidence(t *testing.T) {
 	doc := shiftDocument()
 	p, _ := newTestPlacer(t, doc, 0, 7)
+	borrowEverywhere(p, 3)
 	for i := range 30 {
 		g, err := p.Choose(request(doc, 0), start.Add(time.Duration(i)*time.Minute))
 		if err != nil {
@@ -127,6 +130,7 @@
 func TestShiftAssertionNoticesTooManyMoved(t *testing.T) {
 	doc := shiftDocument()
 	p, _ := newTestPlacer(t, doc, 0, 7)
+	borrowEverywhere(p, 3)
 	found := &invariant.Recorder{}
 	p.options.Invariants = found
 	p.shifts["read"].moved = 100
@@ -143,6 +147,7 @@
 		doc.Regions[i].MaxInFlight = 14
 	}
 	p, _ := newTestPlacer(t, doc, 0, 7)
+	borrowEverywhere(p, 3)
 	for {
 		if _, err := p.Choose(request(doc, 0), start); err != nil {
 			break
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -45,7 +45,14 @@
 // service is the placer's view of a config.Service.
 type service struct {
 	targets []*target
-	latency float64 // average over the targets' answers, in seconds
+	latency float64       // average over the targets' answers, in seconds
+	settle  time.Duration // the longest time that a request stays in flight
+	used    int           // requests in flight from this instance
+	peaks   [2]int        // most requests in flight in this period and the last
+	rolled  time.Time     // when this period began
+	short   int           // requests without a free slot since the last ask
+	toward  string        // region that a shift found no slot in since then
+	asked   time.Time
 }
 
 // target is the placer's view of a config.Target.
@@ -55,11 +62,11 @@
 	region   *region
 	distance distance
 
-	slots   pool   // dealt out over the fleet's seats
-	reserve pool   // dealt out over the own zone's seats
-	used    int    // requests in flight from this instance
-	share   int    // result of Placer.slots
-	shareOf uint64 // value of Placer.shares that share belongs to
+	slots          pool // dealt out over the fleet's seats
+	used           int  // requests in flight from this instance
+	share          int  // result of Placer.ownSlots
+	lent, borrowed int
+	shareOf        uint64 // value of Placer.shares that share belongs to
 
 	drained bool // by the configuration
 	leaving bool // by a sign of the target or of the platform
@@ -79,12 +86,17 @@
 // slots returns the requests that this instance may have in flight on a
 // target.
 func (p *Placer) slots(t *target, now time.Time) int {
+	return max(0, p.ownSlots(t, now)-t.lent) + t.borrowed
+}
+
+// ownSlots returns this instance's share of a target's slots without loans.
+func (p *Placer) ownSlots(t *target, now time.Time) int {
 	if t.shareOf == p.shares {
 		return t.share
 	}
-	n := t.slots.share(&p.fleet, p.options.LayoutBound, now)
+	n := 0
 	if t.distance == distanceZone {
-		n += t.reserve.share(&p.zone, p.options.LayoutBound, now)
+		n = t.slots.share(&p.zone, p.options.ReserveBound, now)
 	}
 	t.share, t.shareOf = n, p.shares
 	return n
--- a/internal/placement/update.go
+++ b/internal/placement/update.go
@@ -20,7 +20,7 @@
 		p.updateService(&snapshot.Document.Services[i], known, first, now)
 	}
 	for name, t := range known {
-		if p.targets[name] == nil && t.used > 0 {
+		if p.targets[name] == nil && t.used+t.lent+t.borrowed > 0 {
 			t.drained = true
 			p.targets[name] = t
 		}
@@ -33,7 +33,7 @@
 	settle := map[config.Class]time.Duration{}
 	for _, r := range snapshot.Document.Routes {
 		settle[r.Class] = max(settle[r.Class], r.Timeout())
-		p.settle = max(p.settle, r.Timeout())
+		p.settle = max(p.settle, r.Timeout()+loanTime)
 	}
 	for _, c := range snapshot.Document.Regions {
 		if p.regions[c.Name] == nil {
@@ -57,20 +57,20 @@
 			settle = max(settle, r.Timeout())
 		}
 	}
+	s.settle = settle
 	for _, ct := range c.Targets {
 		t := known[ct.Name]
 		if t == nil {
 			t = &target{}
 			t.slots.offset = offsetOf("slots/"+c.Name, ct.Name)
-			t.reserve.offset = reserveOffsetOf(c.Name, ct.Name)
 			if !first {
 				t.coldSince = now
 			}
 		}
 		p.updateTarget(t, ct, now)
 		t.service = s
-		t.slots.set(c.Slots-c.Slots/reserveDivisor, settle)
-		t.reserve.set(c.Slots/reserveDivisor, settle)
+		s.used += t.used
+		t.slots.set(c.Slots, settle+loanTime)
 		s.targets = append(s.targets, t)
 		s.latency = max(s.latency, t.latency)
 		p.targets[ct.Name] = t
--- a/internal/server/placement.go
+++ b/internal/server/placement.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -18,9 +19,12 @@
 
 const (
 	// placementTick is the time between two observations of the right to place.
-	placementTick = 200 * time.Millisecond
+	placementTick = 50 * time.Millisecond
 	// pollTimeout bounds one poll of a target.
 	pollTimeout = 500 * time.Millisecond
+	// reserveBound is the longest time for which an availability zone that is
+	// cut off goes on with the seats that it has.
+	reserveBound = 30 * time.Second
 	// maxPolls bounds the polls that run at once.
 	maxPolls = 16
 
@@ -32,7 +36,8 @@
 func (s *Server) newPlacer(seats seat.Holder) *placement.Placer {
 	return placement.New(placement.Options{
 		AvailabilityZone: s.options.AvailabilityZone, Seats: seats,
-		LayoutBound: s.options.KeyFreshness, Invariants: s.invariants,
+		LayoutBound: s.options.KeyFreshness, ReserveBound: reserveBound,
+		FirstLoan: rand.Uint64(), Invariants: s.invariants,
 	})
 }
 
@@ -43,10 +48,12 @@
 	Draining bool `json:"draining"`
 }
 
-// followSeat observes the right to place, so that it counts as continuous.
+// followSeat observes the right to place, so that it counts as continuous, and
+// exchanges loans.
 func (s *Server) followSeat(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.entry.Update(s.placer.Tick)
+		s.balanceLoans(ctx)
 		sleep(ctx, placementTick)
 	}
 }
@@ -168,19 +175,21 @@
 		Target: r.Target, Draining: r.Draining, AgeMillis: r.Age.Milliseconds(),
 	}}}
 	for _, m := range s.members() {
-		if m.Name == s.options.Name {
-			continue
+		if m.Name != s.options.Name {
+			go s.sendPlacement(ctx, m, message)
 		}
-		go func() {
-			envelope := &peerpb.Envelope{Message: &peerpb.Envelope_Placement{Placement: message}}
-			if err := s.network.Send(ctx, m.PeerAddress, envelope); err != nil {
-				s.part("placement").Debug().Str("instance", m.Name).Err(err).Msg("placement: could not tell an instance that a target is leaving")
-			}
-		}()
+	}
+}
+
+func (s *Server) sendPlacement(ctx context.Context, to membership.Member, m *peerpb.PlacementMessage) {
+	envelope := &peerpb.Envelope{Message: &peerpb.Envelope_Placement{Placement: m}}
+	if err := s.network.Send(ctx, to.PeerAddress, envelope); err != nil {
+		s.part("placement").Debug().Str("instance", to.Name).Err(err).Msg("placement: could not send to an instance")
 	}
 }
 
 func (s *Server) receivePlacement(from string, m *peerpb.PlacementMessage) {
+	s.receiveLoans(from, m)
 	for _, r := range m.GetReports() {
 		report := placement.Report{Target: r.GetTarget(), Draining: r.GetDraining(), Age: time.Duration(r.GetAgeMillis()) * time.Millisecond}
 		if !report.Draining || report.Age < 0 {
