--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -96,7 +96,7 @@
 		c.refusal = *no
 		return c.handle(attempt.NoTarget, false)
 	}
-	grant, err := c.choose(c.placement)
+	grant, err := c.place()
 	if err != nil {
 		c.refusal = placementRefusal(err)
 		return c.handle(attempt.NoTarget, false)
