Close a caller's connection after an answer that came before its whole body

TestMixedFaults failed in 1 of 3 runs on the busy machine: "GET /reads/15767: status 400". Since streaming bodies are full duplex, the server no longer closes a connection whose body ended in an error, and took the rest of the body for the next request. Answers now say Connection: close unless the body was read to its end. TestUnreadBodyEndsConnection fails without the change.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,7 +27,7 @@
 type requestBody struct {
 	length   int64 // -1 if unknown
 	buffered []byte
-	stream   io.Reader
+	stream   *progressReader
 
 	mu     sync.Mutex // guards the fields below
 	holder *bodyReader
@@ -66,6 +67,11 @@
 // streams tells whether the body can be sent only once.
 func (b *requestBody) streams() bool { return b.stream != nil }
 
+// unread tells whether some of the body has not been read. The caller's
+// connection must then close after the answer, because the server would take
+// the rest of the body for the next request.
+func (b *requestBody) unread() bool { return b.stream != nil && !b.stream.ended.Load() }
+
 // open returns the body for one try. Earlier readers end.
 func (b *requestBody) open() io.ReadCloser {
 	if b.length == 0 {
@@ -115,6 +121,7 @@
 	controller *http.ResponseController
 	timeout    time.Duration
 	deadline   time.Time
+	ended      atomic.Bool // the body was read to its end
 }
 
 // Read implements io.Reader.
@@ -125,7 +132,8 @@
 	}
 	_ = r.controller.SetReadDeadline(limit)
 	n, err := r.reader.Read(p)
-	if err != nil {
+	if err == io.EOF {
+		r.ended.Store(true)
 		_ = r.controller.SetReadDeadline(time.Time{})
 	}
 	return n, err
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -41,9 +41,7 @@
 func (c *call) forward() attempt.Decision {
 	response := c.response
 	copyResponseHeader(c.writer.Header(), response.Header)
-	if c.leaving.Load() {
-		c.writer.Header().Set("Connection", "close")
-	}
+	c.closeIfNeeded()
 	out := &progressWriter{
 		writer: c.writer, controller: http.NewResponseController(c.writer), timeout: c.progressTimeout,
 		flush: response.ContentLength < 0 || response.ContentLength > smallAnswerBytes,
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -201,6 +201,7 @@
 	var err error
 	deadline, _ := c.ctx.Deadline()
 	if c.body, err = newRequestBody(c.writer, c.request, c.progressTimeout, deadline); err != nil {
+		c.writer.Header().Set("Connection", "close")
 		return &refusal{http.StatusBadRequest, "body-incomplete", "the body did not come whole or in time", 0}
 	}
 	return nil
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -327,3 +327,21 @@
 		t.Errorf("got %q, %d runs", answer, len(executions(s.writes)))
 	}
 }
+
+// TestUnreadBodyEndsConnection answers before the body has been read, and
+// expects the connection to close, so that the rest is no request.
+func TestUnreadBodyEndsConnection(t *testing.T) {
+	s := newSystem(t, target.Options{Slots: 10}, testDeadline)
+	conn, err := net.Dial("tcp", s.addresses[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /writes/1 HTTP/1.1\r\nHost: x\r\n%s: %s\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		KeyHeader, testKey, target.FaultHeader, target.SilentBefore)
+	answer := make([]byte, 4096)
+	n, _ := conn.Read(answer)
+	if !strings.Contains(string(answer[:n]), "\r\nConnection: close\r\n") {
+		t.Errorf("the connection stays open after %q", answer[:n])
+	}
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -222,6 +222,7 @@
 		c.Claims.Release(context.WithoutCancel(c.ctx), *c.claim)
 	}
 	c.writer.Header().Set(RequestIDHeader, c.id)
+	c.closeIfNeeded()
 	c.refuse(c.writer, c.request, c.refusal)
 }
 
@@ -229,6 +230,7 @@
 	c.Metrics.Add("unknown_total", 1)
 	c.Log.Warn().Str("request", c.id).Str("route", c.route.Name).Msg("entry: the outcome of a request is unknown")
 	c.writer.Header().Set(RequestIDHeader, c.id)
+	c.closeIfNeeded()
 	status := http.StatusBadGateway
 	if errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
 		status = http.StatusGatewayTimeout
@@ -236,6 +238,13 @@
 	writeRefusal(c.writer, status, RefusalBody{Outcome: attempt.Unknown, Reason: "no-answer", Message: "the target gave no whole answer; the request may have run"})
 }
 
+// closeIfNeeded lets the caller's connection end after the answer.
+func (c *call) closeIfNeeded() {
+	if c.leaving.Load() || c.body.unread() {
+		c.writer.Header().Set("Connection", "close")
+	}
+}
+
 func placementRefusal(err error) refusal {
 	reason := "no-target"
 	if errors.Is(err, placement.ErrOverloaded) {
