--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -222,11 +222,18 @@
 
 func (v *validator) checkShifts(doc *Document) {
 	names := map[string]bool{}
+	type source struct{ route, region string }
+	sources := map[source]bool{}
 	for i, s := range doc.Shifts {
 		path := fmt.Sprintf("shifts[%d]", i)
 		v.name(path+".name", s.Name, names)
 		v.known(path+".route", "route", s.Route, v.routes)
 		v.known(path+".from", "region", s.From, v.regions)
+		if from := (source{s.Route, s.From}); sources[from] {
+			v.add(path+".from", "route %q is shifted from region %q already", s.Route, s.From)
+		} else {
+			sources[from] = true
+		}
 		v.known(path+".to", "region", s.To, v.regions)
 		if s.From == s.To {
 			v.add(path+".to", "must differ from the region %q that is shifted from", s.From)
