--- a/internal/dissemination/dissemination.go
+++ b/internal/dissemination/dissemination.go
@@ -90,7 +90,7 @@
 	open               map[uint64]openPull
 	lastID             uint64
 	turn               int // rotates over the sources
-	failures           int // pulls that failed since the members changed
+	failures           int // pulls in a row that failed
 	hintDue            bool
 	reports            map[string]childReport
 }
--- a/internal/dissemination/pull.go
+++ b/internal/dissemination/pull.go
@@ -135,6 +135,7 @@
 		return
 	}
 	delete(c.open, id)
+	c.failures = 0
 	c.seats.merge(m.GetSeats())
 	c.fetch(now, m)
 	sent := p.sent
