--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,7 +27,7 @@
 type requestBody struct {
 	length   int64 // -1 if unknown
 	buffered []byte
-	stream   io.Reader
+	stream   *progressReader
 
 	mu     sync.Mutex // guards the fields below
 	holder *bodyReader
@@ -34,15 +35,17 @@
 }
 
 // newRequestBody prepares a body, each part of which must come within the
-// progress time. An error means that the caller did not send
+// progress time and all of it by the deadline. An error means that the caller did not send
 // it whole or in time.
-func newRequestBody(w http.ResponseWriter, r *http.Request, progress time.Duration) (*requestBody, error) {
+func newRequestBody(w http.ResponseWriter, r *http.Request, progress time.Duration, deadline time.Time) (*requestBody, error) {
 	b := &requestBody{length: r.ContentLength}
 	if r.ContentLength == 0 {
 		return b, nil
 	}
 	controller := http.NewResponseController(w)
-	reader := &progressReader{reader: http.MaxBytesReader(w, r.Body, maxBodyBytes), controller: controller, timeout: progress}
+	reader := &progressReader{
+		reader: http.MaxBytesReader(w, r.Body, maxBodyBytes), controller: controller, timeout: progress, deadline: deadline,
+	}
 	if r.ContentLength < 0 || r.ContentLength > maxBufferedBytes {
 		// A target may answer before it has read the whole body.
 		_ = controller.EnableFullDuplex()
@@ -64,6 +67,11 @@
 // streams tells whether the body can be sent only once.
 func (b *requestBody) streams() bool { return b.stream != nil }
 
+// unread tells whether some of the body has not been read. The caller's
+// connection must then close after the answer, because the server would take
+// the rest of the body for the next request.
+func (b *requestBody) unread() bool { return b.stream != nil && !b.stream.ended.Load() }
+
 // open returns the body for one try. Earlier readers end.
 func (b *requestBody) open() io.ReadCloser {
 	if b.length == 0 {
@@ -112,13 +120,20 @@
 	reader     io.Reader
 	controller *http.ResponseController
 	timeout    time.Duration
+	deadline   time.Time
+	ended      atomic.Bool // the body was read to its end
 }
 
 // Read implements io.Reader.
 func (r *progressReader) Read(p []byte) (int, error) {
-	_ = r.controller.SetReadDeadline(time.Now().Add(r.timeout))
+	limit := time.Now().Add(r.timeout)
+	if r.deadline.Before(limit) {
+		limit = r.deadline
+	}
+	_ = r.controller.SetReadDeadline(limit)
 	n, err := r.reader.Read(p)
-	if err != nil {
+	if err == io.EOF {
+		r.ended.Store(true)
 		_ = r.controller.SetReadDeadline(time.Time{})
 	}
 	return n, err
