--- a/internal/limit/compare_test.go
+++ b/internal/limit/compare_test.go
@@ -152,22 +152,30 @@
 // TestWrongfulRefusals compares the limiter with equal static shares and with
 // one central bucket. Run it with -v for the table.
 func TestWrongfulRefusals(t *testing.T) {
-	const total = 30 * time.Second
 	for _, s := range sizes {
-		t.Logf("%s\n%-28s %8s %8s %8s %8s %8s %8s %9s %9s %9s", s.name, "load", "requests", "ideal", "static", "limiter",
-			"refused", "waited", "wait p50", "wait p99", "msg/s")
-		for _, l := range loads {
-			f := s.settled()
-			before := f.result.messages
-			static := f.offer(l, s.rate, total)
-			r := f.result
-			t.Logf("%-28s %8d %8d %8d %8d %8d %8d %9s %9s %9.1f", l.name, r.requests, r.idealRefused, static, r.wrongful,
-				r.refused, r.waited, r.waitQuantile(0.5).Round(time.Millisecond), r.waitQuantile(0.99).Round(time.Millisecond), float64(r.messages-before)/total.Seconds())
-			if f.violation != "" {
-				t.Errorf("%s: %s: %s", s.name, l.name, f.violation)
-			}
-			checkTargets(t, s, l, r, static)
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			compare(t, s)
+		})
+	}
+}
+
+func compare(t *testing.T, s size) {
+	const total = 30 * time.Second
+	t.Logf("%s\n%-28s %8s %8s %8s %8s %8s %8s %9s %9s %9s", s.name, "load", "requests", "ideal", "static", "limiter",
+		"refused", "waited", "wait p50", "wait p99", "msg/s")
+	for _, l := range loads {
+		f := s.settled()
+		before := f.result.messages
+		static := f.offer(l, s.rate, total)
+		r := f.result
+		t.Logf("%-28s %8d %8d %8d %8d %8d %8d %9s %9s %9.1f", l.name, r.requests, r.idealRefused, static, r.wrongful,
+			r.refused, r.waited, r.waitQuantile(0.5).Round(time.Millisecond), r.waitQuantile(0.99).Round(time.Millisecond),
+			float64(r.messages-before)/total.Seconds())
+		if f.violation != "" {
+			t.Errorf("%s: %s: %s", s.name, l.name, f.violation)
 		}
+		checkTargets(t, s, l, r, static)
 	}
 }
 
