--- a/internal/limit/compare_test.go
+++ b/internal/limit/compare_test.go
@@ -152,22 +152,30 @@
 // TestWrongfulRefusals compares the limiter with equal static shares and with
 // one central bucket. Run it with -v for the table.
 func TestWrongfulRefusals(t *testing.T) {
-	const total = 30 * time.Second
 	for _, s := range sizes {
-		t.Logf("%s\n%-28s %8s %8s %8s %8s %8s %8s %9s %9s %9s", s.name, "load", "requests", "ideal", "static", "limiter",
-			"refused", "waited", "wait p50", "wait p99", "msg/s")
-		for _, l := range loads {
-			f := s.settled()
-			before := f.result.messages
-			static := f.offer(l, s.rate, total)
-			r := f.result
-			t.Logf("%-28s %8d %8d %8d %8d %8d %8d %9s %9s %9.1f", l.name, r.requests, r.idealRefused, static, r.wrongful,
-				r.refused, r.waited, r.waitQuantile(0.5).Round(time.Millisecond), r.waitQuantile(0.99).Round(time.Millisecond), float64(r.messages-before)/total.Seconds())
-			if f.violation != "" {
-				t.Errorf("%s: %s: %s", s.name, l.name, f.violation)
-			}
-			checkTargets(t, s, l, r, static)
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			compare(t, s)
+		})
+	}
+}
+
+func compare(t *testing.T, s size) {
+	const total = 30 * time.Second
+	t.Logf("%s\n%-28s %8s %8s %8s %8s %8s %8s %9s %9s %9s", s.name, "load", "requests", "ideal", "static", "limiter",
+		"refused", "waited", "wait p50", "wait p99", "msg/s")
+	for _, l := range loads {
+		f := s.settled()
+		before := f.result.messages
+		static := f.offer(l, s.rate, total)
+		r := f.result
+		t.Logf("%-28s %8d %8d %8d %8d %8d %8d %9s %9s %9.1f", l.name, r.requests, r.idealRefused, static, r.wrongful,
+			r.refused, r.waited, r.waitQuantile(0.5).Round(time.Millisecond), r.waitQuantile(0.99).Round(time.Millisecond),
+			float64(r.messages-before)/total.Seconds())
+		if f.violation != "" {
+			t.Errorf("%s: %s: %s", s.name, l.name, f.violation)
 		}
+		checkTargets(t, s, l, r, static)
 	}
 }
 
@@ -189,3 +197,46 @@
 		t.Errorf("%s: %s: %d wrongful refusals, want a tenth of %d", s.name, l.name, r.wrongful, static)
 	}
 }
+
+// TestOwnerKilled kills the owner of a part of a workspace's rate under a load
+// of 90% and starts a fresh instance in its place. Run it with -v for the
+// figures.
+func TestOwnerKilled(t *testing.T) {
+	const detection = 10 * time.Second // until the platform's list tells
+	s := sizes[0]
+	f := s.settled()
+	owner := f.owners()[0]
+	wrongful := func(total time.Duration) int {
+		before := f.result.wrongful
+		f.offer(loads[0], s.rate, total)
+		return f.result.wrongful - before
+	}
+	if n := wrongful(5 * time.Second); n != 0 {
+		t.Errorf("%d wrongful refusals before the fault", n)
+	}
+	owner.dead = true
+	down := wrongful(detection)
+	f.start("fresh", owner.zone)
+	f.write(owner.zone)
+	waiting := wrongful(testSettle + time.Second)
+	after := wrongful(10 * time.Second)
+	t.Logf("wrongful refusals: %d in %s until the loss is known, %d in the %s until the share is back, %d in 10s after it",
+		down, detection, waiting, testSettle+time.Second, after)
+	if f.violation != "" {
+		t.Error(f.violation)
+	}
+	if len(f.owners()) != 2 {
+		t.Errorf("%d owners after the replacement, want 2", len(f.owners()))
+	}
+}
+
+// owners returns the instances that may use a part of the rate now.
+func (f *fleet) owners() []*node {
+	var out []*node
+	for _, n := range f.nodes {
+		if w := n.limiter.workspaces[testName]; !n.dead && w != nil && n.limiter.owns(w, f.now) && w.share.now.rate > 0 {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- a/internal/server/placement.go
+++ b/internal/server/placement.go
@@ -22,9 +22,6 @@
 	placementTick = 50 * time.Millisecond
 	// pollTimeout bounds one poll of a target.
 	pollTimeout = 500 * time.Millisecond
-	// reserveBound is the longest time for which an availability zone that is
-	// cut off goes on with the seats that it has.
-	reserveBound = 30 * time.Second
 	// maxPolls bounds the polls that run at once.
 	maxPolls = 16
 
