End every read of a caller's body before its handler returns

A full-duplex body was still being read when the server went on with its connection, and refusals by claims left one unread without closing.

Change: the handler waits until no read is in progress; full duplex starts with the tries only.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -29,6 +29,8 @@
 	buffered []byte
 	stream   *progressReader
 
+	reading sync.Mutex // held while the stream is read
+
 	mu     sync.Mutex // guards the fields below
 	holder *bodyReader
 	spent  bool
@@ -47,8 +49,6 @@
 		reader: http.MaxBytesReader(w, r.Body, maxBodyBytes), controller: controller, timeout: progress, deadline: deadline,
 	}
 	if r.ContentLength < 0 || r.ContentLength > maxBufferedBytes {
-		// A target may answer before it has read the whole body.
-		_ = controller.EnableFullDuplex()
 		b.stream = reader
 		return b, nil
 	}
@@ -95,6 +95,23 @@
 	return b.spent
 }
 
+// close ends every read of the body. The server must not go on with the
+// connection while a transport still reads from it.
+func (b *requestBody) close() {
+	if b == nil || !b.streams() {
+		return
+	}
+	b.release()
+	for !b.reading.TryLock() {
+		_ = b.stream.controller.SetReadDeadline(time.Now())
+		time.Sleep(closeInterval)
+	}
+	b.reading.Unlock()
+}
+
+// closeInterval is the time between two tries to end a read.
+const closeInterval = time.Millisecond
+
 // bodyReader reads a streaming body on behalf of one try.
 type bodyReader struct{ body *requestBody }
 
@@ -102,6 +119,8 @@
 
 // Read implements io.Reader.
 func (r *bodyReader) Read(p []byte) (int, error) {
+	r.body.reading.Lock()
+	defer r.body.reading.Unlock()
 	r.body.mu.Lock()
 	if r.body.holder != r {
 		r.body.mu.Unlock()
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -155,6 +155,7 @@
 		Handler: h, ctx: ctx, writer: w, request: r, route: route,
 		service: snapshot.Services[route.Service], placement: placement.Request{Route: route, Workspace: workspace, Bytes: max(0, r.ContentLength)},
 	}
+	defer func() { c.body.close() }()
 	if no := c.prepare(); no != nil {
 		h.refuse(w, r, *no)
 		return
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	stdlog "log"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,12 +114,28 @@
 	}
 }
 
+// serverPanics counts the connections that a server ended by a panic of its
+// own.
+var serverPanics atomic.Int64
+
+// errorLog is a server's log of errors.
+type errorLog struct{}
+
+// Write implements io.Writer.
+func (errorLog) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("panic serving")) {
+		serverPanics.Add(1)
+	}
+	return len(line), nil
+}
+
 // serve runs a server until the test ends and returns its address.
 func serve(t testing.TB, server *http.Server) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	server.ErrorLog = stdlog.New(errorLog{}, "", 0)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
--- a/internal/entry/mixed_test.go
+++ b/internal/entry/mixed_test.go
@@ -76,6 +76,9 @@
 		t.Errorf("%d double runs, %d false not-run, wrong answers %q, violations %q",
 			doubleRuns, falseNotRun, first(p.faults), first(s.violations))
 	}
+	if n := serverPanics.Load(); n > 0 {
+		t.Errorf("%d connections ended by a panic", n)
+	}
 	if p.counts[attempt.Answered] < mixedRequests/2 || p.counts[attempt.NotRun] == 0 || p.counts[attempt.Unknown] == 0 {
 		t.Errorf("outcomes %v do not cover the faults", p.counts)
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -67,6 +67,11 @@
 
 func (c *call) start() attempt.Decision {
 	c.refusal = refusal{http.StatusServiceUnavailable, "no-target", "no target took the request", time.Second}
+	if c.body.streams() {
+		// A target may answer before it has read the whole body. From here on
+		// each answer needs closeIfNeeded.
+		_ = http.NewResponseController(c.writer).EnableFullDuplex()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.machine = attempt.New(c.route.Repeatable, c.budget)
