--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -92,9 +92,9 @@
 
 // try sends the request to one target.
 func (c *call) try(d attempt.Decision) attempt.Decision {
-	grant, err := c.place()
-	if err != nil {
-		c.refusal = placementRefusal(err)
+	grant, no := c.place()
+	if no != nil {
+		c.refusal = *no
 		return c.handle(attempt.NoTarget, false)
 	}
 	c.Log.Info().Str("request", c.id).Str("route", c.route.Name).Str("workspace", c.placement.Workspace).
--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -16,21 +16,29 @@
 )
 
 // place chooses a target. While every target is at its limit it waits a little,
-// in which requests end and other instances lend slots.
-func (c *call) place() (placement.Grant, error) {
+// in which requests end and other instances lend slots. The key is checked
+// before each choice.
+func (c *call) place() (placement.Grant, *refusal) {
 	timeout := time.NewTimer(slotWait)
 	defer timeout.Stop()
 	for {
+		if no := c.keyHolds(); no != nil {
+			return placement.Grant{}, no
+		}
 		grant, err := c.choose(c.placement)
+		if err == nil {
+			return grant, nil
+		}
+		no := placementRefusal(err)
 		if !errors.Is(err, placement.ErrOverloaded) {
-			return grant, err
+			return grant, &no
 		}
 		select {
 		case <-time.After(slotPoll):
 		case <-timeout.C:
-			return grant, err
+			return grant, &no
 		case <-c.ctx.Done():
-			return grant, err
+			return grant, &no
 		}
 	}
 }
