--- a/internal/placement/loan.go
+++ b/internal/placement/loan.go
@@ -254,16 +254,19 @@
 }
 
 // spare returns the slots of a service that can be lent: what is left above
-// the most requests in flight of late and the part that is kept free.
+// the most requests in flight of late and the part that is kept free, and never
+// more than half of all.
 func (p *Placer) spare(s *service, now time.Time) int {
-	own := 0
+	own, lent := 0, 0
 	for _, t := range s.targets {
 		if t.accepts(now) {
-			own += p.ownSlots(t, now) - t.lent
+			own += p.ownSlots(t, now)
+			lent += t.lent
 		}
 	}
 	s.roll(now)
-	return max(0, own-max(s.peaks[0], s.peaks[1])-own/freePart)
+	free := own - lent - max(s.peaks[0], s.peaks[1]) - max(1, own/freePart)
+	return max(0, min(free, own/2-lent))
 }
 
 // began counts a request that starts.
--- a/internal/placement/loan_test.go
+++ b/internal/placement/loan_test.go
@@ -104,3 +104,15 @@
 		t.Fatal("a loan went on that the giver needs")
 	}
 }
+
+// However often it is asked, an idle giver keeps half of its slots.
+func TestGiverKeepsHalf(t *testing.T) {
+	giver, _, ask := loanPair(t)
+	for range 20 {
+		ask.ID++
+		giver.Lend(ask, "borrower", start)
+	}
+	if free, own := giver.free(giver.services["listings"], start); free < 3 {
+		t.Fatalf("%d slots left of 6, %d own", free, own)
+	}
+}
