--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -97,15 +97,11 @@
 
 // try sends the request to one target.
 func (c *call) try(d attempt.Decision) attempt.Decision {
-	if no := c.keyHolds(); no != nil {
+	grant, no := c.place()
+	if no != nil {
 		c.refusal = *no
 		return c.handle(attempt.NoTarget, false)
 	}
-	grant, err := c.place()
-	if err != nil {
-		c.refusal = placementRefusal(err)
-		return c.handle(attempt.NoTarget, false)
-	}
 	c.Log.Info().Str("request", c.id).Str("route", c.route.Name).Str("workspace", c.placement.Workspace).
 		Str("target", grant.Target.Name).Str("region", grant.Region).Str("reason", string(grant.Reason)).
 		Int("try", c.machine.Tries()).Msg("placement: chose a target")
