--- a/internal/server/seat.go
+++ b/internal/server/seat.go
@@ -21,8 +21,6 @@
 	// seatMargin allows for the drift of clocks and for the life of the tokens
 	// that a former holder granted last.
 	seatMargin = time.Second
-	// reserveBound is how long a seat's reserve may be used without news.
-	reserveBound = time.Hour
 )
 
 // seats are the seat of this instance and, at a writer, the wishes of others.
