--- a/internal/limit/demand.go
+++ b/internal/limit/demand.go
@@ -238,6 +238,12 @@
 	var best *owner
 	var first time.Time
 	for _, o := range w.owners {
+		if o.zone == l.options.AvailabilityZone && l.owns(w, now) {
+			o.learn(w.share.level(), now)
+			if o.level >= 0 && o.failures > 1 {
+				o.failures, o.notBefore = 1, now.Add(minBackoff)
+			}
+		}
 		expected := now.Add(o.rtt + o.queueing(now))
 		if next := o.notBefore.Add(o.rtt); expected.Before(next) {
 			expected = next
@@ -359,7 +365,7 @@
 		o.fail(now)
 		return
 	}
-	o.failures = 0
+	o.failures, o.notBefore = 0, time.Time{}
 }
 
 // retryAfter is when a refused caller may try again.
