--- a/internal/freshness/author.go
+++ b/internal/freshness/author.go
@@ -1,8 +1,9 @@
 package freshness
 
 import (
-	"github.com/cockroachdb/errors"
 	"slices"
+
+	"github.com/cockroachdb/errors"
 )
 
 // ErrRetired refuses a write of a process that has given its final voucher.
--- a/spec/freshness.pml
+++ b/spec/freshness.pml
@@ -1,8 +1,8 @@
 /* Configuration order and key freshness through relays.
  *
- * Writer 0, or both writers, are listed in revision 1. An instance learns revisions and evidence from the store or through relays,
- * which may be old. Writers may be cut off, paused (never scheduled), end, or
- * leave in good order.
+ * Writer 0, or both writers, are listed in revision 1. An instance learns
+ * revisions and evidence from the store or through relays, which may be old.
+ * Writers may be cut off, paused (never scheduled), end, or leave in good order.
  *
  * A moment is represented by the newest revision that was accepted by then,
  * so no clock is needed. Property: the instance holds every revision that was
