--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -13,6 +13,7 @@
 const (
 	defaultKeyFreshness = 5 * time.Second
 	defaultDrainDelay   = 6 * time.Second
+	defaultReserveBound = time.Hour
 )
 
 func newServe() *cobra.Command {
@@ -43,6 +44,7 @@
 	f.StringVar(&o.OperatorToken, "operator-token", "", "credential of the operators' API")
 	f.StringSliceVar(&o.Seeds, "seed", nil, "IP:ports of other instances' peer addresses, asked while the platform cannot be reached")
 	f.DurationVar(&o.KeyFreshness, "key-freshness", defaultKeyFreshness, "how long keys are trusted without news from the store")
+	f.DurationVar(&o.ReserveBound, "reserve-bound", defaultReserveBound, "how long a zone that is cut off goes on with its reserve")
 	f.DurationVar(&o.DrainDelay, "drain-delay", defaultDrainDelay, "how long a leaving instance serves callers that hold cached look-up answers")
 	f.StringVar(&o.TLSCertificate, "tls-cert", "", "certificate for callers, operators and peers: a PEM file or PEM text")
 	f.StringVar(&o.TLSKey, "tls-key", "", "key of the certificate: a PEM file or PEM text")
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -109,7 +109,7 @@
 			Name: f.name, AvailabilityZone: f.zone, Listen: d.address(f.host, callerPort),
 			PeerListen: d.address(f.host, peerPort), OperatorListen: d.address(f.host, operatorPort),
 			Platform: d.address("1", callerPort), OperatorToken: token,
-			KeyFreshness: callTimeout, LogLevel: "info",
+			KeyFreshness: callTimeout, ReserveBound: time.Hour, LogLevel: "info",
 		}, logs)
 		if err != nil {
 			return err
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -28,6 +28,10 @@
 	// KeyFreshness bounds how long keys are trusted without news from the
 	// store.
 	KeyFreshness time.Duration
+	// ReserveBound is how long an availability zone that is cut off goes on with
+	// the reserve of its seats. The reserve of a seat whose holder has died is
+	// unused for as long.
+	ReserveBound time.Duration
 	// DrainDelay is how long a leaving instance goes on serving callers that
 	// hold cached look-up answers.
 	DrainDelay time.Duration
@@ -65,6 +69,9 @@
 	if o.KeyFreshness <= 0 {
 		p.Add("key-freshness", "must be above 0, is %s", o.KeyFreshness)
 	}
+	if o.ReserveBound < o.KeyFreshness {
+		p.Add("reserve-bound", "must not be below --key-freshness, is %s", o.ReserveBound)
+	}
 	if o.DrainDelay < 0 {
 		p.Add("drain-delay", "must not be negative, is %s", o.DrainDelay)
 	}
--- a/internal/server/placement.go
+++ b/internal/server/placement.go
@@ -33,7 +33,7 @@
 func (s *Server) newPlacer(seats seat.Holder) *placement.Placer {
 	return placement.New(placement.Options{
 		AvailabilityZone: s.options.AvailabilityZone, Seats: seats,
-		LayoutBound: s.options.KeyFreshness, ReserveBound: reserveBound,
+		LayoutBound: s.options.KeyFreshness, ReserveBound: s.options.ReserveBound,
 		FirstLoan: rand.Uint64(), Invariants: s.invariants,
 	})
 }
--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -39,7 +39,7 @@
 	t.Cleanup(func() { _ = targetServer.Close() })
 	s, err := Provision(Options{
 		Name: "a", AvailabilityZone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
-		Platform: platform.Addr().String(), OperatorToken: "t", KeyFreshness: time.Second, DrainDelay: drainDelay, LogLevel: "error",
+		Platform: platform.Addr().String(), OperatorToken: "t", KeyFreshness: time.Second, ReserveBound: time.Hour, DrainDelay: drainDelay, LogLevel: "error",
 	}, io.Discard)
 	if err != nil {
 		t.Fatal(err)
