--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/turmericfield/turmericfield/internal/seat"
 	"github.com/turmericfield/turmericfield/internal/settings"
 )
 
@@ -45,6 +46,9 @@
 	PlatformCA string
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
+
+	// holder replaces the seat of the instance in tests; nil for its own.
+	holder seat.Holder
 }
 
 // Validate reports every fault of the options.
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -9,7 +9,6 @@
 	"github.com/turmericfield/turmericfield/internal/entry"
 	"github.com/turmericfield/turmericfield/internal/invariant"
 	"github.com/turmericfield/turmericfield/internal/once"
-	"github.com/turmericfield/turmericfield/internal/seat"
 )
 
 // claims returns the claims of requests that callers may send again.
@@ -18,12 +17,15 @@
 // connectionShare returns how many connections this instance may open to a
 // target.
 func (s *Server) connectionShare(t config.Target, maxConnections int) int {
-	return entry.ShareConnections(t.Name, maxConnections, s.connectionSeat())
+	own, ok := s.holder().Seat(time.Now())
+	if !ok {
+		if own, ok = s.holder().Reserve(time.Now()); !ok {
+			return 0
+		}
+	}
+	return entry.ShareConnections(t.Name, maxConnections, own)
 }
 
-// connectionSeat returns the seat by which target connections are shared.
-func (s *Server) connectionSeat() seat.Seat { return seat.Seat{FleetSeats: 1} }
-
 // finishRequests refuses new requests and waits for those in flight.
 func (s *Server) finishRequests(kill context.Context, callers *http.Server) {
 	s.entry.Drain()
--- a/internal/server/seat.go
+++ b/internal/server/seat.go
@@ -41,6 +41,14 @@
 	}
 }
 
+// holder returns who tells which seat this instance may use.
+func (s *Server) holder() seat.Holder {
+	if s.options.holder != nil {
+		return s.options.holder
+	}
+	return s
+}
+
 // Seat implements seat.Holder. The evidence has to cover the configuration
 // too, because that says which seat owns what.
 func (s *Server) Seat(now time.Time) (seat.Seat, bool) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	s.invariants = &invariant.Recorder{OnViolation: s.reportViolation}
-	s.placer = s.newPlacer(&placement.StaticSeat{AvailabilityZone: o.AvailabilityZone, ZoneSeats: 1, FleetSeats: 1, Clean: true})
+	s.placer = s.newPlacer(s.holder())
 	s.outgoing = make(chan struct{}, maxOutgoing)
 	s.provisionFleet()
 	s.seats, s.limiter = s.newSeats(), s.newLimits()
--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/entry"
+	"github.com/turmericfield/turmericfield/internal/placement"
 	standinplatform "github.com/turmericfield/turmericfield/internal/standin/platform"
 )
 
@@ -40,6 +41,7 @@
 	s, err := Provision(Options{
 		Name: "a", AvailabilityZone: "z", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
 		Platform: platform.Addr().String(), OperatorToken: "t", KeyFreshness: time.Second, ReserveBound: time.Hour, DrainDelay: drainDelay, LogLevel: "error",
+		holder: &placement.StaticSeat{AvailabilityZone: "z", ZoneSeats: 1, FleetSeats: 1, Clean: true},
 	}, io.Discard)
 	if err != nil {
 		t.Fatal(err)
