Count the changes of seats, so that a newcomer need not wait for a layout that never was

Cause: the placer got the instance's real seat, and an instance seated after the second configuration waited for the whole reserve bound (1 h), because it could not tell that the number of seats had not changed (path.txtar: no loan in 120 s). Ruled out: clocks in the record; comparing only the present number, which misses a change there and back. Change: a confirm counts the changes of each zone's and the fleet's seats in the record; a seat table names the generations that a writer has held for the bounds.

--- /dev/null
+++ b/internal/config/generation_test.go
@@ -0,0 +1,36 @@
+package config
+
+import (
+	"maps"
+	"testing"
+)
+
+func withZones(seats map[string]int) *Document {
+	doc := &Document{}
+	for name, n := range seats {
+		doc.AvailabilityZones = append(doc.AvailabilityZones, AvailabilityZone{Name: name, Instances: n})
+	}
+	return doc
+}
+
+// TestSeatGenerations changes the numbers of seats step by step, back to a
+// former number and over a removal.
+func TestSeatGenerations(t *testing.T) {
+	steps := []struct{ seats, want map[string]int }{
+		{map[string]int{"a": 1, "b": 2}, map[string]int{}},
+		{map[string]int{"a": 1, "b": 2}, map[string]int{}},
+		{map[string]int{"a": 2, "b": 1}, map[string]int{"a": 1, "b": 1}},
+		{map[string]int{"a": 1, "b": 1}, map[string]int{"a": 2, "b": 1, FleetGeneration: 1}},
+		{map[string]int{"a": 1}, map[string]int{"a": 2, "b": 2, FleetGeneration: 2}},
+		{map[string]int{"a": 1, "b": 1, "c": 1}, map[string]int{"a": 2, "b": 2, FleetGeneration: 3}},
+	}
+	before, got := &Document{}, map[string]int(nil)
+	for i, s := range steps {
+		after := withZones(s.seats)
+		got = NextSeatGenerations(before, after, got)
+		if !maps.Equal(got, s.want) {
+			t.Fatalf("step %d: generations %v, want %v", i, got, s.want)
+		}
+		before = after
+	}
+}
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -55,6 +55,10 @@
 	// Writers may write the next record; any process may write the first one.
 	Writers  []Writer  `json:"writers"`
 	Document *Document `json:"document"`
+	// SeatGenerations counts the changes of the number of seats of each
+	// availability zone since it was first defined, and, below FleetGeneration,
+	// those of the whole fleet. One that is not listed has never changed.
+	SeatGenerations map[string]int `json:"seat_generations,omitempty"`
 	// Blocks are the shards of the table of client blocks, in the stored form
 	// of package steering, ordered by their hashes.
 	Blocks []Chunk `json:"-"`
@@ -81,6 +85,8 @@
 	Version  uint64      `json:"version"`
 	History  []Operation `json:"history"`
 	Writers  []Writer    `json:"writers"`
+	// SeatGenerations is the record's field of that name.
+	SeatGenerations map[string]int `json:"seat_generations,omitempty"`
 	// Chunks lists the SHA-256 digests of the document's chunks, in order.
 	Chunks []string `json:"chunks"`
 }
@@ -100,7 +106,7 @@
 
 // Split returns the stored form of a record.
 func Split(r Record) (Manifest, []Chunk, error) {
-	m := Manifest{Revision: r.Revision, Version: r.Version, History: r.History, Writers: r.Writers}
+	m := Manifest{Revision: r.Revision, Version: r.Version, History: r.History, Writers: r.Writers, SeatGenerations: r.SeatGenerations}
 	if r.Document == nil {
 		return m, nil, nil
 	}
@@ -187,7 +193,7 @@
 // Join returns the record of a manifest. chunk returns the data of a hash, or
 // nil. Data that does not match its hash is an error.
 func Join(m Manifest, chunk func(hash string) []byte) (Record, error) {
-	r := Record{Revision: m.Revision, Version: m.Version, History: m.History, Writers: m.Writers}
+	r := Record{Revision: m.Revision, Version: m.Version, History: m.History, Writers: m.Writers, SeatGenerations: m.SeatGenerations}
 	fields := map[string][]json.RawMessage{}
 	for _, hash := range m.Chunks {
 		data := chunk(hash)
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -18,6 +18,8 @@
 	Document *Document
 	// Blocks are the record's shards of client blocks.
 	Blocks []Chunk
+	// SeatGenerations is the record's field of that name.
+	SeatGenerations map[string]int
 
 	Regions    map[string]*Region
 	Zones      map[string]*AvailabilityZone
@@ -39,6 +41,7 @@
 func CompileRecord(r Record) *Snapshot {
 	s := Compile(r.Version, r.Document)
 	s.Blocks = r.Blocks
+	s.SeatGenerations = r.SeatGenerations
 	return s
 }
 
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -81,7 +81,7 @@
 		}
 	}
 	switch {
-	case config > 1 || !r.last.IsZero():
+	case !s.Settled && (config > 1 || !r.last.IsZero()):
 		r.wait = waitLayout
 	case s.Clean:
 		r.wait = waitNothing
--- a/internal/seat/keeper.go
+++ b/internal/seat/keeper.go
@@ -19,6 +19,8 @@
 	ZoneSeats, FleetSeats int
 	// First is the fleet-wide number of the zone's first seat.
 	First int
+	// ZoneGeneration and FleetGeneration count the changes of both numbers.
+	ZoneGeneration, FleetGeneration int
 }
 
 // Keeper is the Holder of one process. It is not safe for concurrent use.
@@ -101,6 +103,7 @@
 func (k *Keeper) Seat(now time.Time) (Seat, bool) {
 	s, ok := k.use(now, k.usable, k.bounds.Use)
 	s.Clean = ok && k.table.Entries[k.index].Clean
+	s.Settled = ok && k.table.SettledFleet == k.layout.FleetGeneration
 	return s, ok
 }
 
@@ -108,6 +111,7 @@
 func (k *Keeper) Reserve(now time.Time) (Seat, bool) {
 	s, ok := k.use(now, k.reserveFrom, k.bounds.Reserve)
 	s.Clean = ok && k.table.Entries[k.index].ReserveClean
+	s.Settled = ok && k.table.SettledZone == k.layout.ZoneGeneration
 	return s, ok
 }
 
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -10,6 +10,9 @@
 type Seat struct {
 	// Clean says that nobody else has ever used what this answer permits.
 	Clean bool
+	// Settled says that nobody uses a share of another number of seats any more:
+	// of the fleet's for Holder.Seat, of the zone's for Holder.Reserve.
+	Settled bool
 	// AvailabilityZone that the seat belongs to.
 	AvailabilityZone string
 	// Index of the seat among those of its availability zone, from 0.
--- a/internal/seat/seat_test.go
+++ b/internal/seat/seat_test.go
@@ -199,3 +199,36 @@
 		t.Fatalf("got %+v, %v", decoded, err)
 	}
 }
+
+// TestSettledLayout tells a seat of a settled number of seats from one whose
+// number somebody may still use another one of.
+func TestSettledLayout(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := Process{Instance: "a", Incarnation: 1}
+	k := NewKeeper(p, "z", Bounds{Use: time.Second, Reserve: time.Hour})
+	table, _ := Table{}.Next(Demand{Seats: 1, Claims: []Process{p}}, "op")
+	settled := func(layout Layout, table Table) (fleet, zone bool) {
+		k.SetLayout(layout)
+		k.Adopt(table, now)
+		k.Observe(now.Add(time.Nanosecond), table.Version)
+		s, _ := k.Seat(now)
+		r, _ := k.Reserve(now)
+		return s.Settled, r.Settled
+	}
+	layout := Layout{ZoneSeats: 1, FleetSeats: 1}
+	if fleet, zone := settled(layout, table); !fleet || !zone {
+		t.Errorf("first layout: fleet %t, zone %t", fleet, zone)
+	}
+	layout.ZoneGeneration, layout.FleetGeneration = 2, 1
+	if fleet, zone := settled(layout, table); fleet || zone {
+		t.Errorf("changed layout: fleet %t, zone %t", fleet, zone)
+	}
+	table, changed := table.Next(Demand{Seats: 1, SettledFleet: 1, Gone: func(string) bool { return false }}, "op")
+	if fleet, zone := settled(layout, table); !changed || !fleet || zone {
+		t.Errorf("settled fleet: changed %t, fleet %t, zone %t", changed, fleet, zone)
+	}
+	table, _ = table.Next(Demand{Seats: 1, SettledZone: 2, Gone: func(string) bool { return false }}, "op")
+	if fleet, zone := settled(layout, table); !fleet || !zone {
+		t.Errorf("both settled: fleet %t, zone %t", fleet, zone)
+	}
+}
--- a/internal/seat/table.go
+++ b/internal/seat/table.go
@@ -36,6 +36,10 @@
 type Table struct {
 	Version uint64  `json:"version"`
 	Entries []Entry `json:"entries"`
+	// SettledZone and SettledFleet are the newest generations of the numbers of
+	// seats that have been in force for so long that nobody uses an earlier one.
+	SettledZone  int `json:"settled_zone,omitempty"`
+	SettledFleet int `json:"settled_fleet,omitempty"`
 	// Operation identifies the write that accepted this version.
 	Operation string `json:"operation"`
 }
@@ -81,6 +85,9 @@
 type Demand struct {
 	// Seats is the number of seats that the configuration gives to the zone.
 	Seats int
+	// SettledZone and SettledFleet are generations that the writer has seen in
+	// force for the bounds; see Table.
+	SettledZone, SettledFleet int
 	// Claims are the live processes that ask for a seat.
 	Claims []Process
 	// Releases are the processes that gave their seats back.
@@ -93,7 +100,10 @@
 // Next returns the table that follows from a demand, and whether it differs.
 func (t Table) Next(d Demand, operation string) (Table, bool) {
 	next := Table{Version: t.Version + 1, Operation: operation, Entries: slices.Clone(t.Entries)}
-	changed := next.free(d)
+	next.SettledZone = max(t.SettledZone, d.SettledZone)
+	next.SettledFleet = max(t.SettledFleet, d.SettledFleet)
+	changed := next.SettledZone != t.SettledZone || next.SettledFleet != t.SettledFleet
+	changed = next.free(d) || changed
 	for len(next.Entries) < d.Seats {
 		next.Entries = append(next.Entries, Entry{Clean: true, ReserveClean: true})
 		changed = true
--- a/internal/server/seat.go
+++ b/internal/server/seat.go
@@ -30,6 +30,7 @@
 	claims   map[string][]seat.Process // by availability zone
 	releases map[string][]seat.Release
 	sent     int // messages to writers
+	settling settling
 }
 
 func (s *Server) newSeats() seats {
@@ -81,7 +82,10 @@
 
 // seatLayout places the own zone's seats among those of the fleet.
 func seatLayout(snapshot *config.Snapshot, zone string) seat.Layout {
-	var l seat.Layout
+	l := seat.Layout{
+		ZoneGeneration:  snapshot.SeatGenerations[zone],
+		FleetGeneration: snapshot.SeatGenerations[config.FleetGeneration],
+	}
 	for _, z := range snapshot.Document.AvailabilityZones {
 		if z.Name == zone {
 			l.First, l.ZoneSeats = l.FleetSeats, z.Seats()
@@ -178,6 +182,7 @@
 // writeSeats writes the tables of all zones with wishes. Whoever gets no seat,
 // for instance because a write was lost, asks again.
 func (s *Server) writeSeats(ctx context.Context) {
+	s.seats.settling.observe(s.snapshot.Load().SeatGenerations, time.Now())
 	s.mu.Lock()
 	claims, releases := s.seats.claims, s.seats.releases
 	s.seats.claims, s.seats.releases = map[string][]seat.Process{}, map[string][]seat.Release{}
@@ -187,6 +192,7 @@
 			Seats: z.Seats(), Claims: claims[z.Name], Releases: releases[z.Name],
 			Gone: func(instance string) bool { return !s.isListed(instance) },
 		}
+		d.SettledZone, d.SettledFleet = s.settledGenerations(z.Name)
 		if len(d.Claims)+len(d.Releases) == 0 {
 			continue
 		}
@@ -261,6 +267,41 @@
 	return out, nil
 }
 
+// settling remembers, at a writer, since when it has held the present
+// generations of the numbers of seats.
+type settling struct {
+	generations map[string]int
+	since       map[string]time.Time
+}
+
+// observe records the generations in force.
+func (g *settling) observe(generations map[string]int, now time.Time) {
+	if g.since == nil {
+		g.generations, g.since = map[string]int{}, map[string]time.Time{}
+	}
+	for key, n := range generations {
+		if g.generations[key] != n {
+			g.generations[key], g.since[key] = n, now
+		}
+	}
+}
+
+// settled returns a generation once it has been held for a time, 0 before.
+func (g *settling) settled(key string, hold time.Duration, now time.Time) int {
+	if now.Sub(g.since[key]) < hold {
+		return 0
+	}
+	return g.generations[key]
+}
+
+// settledGenerations returns the generations of the numbers of seats that
+// nobody can use an earlier one of.
+func (s *Server) settledGenerations(zone string) (ofZone, ofFleet int) {
+	now, g := time.Now(), &s.seats.settling
+	ofZone = g.settled(zone, s.options.ReserveBound+seatMargin, now)
+	return ofZone, g.settled(config.FleetGeneration, s.options.KeyFreshness+seatMargin, now)
+}
+
 // releaseSeat stops using the seat and tells a writer.
 func (s *Server) releaseSeat(ctx context.Context) {
 	s.mu.Lock()
