--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 SOURCES := $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: check format vet lint test models build demo
+.PHONY: check format vet lint test models build demo capacity
 
 check: format vet lint test models
 
@@ -26,3 +26,8 @@
 
 demo: build
 	./bin/turmericfield demo
+
+# Measures costs against the fleet's size; SIZES=7,100,400,1600 takes minutes.
+SIZES ?= 7,24,100,200
+capacity: build
+	./bin/turmericfield experiment capacity --sizes $(SIZES) --plot bin/capacity.svg
--- /dev/null
+++ b/internal/command/experiment.go
@@ -0,0 +1,73 @@
+package command
+
+import (
+	"io"
+	"os"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/turmericfield/turmericfield/internal/experiment"
+	"github.com/turmericfield/turmericfield/internal/settings"
+)
+
+func newExperiment() *cobra.Command {
+	cmd := &cobra.Command{Use: "experiment", Short: "Measure the system on this machine"}
+	cmd.AddCommand(newExperimentCapacity())
+	return cmd
+}
+
+func newExperimentCapacity() *cobra.Command {
+	o := experiment.Options{Seed: 1}
+	var plot string
+	var f clientFlags
+	cmd := &cobra.Command{
+		Use:   "capacity",
+		Short: "Measure costs against the fleet's size and compare them with their budgets",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := checkCapacity(o, f); err != nil {
+				return err
+			}
+			slices.Sort(o.Sizes)
+			report := experiment.Run(o)
+			if plot != "" {
+				if err := writePlot(plot, report); err != nil {
+					return err
+				}
+			}
+			var failed error
+			err := f.print(cmd.OutOrStdout(), report, func(w io.Writer) { failed = report.WriteText(w) })
+			return errors.CombineErrors(err, failed)
+		},
+	}
+	flags := cmd.Flags()
+	flags.IntSliceVar(&o.Sizes, "sizes", []int{7, 24, 100, 200}, "sizes of the simulated fleets")
+	flags.Uint64Var(&o.Seed, "seed", o.Seed, "seed of the simulated faults")
+	flags.StringVar(&plot, "plot", "", "file for a plot of cost against size, in SVG")
+	flags.StringVar(&f.output, "output", "text", "text or json")
+	return cmd
+}
+
+func checkCapacity(o experiment.Options, f clientFlags) error {
+	var p settings.Problems
+	if len(o.Sizes) == 0 {
+		p.Add("sizes", "must name at least one size")
+	}
+	for _, size := range o.Sizes {
+		if size < 2 || size > experiment.MaxInstances {
+			p.Add("sizes", "must be 2 to %d, is %d", experiment.MaxInstances, size)
+		}
+	}
+	f.checkOutput(&p)
+	return errors.Mark(p.Err(), errUsage)
+}
+
+func writePlot(name string, report experiment.Report) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(report.WritePlot(file), file.Close())
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -68,7 +68,7 @@
 	root.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
 		return errors.Mark(settings.ReadEnvironment(cmd.Flags()), errUsage)
 	}
-	root.AddCommand(newServe(), newStandin(), newPlan(), newConfirm(), newStatus(), newLookup(), newValidate(), newLoad(), newDemo())
+	root.AddCommand(newServe(), newStandin(), newPlan(), newConfirm(), newStatus(), newLookup(), newValidate(), newLoad(), newDemo(), newExperiment())
 	document(root)
 	return root
 }
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -39,7 +40,12 @@
 				return err
 			}
 			stop, _ := signals(cmd.Context())
-			return standinplatform.New(list).Serve(stop, listener)
+			platform := standinplatform.New(list)
+			start := time.Now()
+			err = platform.Serve(stop, listener)
+			fmt.Fprintf(cmd.OutOrStdout(), "%d reads, %d writes, %d watches in %.1f s\n",
+				platform.Calls.Reads.Load(), platform.Calls.Writes.Load(), platform.Calls.Watches.Load(), time.Since(start).Seconds())
+			return err
 		},
 	}
 	cmd.Flags().StringVar(&listen, "listen", "", "IP:port to serve on")
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,66 @@
+package experiment
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"io"
+	"math"
+	"strings"
+	"testing"
+)
+
+// TestFit compares the fitted line with known ones.
+func TestFit(t *testing.T) {
+	for name, c := range map[string]struct {
+		points           []Point
+		slope, intercept float64
+	}{
+		"line":  {[]Point{{7, 17}, {100, 110}, {400, 410}}, 1, 10},
+		"noise": {[]Point{{0, 1}, {0, 3}, {2, 5}, {2, 7}}, 2, 2},
+		"one":   {[]Point{{7, 5}}, 0, 5},
+		"none":  {nil, 0, 0},
+	} {
+		if slope, intercept := fit(c.points); math.Abs(slope-c.slope) > 1e-9 || math.Abs(intercept-c.intercept) > 1e-9 {
+			t.Errorf("%s: %g, %g", name, slope, intercept)
+		}
+	}
+}
+
+// TestLineSaysWhatMisses checks what is taken as measured and what as missed.
+func TestLineSaysWhatMisses(t *testing.T) {
+	within := Line{Points: []Point{{100, 100}, {200, 200}}, Budget: 3200}
+	within.extrapolate()
+	if within.AtTarget != 1600 || within.Measured || within.Margin() != 2 || strings.Contains(within.budgetText(), "MISSED") {
+		t.Errorf("%+v", within)
+	}
+	over := Line{Points: []Point{{100, 100}, {TargetInstances, 6400}}, Budget: 3200}
+	over.extrapolate()
+	if over.AtTarget != 6400 || !over.Measured || !strings.Contains(over.budgetText(), "MISSED") {
+		t.Errorf("%+v", over)
+	}
+}
+
+// TestRun measures tiny fleets and checks that each cost is there and drawn.
+func TestRun(t *testing.T) {
+	r := Run(Options{Sizes: []int{7, 18}, Seed: 1, Blocks: 10_000})
+	for _, l := range r.Lines {
+		if l.AtTarget <= 0 && l.Cost != "memory of membership and dissemination" && l.Cost != "processor of the cores" {
+			t.Errorf("%s, %s: %g %s", l.Role, l.Cost, l.AtTarget, l.Unit)
+		}
+	}
+	var text, svg bytes.Buffer
+	if err := r.WriteText(&text); err != nil || !strings.Contains(text.String(), "oldest evidence") {
+		t.Errorf("%v in %s", err, &text)
+	}
+	if err := r.WritePlot(&svg); err != nil {
+		t.Fatal(err)
+	}
+	for decoder := xml.NewDecoder(&svg); ; {
+		if _, err := decoder.Token(); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/experiment/plot.go
@@ -0,0 +1,56 @@
+package experiment
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 13 * vg.Centimeter
+	plotFloor  = 1e-4 // lowest share of a budget that the logarithmic axis shows
+)
+
+// WritePlot draws each cost that grows with the fleet, as a share of its
+// budget, against the fleet's size, as SVG.
+func (r Report) WritePlot(w io.Writer) error {
+	p := plot.New()
+	p.Title.Text = "Cost as a share of its budget"
+	p.X.Label.Text, p.Y.Label.Text = "instances", "share of the budget"
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{}, plot.LogTicks{}
+	p.Legend.Left = true
+	p.Y.Min, p.Y.Max = plotFloor, 10
+	var curves []any
+	for _, l := range r.Lines {
+		if points := l.shares(); len(points) > 0 {
+			curves = append(curves, l.Cost, points)
+		}
+	}
+	if err := plotutil.AddLinePoints(p, curves...); err != nil {
+		return errors.Wrap(err, "experiment: cannot draw the plot")
+	}
+	p.Add(plotter.NewGrid())
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	_, err := canvas.WriteTo(w)
+	return err
+}
+
+// shares returns the points of a cost as shares of its budget.
+func (l Line) shares() plotter.XYs {
+	var out plotter.XYs
+	for _, p := range l.Points {
+		if l.Budget > 0 {
+			out = append(out, plotter.XY{X: float64(p.Size), Y: max(plotFloor, p.Value/l.Budget)})
+		}
+	}
+	return out
+}
