Replace the log's asynchronous writer, which races

Cause: under the race detector internal/logging fails. phuslu's AsyncWriter sends the entry to its writer goroutine and reads its length afterwards (async.go:87), while the goroutine already reads and pools it. Ruled out: our counting of drops, which never touched the entry. The same writer panics on a line that comes after Close.

Change: a bounded queue of copied lines with one writer goroutine; drops are counted as before, lines after Close are dropped too, Close can be repeated and returns the first error of the writer.

Tests: TestLinesOfManyPartsArriveWhole was red under -race with the earlier code (two data races, async.go:82/87) and is green now.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -5,7 +5,6 @@
 
 import (
 	"io"
-	"sync/atomic"
 
 	"github.com/phuslu/log"
 )
@@ -14,41 +13,27 @@
 
 // Log owns the writer that all parts share.
 type Log struct {
-	writer  *log.AsyncWriter
-	dropped *countingWriter
-	level   log.Level
+	queue *queue
+	level log.Level
 }
 
 // New returns a log that writes JSON lines.
 func New(w io.Writer, level string) *Log {
-	async := &log.AsyncWriter{ChannelSize: bufferLines, Writer: &log.IOWriter{Writer: w}, DiscardOnFull: true}
-	return &Log{writer: async, dropped: &countingWriter{next: async}, level: log.ParseLevel(level)}
+	return &Log{queue: newQueue(w, bufferLines), level: log.ParseLevel(level)}
 }
 
 // Part returns the logger of one part; every line carries its name.
 func (l *Log) Part(name string) *log.Logger {
 	return &log.Logger{
-		Level: l.level, Writer: l.dropped, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Level: l.level, Writer: log.IOWriter{Writer: l.queue}, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 		Context: log.NewContext(nil).Str("part", name).Value(),
 	}
 }
 
-// Dropped returns the number of lines lost because the buffer was full.
-func (l *Log) Dropped() int64 { return l.dropped.count.Load() }
+// Dropped returns the number of lines lost because the buffer was full or the
+// log closed.
+func (l *Log) Dropped() int64 { return l.queue.dropped.Load() }
 
-// Close writes what is buffered.
-func (l *Log) Close() error { return l.writer.Close() }
-
-type countingWriter struct {
-	next  log.Writer
-	count atomic.Int64
-}
-
-// WriteEntry implements log.Writer.
-func (c *countingWriter) WriteEntry(e *log.Entry) (int, error) {
-	n, err := c.next.WriteEntry(e)
-	if err != nil {
-		c.count.Add(1)
-	}
-	return n, err
-}
+// Close writes what is buffered and returns the first error of the writer.
+// Lines that come later are dropped.
+func (l *Log) Close() error { return l.queue.close() }
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,71 @@
+package logging
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+)
+
+// TestLinesOfManyPartsArriveWhole writes from several goroutines; the race
+// detector watches that a line is not touched after it was handed over.
+func TestLinesOfManyPartsArriveWhole(t *testing.T) {
+	const parts, lines = 8, 500
+	var out bytes.Buffer
+	l := New(&out, "info")
+	var group sync.WaitGroup
+	for range parts {
+		group.Go(func() {
+			logger := l.Part("test")
+			for i := range lines {
+				logger.Info().Int("line", i).Msg("test: wrote a line")
+			}
+		})
+	}
+	group.Wait()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	written := bytes.Count(out.Bytes(), []byte("\"message\":\"test: wrote a line\"}\n"))
+	if written+int(l.Dropped()) != parts*lines {
+		t.Fatalf("%d lines written and %d dropped of %d", written, l.Dropped(), parts*lines)
+	}
+}
+
+// stuckWriter does not return from a write before it is released.
+type stuckWriter struct{ release chan struct{} }
+
+func (w stuckWriter) Write(line []byte) (int, error) {
+	<-w.release
+	return len(line), nil
+}
+
+func TestFullBufferDropsAndCounts(t *testing.T) {
+	stuck := stuckWriter{make(chan struct{})}
+	l := New(stuck, "info")
+	logger := l.Part("test")
+	const extra = 10
+	for range bufferLines + 1 + extra { // one line may be with the writer
+		logger.Info().Msg("test: wrote a line")
+	}
+	if d := l.Dropped(); d < extra || d > extra+1 {
+		t.Errorf("%d lines dropped, want %d or one more", d, extra)
+	}
+	close(stuck.release)
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	var out bytes.Buffer
+	l := New(&out, "info")
+	for range 2 {
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.Part("test").Info().Msg("test: wrote a line")
+	if out.Len() > 0 || l.Dropped() != 1 {
+		t.Fatalf("%q written, %d dropped", out.String(), l.Dropped())
+	}
+}
