--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -1,20 +1,15 @@
 package command
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/turmericfield/turmericfield/internal/config"
-	"github.com/turmericfield/turmericfield/internal/entry"
 	"github.com/turmericfield/turmericfield/internal/operator"
 	"github.com/turmericfield/turmericfield/internal/settings"
 	"github.com/turmericfield/turmericfield/internal/tlsconfig"
@@ -34,10 +29,14 @@
 	flags := cmd.PersistentFlags()
 	flags.StringVar(&f.address, "operator", "", "IP:port of an instance's operators' API")
 	flags.StringVar(&f.token, "operator-token", "", "credential of the operators' API")
-	flags.StringVar(&f.output, "output", "text", "text or json")
+	f.registerOutput(cmd)
 	flags.StringVar(&f.ca, "tls-ca", "", "CA of the instances' certificates: a PEM file or PEM text; plain HTTP if it is not set")
 }
 
+func (f *clientFlags) registerOutput(cmd *cobra.Command) {
+	cmd.PersistentFlags().StringVar(&f.output, "output", "text", "text or json")
+}
+
 func (f *clientFlags) client() (*operator.Client, error) {
 	var p settings.Problems
 	p.Address("operator", f.address)
@@ -149,75 +148,3 @@
 		fmt.Fprintf(w, "instance %s in %s: version %d, %d in flight\n", in.Name, in.AvailabilityZone, in.Version, in.InFlight)
 	}
 }
-
-func newValidate() *cobra.Command {
-	return &cobra.Command{
-		Use:   "validate FILE",
-		Short: "Check a configuration file and report every finding",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			doc, err := readDocument(args[0])
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "%s: valid: %d services, %d routes, %d workspaces\n",
-				args[0], len(doc.Services), len(doc.Routes), len(doc.Workspaces))
-			return nil
-		},
-	}
-}
-
-func readDocument(file string) (*config.Document, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, err
-	}
-	return config.Parse(file, text)
-}
-
-func newLookup() *cobra.Command {
-	var instance, client, ca string
-	cmd := &cobra.Command{
-		Use:   "lookup",
-		Short: "Ask an instance which instances a caller should use",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var p settings.Problems
-			p.Address("instance", instance)
-			if err := p.Err(); err != nil {
-				return errors.Mark(err, errUsage)
-			}
-			answer, err := lookup(cmd.Context(), instance, client, ca)
-			if err != nil {
-				return err
-			}
-			for _, in := range answer.Instances {
-				fmt.Fprintf(cmd.OutOrStdout(), "%s %s %s\n", in.Address, in.Name, in.AvailabilityZone)
-			}
-			return nil
-		},
-	}
-	cmd.Flags().StringVar(&instance, "instance", "", "IP:port of any instance")
-	cmd.Flags().StringVar(&client, "client", "", "IP address of the caller; the connection's own if empty")
-	cmd.Flags().StringVar(&ca, "tls-ca", "", "CA of the instances' certificates: a PEM file or PEM text; plain HTTP if it is not set")
-	return cmd
-}
-
-func lookup(ctx context.Context, instance, client, ca string) (entry.LookupResponse, error) {
-	var answer entry.LookupResponse
-	base, caller, err := httpClient(instance, ca)
-	if err != nil {
-		return answer, err
-	}
-	address := base + entry.LookupPath + "?client=" + url.QueryEscape(client)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return answer, err
-	}
-	response, err := caller.Do(request)
-	if err != nil {
-		return answer, errors.Wrap(err, "look-up")
-	}
-	defer response.Body.Close()
-	return answer, errors.Wrap(json.NewDecoder(response.Body).Decode(&answer), "look-up answer")
-}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/operator"
@@ -42,6 +43,9 @@
 // errUsage marks faults of the command line or of settings.
 var errUsage = errors.New("usage")
 
+// errUnreachable marks a read that got no answer.
+var errUnreachable = errors.New("cannot be reached")
+
 // errInvalid marks a refused plan.
 var errInvalid = errors.New("plan is refused")
 
@@ -65,14 +69,49 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
+	root.AddCommand(newServe(), newStandin(), newPlan(), newConfirm(), newStatus(), newLookup(),
+		newValidate(), newLoad(), newDemo(), newVersion())
+	document(root)
+	checkUsage(root)
+	known := settings.Names(allFlags(root)...)
 	root.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
-		return errors.Mark(settings.ReadEnvironment(cmd.Flags()), errUsage)
+		return errors.Mark(settings.ReadEnvironment(cmd.Flags(), known), errUsage)
 	}
-	root.AddCommand(newServe(), newStandin(), newPlan(), newConfirm(), newStatus(), newLookup(), newValidate(), newLoad(), newDemo())
-	document(root)
 	return root
 }
 
+// checkUsage marks wrong arguments of a command and of those below it as faults
+// of usage, and makes a command that only groups others refuse unknown ones.
+func checkUsage(cmd *cobra.Command) {
+	for _, c := range cmd.Commands() {
+		checkUsage(c)
+	}
+	if !cmd.Runnable() {
+		cmd.Args = cobra.ArbitraryArgs
+		cmd.RunE = func(cmd *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				return cmd.Help()
+			}
+			return errors.Mark(errors.Newf("unknown command %q for %q", args[0], cmd.CommandPath()), errUsage)
+		}
+		return
+	}
+	if check := cmd.Args; check != nil {
+		cmd.Args = func(cmd *cobra.Command, args []string) error {
+			return errors.Mark(check(cmd, args), errUsage)
+		}
+	}
+}
+
+// allFlags returns the flags of a command and of those below it.
+func allFlags(cmd *cobra.Command) []*pflag.FlagSet {
+	sets := []*pflag.FlagSet{cmd.Flags(), cmd.PersistentFlags()}
+	for _, c := range cmd.Commands() {
+		sets = append(sets, allFlags(c)...)
+	}
+	return sets
+}
+
 func document(cmd *cobra.Command) {
 	settings.Document(cmd.Flags())
 	settings.Document(cmd.PersistentFlags())
@@ -89,7 +128,7 @@
 		return exitUsage
 	case errors.As(err, &findings), errors.Is(err, errInvalid):
 		return exitInvalid
-	case errors.Is(err, operator.ErrNotSent):
+	case errors.Is(err, operator.ErrNotSent), errors.Is(err, errUnreachable):
 		return exitUnavailable
 	case errors.Is(err, operator.ErrNoAnswer):
 		return exitUnknown
--- /dev/null
+++ b/internal/command/validate.go
@@ -0,0 +1,74 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/settings"
+)
+
+// validation is the JSON output of validate.
+type validation struct {
+	File       string          `json:"file"`
+	Valid      bool            `json:"valid"`
+	Services   int             `json:"services"`
+	Routes     int             `json:"routes"`
+	Workspaces int             `json:"workspaces"`
+	Findings   config.Findings `json:"findings,omitempty"`
+}
+
+func newValidate() *cobra.Command {
+	var f clientFlags
+	cmd := &cobra.Command{
+		Use:   "validate FILE",
+		Short: "Check a configuration file and report every finding",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var p settings.Problems
+			f.checkOutput(&p)
+			if err := p.Err(); err != nil {
+				return errors.Mark(err, errUsage)
+			}
+			return validate(cmd.OutOrStdout(), f, args[0])
+		},
+	}
+	f.registerOutput(cmd)
+	return cmd
+}
+
+func validate(w io.Writer, f clientFlags, file string) error {
+	result := validation{File: file}
+	doc, err := readDocument(file)
+	if err != nil && !errors.As(err, &result.Findings) {
+		return err
+	}
+	if doc != nil {
+		result.Valid = true
+		result.Services, result.Routes, result.Workspaces = len(doc.Services), len(doc.Routes), len(doc.Workspaces)
+	}
+	return errors.CombineErrors(err, f.print(w, result, func(w io.Writer) {
+		if result.Valid {
+			fmt.Fprintf(w, "%s: valid: %d services, %d routes, %d workspaces\n", file, result.Services, result.Routes, result.Workspaces)
+		}
+	}))
+}
+
+// readDocument reads and validates a configuration file. It reads no more than
+// one byte above the limit, which config.Parse then reports.
+func readDocument(name string) (*config.Document, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	text, err := io.ReadAll(io.LimitReader(file, config.MaxFileBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	return config.Parse(name, text)
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -263,17 +263,30 @@
 	h.mu.Lock()
 	decision := h.Limiter.Take(workspace.Name, now)
 	h.mu.Unlock()
-	if decision.Ticket != 0 {
+	waited := decision.Ticket != 0
+	if waited {
 		ctx, cancel := context.WithTimeout(r.Context(), route.Timeout())
 		decision = h.Await(ctx, workspace.Name, decision.Ticket)
 		cancel()
 	}
+	h.Metrics.Add(metrics.Label("limiter_decisions_total", "decision", limiterDecision(decision.Allowed, waited)), 1)
 	if !decision.Allowed {
 		return nil, "", &refusal{http.StatusTooManyRequests, "rate", "the workspace's rate is used up", decision.RetryAfter}
 	}
 	return route, workspace.Name, nil
 }
 
+// limiterDecision names a decision of the limiter in metrics.
+func limiterDecision(allowed, waited bool) string {
+	switch {
+	case !allowed:
+		return "refused"
+	case waited:
+		return "admitted-after-wait"
+	}
+	return "admitted"
+}
+
 func (h *Handler) authenticate(snapshot *config.Snapshot, route *config.Route, r *http.Request) (*config.Workspace, *refusal) {
 	if !h.KeysFresh(h.Now()) || h.Snapshot() != snapshot {
 		return nil, &refusal{http.StatusServiceUnavailable, "keys-stale", "this instance cannot tell whether the key is still valid", time.Second}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -105,6 +105,7 @@
 	c.Log.Info().Str("request", c.id).Str("route", c.route.Name).Str("workspace", c.placement.Workspace).
 		Str("target", grant.Target.Name).Str("region", grant.Region).Str("reason", string(grant.Reason)).
 		Int("try", c.machine.Tries()).Msg("placement: chose a target")
+	c.Metrics.Add(metrics.Label("placements_total", "reason", string(grant.Reason)), 1)
 	c.grant = grant
 	kind := c.send(d)
 	if kind == attempt.AnswerHeader {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,10 +29,26 @@
 	})
 }
 
+// Names returns the environment variables of all flags.
+func Names(sets ...*pflag.FlagSet) map[string]bool {
+	names := map[string]bool{}
+	for _, flags := range sets {
+		flags.VisitAll(func(f *pflag.Flag) { names[EnvName(f.Name)] = true })
+	}
+	return names
+}
+
 // ReadEnvironment sets every flag that the command line left out from its
-// environment variable. All faults are reported together.
-func ReadEnvironment(flags *pflag.FlagSet) error {
+// environment variable. A variable with our prefix that is not known to any
+// command is a fault. All faults are reported together.
+func ReadEnvironment(flags *pflag.FlagSet, known map[string]bool) error {
 	var problems Problems
+	for _, variable := range os.Environ() {
+		name, _, _ := strings.Cut(variable, "=")
+		if strings.HasPrefix(name, EnvPrefix) && !known[name] {
+			problems = append(problems, fmt.Sprintf("environment variable %s: no flag has this name", name))
+		}
+	}
 	flags.VisitAll(func(f *pflag.Flag) {
 		value, ok := os.LookupEnv(EnvName(f.Name))
 		if !ok || f.Changed || f.Name == "help" {
--- a/test/scripts/scripts_test.go
+++ b/test/scripts/scripts_test.go
@@ -2,11 +2,13 @@
 package scripts
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"regexp"
 	"strconv"
 	"strings"
@@ -23,6 +25,7 @@
 const (
 	pollInterval = 50 * time.Millisecond
 	pollLimit    = 600 // 30 s of patience with a busy machine
+	rawTimeout   = 20 * time.Second
 )
 
 func TestMain(m *testing.M) {
@@ -39,6 +42,9 @@
 			"eventually": eventually,
 			"capture":    capture,
 			"expand":     expand,
+			"exits":      exits,
+			"pad":        pad,
+			"raw":        raw,
 		},
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("NET", network())
@@ -82,6 +88,53 @@
 	}
 }
 
+// exits is "exits CODE COMMAND...": the command must end with this exit code.
+func exits(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exits CODE COMMAND...")
+	}
+	err := ts.Exec(args[1], args[2:]...)
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		ts.Fatalf("%s: %v", strings.Join(args[1:], " "), err)
+	}
+	code := 0
+	if exit != nil {
+		code = exit.ExitCode()
+	}
+	if strconv.Itoa(code) != args[0] {
+		ts.Fatalf("%s: exit code %d, want %s", strings.Join(args[1:], " "), code, args[0])
+	}
+}
+
+// pad is "pad FILE COUNT": it replaces $PAD in a file by COUNT letters.
+func pad(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: pad FILE COUNT")
+	}
+	count, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	text := strings.ReplaceAll(ts.ReadFile(args[0]), "$PAD", strings.Repeat("x", count))
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
+}
+
+// raw is "raw ADDRESS FILE": it sends a file's lines as they are, closes its
+// side of the connection, and writes the answer to the file http.txt.
+func raw(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: raw ADDRESS FILE")
+	}
+	conn, err := net.DialTimeout("tcp", args[0], rawTimeout)
+	ts.Check(err)
+	defer conn.Close()
+	ts.Check(conn.SetDeadline(time.Now().Add(rawTimeout)))
+	// A server that refuses a request may stop reading it.
+	_, _ = io.WriteString(conn, strings.ReplaceAll(ts.ReadFile(args[1]), "\n", "\r\n"))
+	ts.Check(conn.(*net.TCPConn).CloseWrite())
+	answer, _ := io.ReadAll(conn)
+	ts.Check(os.WriteFile(ts.MkAbs("http.txt"), answer, 0o600))
+}
+
 // httpCommand is "http METHOD URL [Header=value ...]": it sends a request and
 // writes status, header and body to the file http.txt.
 func httpCommand(ts *testscript.TestScript, neg bool, args []string) {
