Serve a workspace at once whose name was never used before

Cause: every workspace that is admitted was refused as over its rate for about 6 s, the time in which an instance may still go by an older configuration, although nobody can go by an older limit of a name that never existed. Ruled out: comparing with the configuration held before, which misses a removal in between. Red before: NewWorkspaceNeedNotSettle. Conclusion: served 100 ms after the configuration is in force; others still wait.

--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -117,6 +117,9 @@
 	Keys   []Key    `yaml:"keys" json:"keys"`
 	// CutOff refuses every request of the workspace.
 	CutOff bool `yaml:"cut_off,omitempty" json:"cut_off,omitempty"`
+	// FirstVersion is the version that defined a workspace of this name for the
+	// first time; 0 if that is not known. The system sets it.
+	FirstVersion uint64 `yaml:"-" json:"first_version,omitempty"`
 }
 
 // Key is one credential of a workspace. The secret itself is never kept.
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -59,6 +59,9 @@
 	// availability zone since it was first defined, and, below FleetGeneration,
 	// those of the whole fleet. One that is not listed has never changed.
 	SeatGenerations map[string]int `json:"seat_generations,omitempty"`
+	// Removed names the workspaces that were removed and not defined again.
+	// When it is full, no workspace counts as new any more.
+	Removed []string `json:"removed,omitempty"`
 	// Blocks are the shards of the table of client blocks, in the stored form
 	// of package steering, ordered by their hashes.
 	Blocks []Chunk `json:"-"`
@@ -87,6 +90,8 @@
 	Writers  []Writer    `json:"writers"`
 	// SeatGenerations is the record's field of that name.
 	SeatGenerations map[string]int `json:"seat_generations,omitempty"`
+	// Removed is the record's field of that name.
+	Removed []string `json:"removed,omitempty"`
 	// Chunks lists the SHA-256 digests of the document's chunks, in order.
 	Chunks []string `json:"chunks"`
 }
@@ -106,7 +111,7 @@
 
 // Split returns the stored form of a record.
 func Split(r Record) (Manifest, []Chunk, error) {
-	m := Manifest{Revision: r.Revision, Version: r.Version, History: r.History, Writers: r.Writers, SeatGenerations: r.SeatGenerations}
+	m := Manifest{Revision: r.Revision, Version: r.Version, History: r.History, Writers: r.Writers, SeatGenerations: r.SeatGenerations, Removed: r.Removed}
 	if r.Document == nil {
 		return m, nil, nil
 	}
@@ -193,7 +198,7 @@
 // Join returns the record of a manifest. chunk returns the data of a hash, or
 // nil. Data that does not match its hash is an error.
 func Join(m Manifest, chunk func(hash string) []byte) (Record, error) {
-	r := Record{Revision: m.Revision, Version: m.Version, History: m.History, Writers: m.Writers, SeatGenerations: m.SeatGenerations}
+	r := Record{Revision: m.Revision, Version: m.Version, History: m.History, Writers: m.Writers, SeatGenerations: m.SeatGenerations, Removed: m.Removed}
 	fields := map[string][]json.RawMessage{}
 	for _, hash := range m.Chunks {
 		data := chunk(hash)
--- /dev/null
+++ b/internal/limit/admit_test.go
@@ -0,0 +1,44 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/seat"
+)
+
+// TestNewWorkspaceNeedNotSettle admits a workspace beside one whose name was
+// used before: only the latter waits until no instance can go by older limits.
+func TestNewWorkspaceNeedNotSettle(t *testing.T) {
+	start := time.Unix(1000, 0)
+	l := New(Options{
+		Instance: "i", AvailabilityZone: "z", Settle: testSettle, GrantLife: testLife, MaxWait: testWait, AskTimeout: testTimeout,
+		Seat: func(time.Time) (seat.Seat, bool) {
+			return seat.Seat{AvailabilityZone: "z", ZoneSeats: 1, FleetSeats: 1, Tenure: 1}, true
+		},
+		Holder: func(int) string { return "i" },
+		Layout: func(*config.Snapshot) []ZoneSeats { return []ZoneSeats{{"z", 1}} },
+	})
+	admit := func(version uint64, workspaces ...config.Workspace) {
+		l.Update(config.Compile(version, &config.Document{Workspaces: workspaces}), start)
+		l.Refresh(start)
+	}
+	fresh := config.Workspace{Name: "fresh", Rate: 100, Burst: 20, FirstVersion: 8}
+	known := config.Workspace{Name: "known", Rate: 100, Burst: 20}
+	admit(7)
+	admit(8, fresh, known)
+	soon := start.Add(100 * time.Millisecond)
+	if !l.Take("fresh", soon).Allowed {
+		t.Error("a workspace that never existed waits for older limits to end")
+	}
+	if l.Take("known", soon).Allowed {
+		t.Error("a workspace whose name was used before does not wait")
+	}
+	settled := start.Add(testSettle)
+	l.Tick(settled)
+	l.Refresh(settled)
+	if !l.Take("known", settled.Add(time.Second)).Allowed {
+		t.Error("a workspace whose name was used before waits for ever")
+	}
+}
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -90,7 +90,11 @@
 		if !seated {
 			known.share.suspend()
 		}
-		known.share.update(allotments[l.options.AvailabilityZone], now, settle)
+		wait := settle
+		if w.FirstVersion == snapshot.Version {
+			wait = 0 // no instance has ever gone by other limits
+		}
+		known.share.update(allotments[l.options.AvailabilityZone], now, wait)
 		known.setOwners(allotments, l.options, now)
 	}
 	for name, w := range l.workspaces {
