--- a/internal/placement/poll.go
+++ b/internal/placement/poll.go
@@ -55,3 +55,14 @@
 func rendezvous(instance, target string) uint64 {
 	return xxhash.Sum64String(instance + "/" + target)
 }
+
+// Leaving returns the number of targets that are known to be leaving.
+func (p *Placer) Leaving() int {
+	n := 0
+	for _, t := range p.targets {
+		if t.leaving {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/server/gauges.go
+++ b/internal/server/gauges.go
@@ -18,6 +18,7 @@
 	}
 	s.metrics.Gauge("store_watcher", s.watcherGauge)
 	s.metrics.Gauge("evidence_age_ms", s.evidenceAgeMillis)
+	s.metrics.Gauge("targets_leaving", s.targetsLeaving)
 }
 
 func (s *Server) membersIn(state membership.State) int64 {
@@ -40,6 +41,13 @@
 	return 0
 }
 
+// targetsLeaving returns the number of targets that get no new work because
+// they are leaving.
+func (s *Server) targetsLeaving() (n int64) {
+	s.entry.Update(func(time.Time) { n = int64(s.placer.Leaving()) })
+	return n
+}
+
 // evidenceAgeMillis returns the age of the freshness evidence, -1 without any.
 func (s *Server) evidenceAgeMillis() int64 {
 	s.mu.Lock()
--- a/internal/server/placement.go
+++ b/internal/server/placement.go
@@ -22,6 +22,10 @@
 	placementTick = 50 * time.Millisecond
 	// pollTimeout bounds one poll of a target.
 	pollTimeout = 500 * time.Millisecond
+	// announceTries and announcePause bound the messages to one instance that a
+	// target is leaving.
+	announceTries = 3
+	announcePause = 500 * time.Millisecond
 	// maxPolls bounds the polls that run at once.
 	maxPolls = 16
 
@@ -167,22 +171,33 @@
 	}
 }
 
+// announceTarget tells the other instances that a target is leaving. A message
+// without an acknowledgement is sent again.
 func (s *Server) announceTarget(ctx context.Context, r placement.Report) {
 	message := &peerpb.PlacementMessage{Reports: []*peerpb.TargetReport{{
 		Target: r.Target, Draining: r.Draining, AgeMillis: r.Age.Milliseconds(),
 	}}}
 	for _, m := range s.members() {
 		if m.Name != s.options.Name {
-			go s.sendPlacement(ctx, m, message)
+			go func() {
+				for range announceTries {
+					if s.sendPlacement(ctx, m, message) == nil {
+						return
+					}
+					sleep(ctx, announcePause)
+				}
+			}()
 		}
 	}
 }
 
-func (s *Server) sendPlacement(ctx context.Context, to membership.Member, m *peerpb.PlacementMessage) {
+func (s *Server) sendPlacement(ctx context.Context, to membership.Member, m *peerpb.PlacementMessage) error {
 	envelope := &peerpb.Envelope{Message: &peerpb.Envelope_Placement{Placement: m}}
-	if err := s.network.Send(ctx, to.PeerAddress, envelope); err != nil {
+	err := s.network.Send(ctx, to.PeerAddress, envelope)
+	if err != nil {
 		s.part("placement").Debug().Str("instance", to.Name).Err(err).Msg("placement: could not send to an instance")
 	}
+	return err
 }
 
 func (s *Server) receivePlacement(from string, m *peerpb.PlacementMessage) {
--- a/test/scripts/scripts_test.go
+++ b/test/scripts/scripts_test.go
@@ -135,7 +135,8 @@
 	ts.Check(os.WriteFile(ts.MkAbs("http.txt"), answer, 0o600))
 }
 
-// httpCommand is "http METHOD URL [Header=value ...]": it sends a request and
+// httpCommand is "http METHOD URL [Header=value ...]": it sends a request, with
+// the value of the pseudo-header @body as its body, and
 // writes status, header and body to the file http.txt.
 func httpCommand(ts *testscript.TestScript, neg bool, args []string) {
 	if len(args) < 2 {
@@ -155,6 +156,10 @@
 	}
 	for _, h := range args[2:] {
 		name, value, _ := strings.Cut(h, "=")
+		if name == "@body" {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(value)), int64(len(value))
+			continue
+		}
 		r.Header.Set(name, value)
 	}
 	response, err := (&http.Client{Timeout: 10 * time.Second}).Do(r)
