--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,6 @@
 	./bin/turmericfield demo
 
 # Measures costs against the fleet's size; SIZES=7,100,400,1600 takes minutes.
-SIZES ?= 7,24,100,200
+SIZES ?= 7,100,200,400
 capacity: build
 	./bin/turmericfield experiment capacity --sizes $(SIZES) --plot bin/capacity.svg
--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -43,7 +43,7 @@
 		},
 	}
 	flags := cmd.Flags()
-	flags.IntSliceVar(&o.Sizes, "sizes", []int{7, 24, 100, 200}, "sizes of the simulated fleets")
+	flags.IntSliceVar(&o.Sizes, "sizes", []int{7, 100, 200, 400}, "sizes of the simulated fleets")
 	flags.Uint64Var(&o.Seed, "seed", o.Seed, "seed of the simulated faults")
 	flags.StringVar(&plot, "plot", "", "file for a plot of cost against size, in SVG")
 	flags.StringVar(&f.output, "output", "text", "text or json")
--- a/internal/experiment/cost.go
+++ b/internal/experiment/cost.go
@@ -35,13 +35,14 @@
 }
 
 // fleetHeap returns the heap of one simulated instance in MB: its view of the
-// members and its copy of the record's list of chunks. The chunks themselves
-// are shared between the instances of the process.
+// members and its copy of the record's list of chunks. The chunks themselves,
+// which the instances of the process share, do not count.
 func fleetHeap(size int, seed uint64) float64 {
 	before := heapMB()
-	f := fleettest.New(fleettest.Measured(size, seed))
+	o := fleettest.Measured(size, seed)
+	f := fleettest.New(o)
 	f.Bus.Run(fleetWarmup)
-	used := heapMB() - before
+	used := heapMB() - before - float64(o.Chunks*o.ChunkBytes)/megabyte
 	runtime.KeepAlive(f)
 	return used / float64(size)
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 
 	"github.com/turmericfield/turmericfield/internal/fleettest"
@@ -27,6 +28,9 @@
 	budgetStoreReads = 2_000 // per second
 )
 
+// leastFitted is the least size of a simulated fleet with the target's zones.
+const leastFitted = 3 * targetZones
+
 // MaxInstances bounds the size of a simulated fleet, and so its memory.
 const MaxInstances = 2_000
 
@@ -60,7 +64,7 @@
 }
 
 // Margin returns how many times the cost fits into its budget; below 1 the
-// budget is missed. It is 0 without a budget.
+// budget is missed. It is 0 if there is no budget or no cost to compare.
 func (l Line) Margin() float64 {
 	if l.AtTarget <= 0 {
 		return 0
@@ -68,6 +72,9 @@
 	return l.Budget / l.AtTarget
 }
 
+// Missed tells whether the cost exceeds its budget.
+func (l Line) Missed() bool { return l.Budget > 0 && l.AtTarget > l.Budget }
+
 // Report is the result of a run.
 type Report struct {
 	Fleets []fleettest.Figures
@@ -131,9 +138,15 @@
 	return out
 }
 
-// extrapolate sets the slope and the cost at the target's size.
+// extrapolate sets the slope and the cost at the target's size. Fleets with
+// fewer zones than the target follow another line: if there are enough others,
+// these alone count.
 func (l *Line) extrapolate() {
-	slope, intercept := fit(l.Points)
+	points := slices.DeleteFunc(slices.Clone(l.Points), func(p Point) bool { return p.Size < leastFitted })
+	if len(points) < 2 {
+		points = l.Points
+	}
+	slope, intercept := fit(points)
 	l.Slope = 100 * slope
 	l.AtTarget = max(0, intercept+slope*TargetInstances)
 	for _, p := range l.Points {
@@ -188,7 +201,9 @@
 	switch {
 	case l.Budget == 0:
 		return "-\t-"
-	case l.Margin() < 1:
+	case l.AtTarget <= 0:
+		return fmt.Sprintf("%g\t-", l.Budget)
+	case l.Missed():
 		return fmt.Sprintf("%g\tMISSED, %.2g", l.Budget, l.Margin())
 	}
 	return fmt.Sprintf("%g\t%.2g times", l.Budget, l.Margin())
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -34,6 +34,14 @@
 	if within.AtTarget != 1600 || within.Measured || within.Margin() != 2 || strings.Contains(within.budgetText(), "MISSED") {
 		t.Errorf("%+v", within)
 	}
+	small := Line{Points: []Point{{7, 0}, {100, 100}, {200, 200}}}
+	small.extrapolate()
+	if small.AtTarget != 1600 {
+		t.Errorf("a fleet with few zones moves the fit: %+v", small)
+	}
+	if free := (Line{Budget: 5}); free.Missed() || strings.Contains(free.budgetText(), "MISSED") {
+		t.Errorf("%+v", free)
+	}
 	over := Line{Points: []Point{{100, 100}, {TargetInstances, 6400}}, Budget: 3200}
 	over.extrapolate()
 	if over.AtTarget != 6400 || !over.Measured || !strings.Contains(over.budgetText(), "MISSED") {
