--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -15,7 +15,9 @@
 const (
 	plotWidth  = 18 * vg.Centimeter
 	plotHeight = 13 * vg.Centimeter
-	plotFloor  = 1e-4 // lowest share of a budget that the logarithmic axis shows
+	plotFloor  = 1e-4 // lowest share of a budget that is drawn
+	plotBottom = 1e-8 // end of the axis, which leaves room for the legend
+	plotTop    = 10
 )
 
 // WritePlot draws each cost that grows with the fleet, as a share of its
@@ -27,7 +29,7 @@
 	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
 	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{}, plot.LogTicks{}
 	p.Legend.Left = true
-	p.Y.Min, p.Y.Max = plotFloor, 10
+	p.Y.Min, p.Y.Max = plotBottom, plotTop
 	var curves []any
 	for _, l := range r.Lines {
 		if points := l.shares(); len(points) > 0 {
