--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -14,6 +14,7 @@
 
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/operator"
+	"github.com/turmericfield/turmericfield/internal/server"
 	"github.com/turmericfield/turmericfield/internal/settings"
 )
 
@@ -124,7 +125,7 @@
 	var findings config.Findings
 	var api *operator.APIError
 	switch {
-	case errors.Is(err, errUsage):
+	case errors.IsAny(err, errUsage, server.ErrSettings):
 		return exitUsage
 	case errors.As(err, &findings), errors.Is(err, errInvalid):
 		return exitInvalid
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -55,8 +55,8 @@
 		Short: "Run a stand-in for a target",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if o.FaultShare < 0 || o.FaultShare > 1 {
-				return errors.Mark(errors.Newf("--fault-share: must be 0 to 1, is %g", o.FaultShare), errUsage)
+			if err := checkTarget(o); err != nil {
+				return err
 			}
 			listener, err := bindListener("listen", listen)
 			if err != nil {
@@ -81,6 +81,20 @@
 	return cmd
 }
 
+func checkTarget(o target.Options) error {
+	var p settings.Problems
+	if o.FaultShare < 0 || o.FaultShare > 1 {
+		p.Add("fault-share", "must be 0 to 1, is %g", o.FaultShare)
+	}
+	if o.Slots < 1 {
+		p.Add("slots", "must be at least 1, is %d", o.Slots)
+	}
+	if o.AnswerBytes < 0 {
+		p.Add("answer-bytes", "must not be negative, is %d", o.AnswerBytes)
+	}
+	return errors.Mark(p.Err(), errUsage)
+}
+
 func parseInstances(values []string) ([]platform.Instance, error) {
 	var p settings.Problems
 	var list []platform.Instance
--- a/internal/command/standintargets.go
+++ b/internal/command/standintargets.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/turmericfield/turmericfield/internal/settings"
 	"github.com/turmericfield/turmericfield/internal/standin/target"
 )
 
@@ -18,6 +20,11 @@
 		Short: "Run a stand-in for each target of a configuration, in one process",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			var p settings.Problems
+			p.NonEmpty("config", file)
+			if err := p.Err(); err != nil {
+				return errors.Mark(err, errUsage)
+			}
 			doc, err := readDocument(file)
 			if err != nil {
 				return err
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -117,6 +117,7 @@
 }
 
 // Leave makes callers close their connections after their next answer.
+// Leave makes the handler ask callers to close their connections.
 func (h *Handler) Leave() { h.leaving.Store(true) }
 
 // Drain makes the handler refuse new requests as not run.
--- a/internal/operator/transport.go
+++ b/internal/operator/transport.go
@@ -46,16 +46,14 @@
 
 // NewHandler returns the operators' API. Every request needs the token.
 func NewHandler(s *Service, token string) http.Handler {
-	auth := authorize(token)
 	options := []kithttp.ServerOption{
-		kithttp.ServerBefore(kithttp.PopulateRequestContext),
 		kithttp.ServerErrorEncoder(encodeError),
 	}
 	mux := http.NewServeMux()
-	mux.Handle("POST "+PlanPath, kithttp.NewServer(auth(planEndpoint(s)), decodeJSON[intent.Intent], kithttp.EncodeJSONResponse, options...))
-	mux.Handle("POST "+ConfirmPath, kithttp.NewServer(auth(confirmEndpoint(s)), decodeJSON[ConfirmRequest], kithttp.EncodeJSONResponse, options...))
-	mux.Handle("GET "+StatusPath, kithttp.NewServer(auth(statusEndpoint(s)), kithttp.NopRequestDecoder, kithttp.EncodeJSONResponse, options...))
-	return mux
+	mux.Handle("POST "+PlanPath, kithttp.NewServer(planEndpoint(s), decodeJSON[intent.Intent], kithttp.EncodeJSONResponse, options...))
+	mux.Handle("POST "+ConfirmPath, kithttp.NewServer(confirmEndpoint(s), decodeJSON[ConfirmRequest], kithttp.EncodeJSONResponse, options...))
+	mux.Handle("GET "+StatusPath, kithttp.NewServer(statusEndpoint(s), kithttp.NopRequestDecoder, kithttp.EncodeJSONResponse, options...))
+	return authorize(token, mux)
 }
 
 func planEndpoint(s *Service) endpoint.Endpoint {
@@ -72,20 +70,19 @@
 	return func(ctx context.Context, _ any) (any, error) { return s.Status(ctx), nil }
 }
 
-// authorize compares the bearer token in constant time.
-func authorize(token string) endpoint.Middleware {
+// authorize passes on requests that bear the token, which it compares in
+// constant time, before any of their body is read.
+func authorize(token string, next http.Handler) http.Handler {
 	want := sha256.Sum256([]byte(token))
-	return func(next endpoint.Endpoint) endpoint.Endpoint {
-		return func(ctx context.Context, request any) (any, error) {
-			header, _ := ctx.Value(kithttp.ContextKeyRequestAuthorization).(string)
-			given, ok := strings.CutPrefix(header, "Bearer ")
-			got := sha256.Sum256([]byte(given))
-			if !ok || token == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
-				return nil, errUnauthorized
-			}
-			return next(ctx, request)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(given))
+		if !ok || token == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			encodeError(r.Context(), errUnauthorized, w)
+			return
 		}
-	}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func decodeJSON[T any](_ context.Context, r *http.Request) (any, error) {
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -3,10 +3,15 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/turmericfield/turmericfield/internal/seat"
 	"github.com/turmericfield/turmericfield/internal/settings"
 )
 
+// ErrSettings marks settings that name something unusable.
+var ErrSettings = errors.New("settings cannot be used")
+
 // Options are the settings of one instance.
 type Options struct {
 	// Name of the instance, unique in the fleet.
--- a/internal/server/security.go
+++ b/internal/server/security.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc/credentials"
 
 	"github.com/turmericfield/turmericfield/internal/tlsconfig"
@@ -16,16 +17,23 @@
 	platform   credentials.TransportCredentials
 }
 
+// newSecurity reads the certificates that the options name. Its errors are
+// marked with ErrSettings.
 func newSecurity(o Options) (security, error) {
+	s, err := readSecurity(o)
+	return s, errors.Mark(err, ErrSettings)
+}
+
+func readSecurity(o Options) (security, error) {
 	var s security
 	public, err := tlsconfig.Server(o.TLSCertificate, o.TLSKey)
 	if err != nil {
-		return s, err
+		return s, errors.Wrap(err, "--tls-cert, --tls-key")
 	}
 	s.public = public
 	server, client, err := tlsconfig.Peer(o.TLSCertificate, o.TLSKey, o.PeerCA)
 	if err != nil {
-		return s, err
+		return s, errors.Wrap(err, "--peer-ca")
 	}
 	if server != nil {
 		s.peerServer = credentials.NewTLS(server)
@@ -35,5 +43,5 @@
 	if platform != nil {
 		s.platform = credentials.NewTLS(platform)
 	}
-	return s, err
+	return s, errors.Wrap(err, "--platform-ca")
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -18,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/turmericfield/turmericfield/api/peerpb"
+	"github.com/turmericfield/turmericfield/internal/buildversion"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/dissemination"
 	"github.com/turmericfield/turmericfield/internal/entry"
@@ -172,7 +174,7 @@
 	})
 	s.move(eventStart)
 	s.part("server").Info().Str("name", s.options.Name).Str("zone", s.options.AvailabilityZone).
-		Str("listen", s.options.Listen).Msg("server: started")
+		Str("listen", s.options.Listen).Str("version", buildversion.Read().Version).Msg("server: started")
 	err := group.Wait()
 	s.entry.Close()
 	s.network.Close()
@@ -232,6 +234,7 @@
 	mux.Handle("/v1/", operator.NewHandler(s.control, s.options.OperatorToken))
 	mux.HandleFunc("GET /health", s.serveHealth)
 	mux.Handle("GET /metrics", s.metrics)
+	mux.HandleFunc("GET /version", serveVersion)
 	return mux
 }
 
@@ -242,3 +245,8 @@
 	}
 	_, _ = io.WriteString(w, "ok\n")
 }
+
+func serveVersion(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_ = json.NewEncoder(w).Encode(buildversion.Read())
+}
