--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -59,6 +59,11 @@
 	// availability zone since it was first defined, and, below FleetGeneration,
 	// those of the whole fleet. One that is not listed has never changed.
 	SeatGenerations map[string]int `json:"seat_generations,omitempty"`
+	// VacantZones names the availability zones without any live instance, in
+	// order. Their seats own no part of any rate.
+	VacantZones []string `json:"vacant_zones,omitempty"`
+	// VacancyVersion is the version at which VacantZones last changed.
+	VacancyVersion uint64 `json:"vacancy_version,omitempty"`
 	// Removed names the workspaces that were removed and not defined again.
 	// When it is full, no workspace counts as new any more.
 	Removed []string `json:"removed,omitempty"`
@@ -90,6 +95,9 @@
 	Writers  []Writer    `json:"writers"`
 	// SeatGenerations is the record's field of that name.
 	SeatGenerations map[string]int `json:"seat_generations,omitempty"`
+	// VacantZones and VacancyVersion are the record's fields of those names.
+	VacantZones    []string `json:"vacant_zones,omitempty"`
+	VacancyVersion uint64   `json:"vacancy_version,omitempty"`
 	// Removed is the record's field of that name.
 	Removed []string `json:"removed,omitempty"`
 	// Chunks lists the SHA-256 digests of the document's chunks, in order.
@@ -111,7 +119,8 @@
 
 // Split returns the stored form of a record.
 func Split(r Record) (Manifest, []Chunk, error) {
-	m := Manifest{Revision: r.Revision, Version: r.Version, History: r.History, Writers: r.Writers, SeatGenerations: r.SeatGenerations, Removed: r.Removed}
+	m := Manifest{Revision: r.Revision, Version: r.Version, History: r.History, Writers: r.Writers, SeatGenerations: r.SeatGenerations, Removed: r.Removed,
+		VacantZones: r.VacantZones, VacancyVersion: r.VacancyVersion}
 	if r.Document == nil {
 		return m, nil, nil
 	}
@@ -198,7 +207,8 @@
 // Join returns the record of a manifest. chunk returns the data of a hash, or
 // nil. Data that does not match its hash is an error.
 func Join(m Manifest, chunk func(hash string) []byte) (Record, error) {
-	r := Record{Revision: m.Revision, Version: m.Version, History: m.History, Writers: m.Writers, SeatGenerations: m.SeatGenerations, Removed: m.Removed}
+	r := Record{Revision: m.Revision, Version: m.Version, History: m.History, Writers: m.Writers, SeatGenerations: m.SeatGenerations, Removed: m.Removed,
+		VacantZones: m.VacantZones, VacancyVersion: m.VacancyVersion}
 	fields := map[string][]json.RawMessage{}
 	for _, hash := range m.Chunks {
 		data := chunk(hash)
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -20,6 +20,9 @@
 	Blocks []Chunk
 	// SeatGenerations is the record's field of that name.
 	SeatGenerations map[string]int
+	// VacantZones and VacancyVersion are the record's fields of those names.
+	VacantZones    []string
+	VacancyVersion uint64
 
 	Regions    map[string]*Region
 	Zones      map[string]*AvailabilityZone
@@ -42,6 +45,7 @@
 	s := Compile(r.Version, r.Document)
 	s.Blocks = r.Blocks
 	s.SeatGenerations = r.SeatGenerations
+	s.VacantZones, s.VacancyVersion = r.VacantZones, r.VacancyVersion
 	return s
 }
 
--- a/internal/intent/plan.go
+++ b/internal/intent/plan.go
@@ -117,6 +117,16 @@
 	return next
 }
 
+// SetVacantZones returns the record that lists other zones without a live
+// instance. Plans made on the record before it stay valid.
+func SetVacantZones(record Record, zones []string) Record {
+	next := record
+	next.Revision++
+	next.VacantZones = slices.Clone(zones)
+	next.VacancyVersion = record.Version
+	return next
+}
+
 func refusals(err error) []string {
 	var findings config.Findings
 	if !errors.As(err, &findings) {
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -75,7 +75,7 @@
 func (l *Limiter) Update(snapshot *config.Snapshot, now time.Time) {
 	zones := l.options.Layout(snapshot)
 	settle := l.options.Settle
-	if l.version == 0 && snapshot.Version == 1 {
+	if l.version == 0 && snapshot.Version == 1 && snapshot.VacancyVersion == 0 {
 		settle = 0 // there is no older configuration
 	}
 	l.version = snapshot.Version
@@ -91,7 +91,7 @@
 			known.share.suspend()
 		}
 		wait := settle
-		if w.FirstVersion == snapshot.Version {
+		if w.FirstVersion == snapshot.Version && snapshot.VacancyVersion < w.FirstVersion {
 			wait = 0 // no instance has ever gone by other limits
 		}
 		known.share.update(allotments[l.options.AvailabilityZone], now, wait)
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -163,6 +164,18 @@
 	return s.write(ctx, stored, intent.SetWriters(stored.Record, writers))
 }
 
+// ReplaceVacantZones lists the zones without a live instance, unless the record
+// lists them already. It reports whether the record was changed.
+func (s *Service) ReplaceVacantZones(ctx context.Context, zones []string) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored, err := s.load(ctx)
+	if err != nil || stored.Revision == 0 || slices.Equal(stored.VacantZones, zones) || !stored.MayWrite(s.Author.Self()) {
+		return false, err
+	}
+	return s.write(ctx, stored, intent.SetVacantZones(stored.Record, zones))
+}
+
 // write replaces the record between the author's Begin and End.
 func (s *Service) write(ctx context.Context, old storedRecord, next intent.Record) (bool, error) {
 	if err := s.Author.Begin(); err != nil {
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -81,11 +82,12 @@
 	if err != nil || !newer {
 		return err
 	}
-	current := s.snapshot.Load().Version
+	before := s.snapshot.Load()
+	current := before.Version
 	if !s.invariants.Check(record.Version >= current, invariant.VersionNeverReverts, "offered version %d after %d", record.Version, current) {
 		return nil
 	}
-	if record.Version > current {
+	if record.Version > current || !slices.Equal(record.VacantZones, before.VacantZones) {
 		s.putInForce(config.CompileRecord(record))
 	}
 	s.mu.Lock()
--- a/internal/server/limit.go
+++ b/internal/server/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/turmericfield/turmericfield/api/peerpb"
@@ -35,9 +36,13 @@
 	})}
 }
 
+// zoneSeats lists the zones whose seats may own parts of a rate.
 func zoneSeats(snapshot *config.Snapshot) []limit.ZoneSeats {
 	out := make([]limit.ZoneSeats, 0, len(snapshot.Document.AvailabilityZones))
 	for _, z := range snapshot.Document.AvailabilityZones {
+		if slices.Contains(snapshot.VacantZones, z.Name) {
+			continue
+		}
 		out = append(out, limit.ZoneSeats{AvailabilityZone: z.Name, Seats: z.Seats()})
 	}
 	return out
--- a/internal/server/writers.go
+++ b/internal/server/writers.go
@@ -47,12 +47,18 @@
 // followWriters keeps one reachable writer listed for each region.
 func (s *Server) followWriters(ctx context.Context) {
 	gone := &goneWriters{since: map[config.Writer]time.Time{}}
+	vacant := &vacancy{}
 	for ctx.Err() == nil {
 		sleep(ctx, writersPeriod)
 		callCtx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 		if err := s.reviewWriters(callCtx, gone); err != nil && ctx.Err() == nil {
 			s.part("control").Debug().Err(err).Msg("control: could not review the writers")
 		}
+		if s.mayWriteSeats() {
+			if err := s.reviewVacancy(callCtx, vacant); err != nil && ctx.Err() == nil {
+				s.part("control").Debug().Err(err).Msg("control: could not review vacant zones")
+			}
+		}
 		cancel()
 	}
 }
