Run all control cores of a fleet together under random faults

Membership, dissemination, freshness with vouchers, seats and limits of 5 to 14 processes on one bus in virtual time, with loss, duplicates, reordering, partitions, a store cut off, down or losing answers, late writes, pauses, kills, restarts, replaced processes, leaving ones and a lagging list. Checked throughout: no key or seat table trusted past the bound, no lower version, no seat with two users, no rate beyond rate*d + burst over all processes.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,9 @@
 GO ?= go
 SOURCES := $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: check format vet lint test models build demo
+.PHONY: check format vet lint test race soak models build demo
 
-check: format vet lint test models
+check: format vet lint test race models
 
 build:
 	$(GO) build -o bin/turmericfield ./cmd/turmericfield
@@ -21,6 +21,17 @@
 test:
 	$(GO) test -count=1 ./...
 
+# The packages with goroutines, under the race detector.
+race:
+	$(GO) test -race -count=1 ./internal/logging ./internal/entry ./internal/server ./internal/peer ./internal/steering ./internal/once
+
+# A long randomised run of all control cores: make soak SEED=7 STEPS=2000
+SEED ?= 1
+SEEDS ?= 1
+STEPS ?= 2000
+soak:
+	$(GO) test ./internal/fleettest -count=1 -run '^TestSoak$$' -v -timeout 0 -args -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.steps=$(STEPS)
+
 models:
 	@if [ -x spec/check.sh ]; then spec/check.sh; fi
 
--- a/internal/fleettest/node.go
+++ b/internal/fleettest/node.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/turmericfield/turmericfield/api/peerpb"
 	"github.com/turmericfield/turmericfield/internal/dissemination"
 	"github.com/turmericfield/turmericfield/internal/freshness"
 	"github.com/turmericfield/turmericfield/internal/membership"
@@ -29,6 +30,15 @@
 	Changes int64
 }
 
+// Extension is what a process runs besides the cores of its Node.
+type Extension interface {
+	// Apply takes over a version that comes in force, before it counts as
+	// evidence.
+	Apply(version uint64)
+	// Work does what is due; it is called at each look at the timers.
+	Work()
+}
+
 // Node is one process of the fleet: its cores and what a shell keeps.
 type Node struct {
 	Member  membership.Member
@@ -43,6 +53,7 @@
 	InForce uint64
 
 	fleet       *Fleet
+	extension   Extension // may be nil
 	pausedUntil time.Time
 	viewVersion uint64
 	membersAt   time.Time
@@ -61,6 +72,9 @@
 		Self: m, Tracker: n.Tracker, Invariants: &f.Invariants, Rand: source(), Now: now, Seeds: seeds,
 		AsOfReceipt: f.Options.AsOfReceipt, LowerVersions: f.Options.LowerVersions,
 	})
+	if f.Options.Extend != nil {
+		n.extension = f.Options.Extend(n)
+	}
 	f.Bus.After(time.Duration(f.Bus.Rand.Int64N(int64(f.Options.TickPeriod))), n.tick)
 	return n
 }
@@ -95,6 +109,9 @@
 		n.fleet.readList(n)
 	}
 	n.act()
+	if n.extension != nil {
+		n.extension.Work()
+	}
 	n.fleet.checkKeys(n)
 }
 
@@ -179,6 +196,9 @@
 		n.fleet.check(r.Chunks[h] != nil, "%s lacks a chunk of version %d", n.Member.Name, r.Version)
 	}
 	n.InForce = r.Version
+	if n.extension != nil {
+		n.extension.Apply(r.Version)
+	}
 	n.Core.Applied(r.Version)
 }
 
@@ -208,6 +228,10 @@
 	f.askStore(n, func() func() {
 		f.Store.Reads++
 		record := f.Store.newest()
+		var tables []*peerpb.SeatTable
+		if f.Store.SeatTables != nil {
+			tables = f.Store.SeatTables()
+		}
 		return func() {
 			if answered {
 				return
@@ -216,7 +240,7 @@
 			if record.Version <= n.Core.Newest().Version {
 				record = nil
 			}
-			n.Core.StoreRead(sent, record, nil)
+			n.Core.StoreRead(sent, record, tables)
 			n.apply()
 			n.act()
 		}
--- a/internal/fleettest/store.go
+++ b/internal/fleettest/store.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/turmericfield/turmericfield/api/peerpb"
 	"github.com/turmericfield/turmericfield/internal/dissemination"
 	"github.com/turmericfield/turmericfield/internal/platform"
 )
@@ -19,6 +20,8 @@
 	LostAnswers float64
 	// Reads counts the reads that arrived.
 	Reads, ListReads int64
+	// SeatTables returns the seat tables of all zones; nil if there are none.
+	SeatTables func() []*peerpb.SeatTable
 
 	chunkBytes int
 	rand       *rand.Rand
