--- /dev/null
+++ b/internal/fleettest/soak_test.go
@@ -0,0 +1,116 @@
+package fleettest
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/seat"
+)
+
+// A run is repeated exactly by its seed and number of steps.
+var (
+	soakSeed  = flag.Uint64("soak.seed", 1, "first seed of TestSoak")
+	soakSeeds = flag.Uint64("soak.seeds", 10, "number of seeds of TestSoak")
+	soakSteps = flag.Int("soak.steps", 250, "steps of each seed of TestSoak")
+)
+
+const traceLines = 40
+
+func TestSoak(t *testing.T) {
+	for seed := *soakSeed; seed < *soakSeed+*soakSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			j := NewJoined(seed, Sound)
+			taken := j.Soak(*soakSteps)
+			t.Logf("%d steps, %s of virtual time, %+v", taken, j.Bus.Now.Sub(Start), j.Counts())
+			if len(j.Violations) > 0 {
+				t.Errorf("step %d: %s\n%s\nreplay with: make soak SEED=%d STEPS=%d",
+					taken, strings.Join(j.Violations, "\n"), strings.Join(j.Trace(traceLines), "\n"), seed, taken)
+			}
+		})
+	}
+}
+
+func TestSoakReplaysExactly(t *testing.T) {
+	run := func() *Joined {
+		j := NewJoined(3, Sound)
+		j.Soak(120)
+		return j
+	}
+	a, b := run(), run()
+	if !slices.Equal(a.trace, b.trace) || a.Counts() != b.Counts() {
+		t.Fatalf("two runs of one seed differ: %+v and %+v", a.Counts(), b.Counts())
+	}
+}
+
+// TestSoakCatchesBrokenVariants shows that TestSoak can fail.
+func TestSoakCatchesBrokenVariants(t *testing.T) {
+	for name, v := range map[string]Variant{
+		"evidence as of receipt":   EvidenceOfReceipt,
+		"unknown writes forgotten": ForgetsUnknownWrites,
+		"right remembered":         RemembersRight,
+		"layout settles at once":   SettlesAtOnce,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const seeds, steps = 60, 250
+			for seed := range uint64(seeds) {
+				j := NewJoined(seed, v)
+				taken := j.Soak(steps)
+				if len(j.Violations) == 0 {
+					continue
+				}
+				sound := NewJoined(seed, Sound)
+				if sound.Soak(steps); len(sound.Violations) == 0 { // the variant alone is to blame
+					t.Logf("seed %d, step %d: %s", seed, taken, j.Violations[0])
+					return
+				}
+			}
+			t.Fatal("no seed shows the fault")
+		})
+	}
+}
+
+// TestRemovedWriterCannotChangeSeats pauses a listed writer while another one
+// takes it off the list. When it wakes, it does not know that yet and writes a
+// seat table. The store fails at once, so that the remaining writer vouches.
+func TestRemovedWriterCannotChangeSeats(t *testing.T) {
+	j := NewJoined(1, Sound)
+	j.Bus.Faults = Faults{}
+	j.Bus.Run(20 * time.Second)
+	remaining, removed := j.processes[j.Nodes[0]], j.processes[j.Nodes[1]]
+	j.listWriters(remaining, removed)
+	j.Bus.Run(2 * time.Second)
+	j.Pause(removed.n, 3*time.Second)
+	j.listWriters(remaining)
+	j.Bus.Run(2 * time.Second)
+	zone := remaining.n.Member.AvailabilityZone
+	removed.releases[zone] = []seat.Release{{Process: remaining.keeper.Process()}}
+	tables := j.counts.Tables
+	for range 200 {
+		j.Bus.Run(10 * time.Millisecond)
+		j.Store.Down = j.Store.Down || j.counts.Tables > tables
+	}
+	j.Bus.Run(2 * KeyFreshness)
+	if len(j.Violations) > 0 {
+		t.Fatalf("%s\n%s", j.Violations[0], strings.Join(j.Trace(traceLines), "\n"))
+	}
+}
+
+// listWriters accepts a version that lists just these writers.
+func (j *Joined) listWriters(writers ...*process) {
+	c := j.contents[j.Store.newest().Version]
+	c.writers = nil
+	for _, w := range writers {
+		c.writers = append(c.writers, w.id)
+	}
+	seats := map[string]int{}
+	for _, z := range j.layout(c.snapshot) {
+		seats[z.AvailabilityZone] = z.Seats
+	}
+	j.acceptConfig(j.Store.newest().Version, c, seats)
+}
