--- /dev/null
+++ b/internal/fleettest/budget_test.go
@@ -0,0 +1,34 @@
+package fleettest
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	// bytesBudget is what an instance may send for control, in bytes per
+	// second.
+	bytesBudget = 5000
+	budgetSize   = 400
+	budgetSettle = 30 * time.Second
+)
+
+// A fleet that starts at once with lossy links is whole soon; then the busiest
+// instance keeps its budget.
+func TestBudgets(t *testing.T) {
+	f := New(Measured(budgetSize, 1))
+	f.Bus.Run(budgetSettle)
+	for _, n := range f.Nodes {
+		if known := len(n.View.Members()); known != budgetSize {
+			t.Errorf("%s knows %d of %d instances %s after the start", n.Member.Name, known, budgetSize, budgetSettle)
+		}
+	}
+	var figures Figures
+	f.steady(&figures)
+	if figures.BusiestPerSecond >= bytesBudget {
+		t.Errorf("the busiest instance sends %.0f bytes/s", figures.BusiestPerSecond)
+	}
+	if len(f.Violations) > 0 {
+		t.Error(f.Violations)
+	}
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -98,6 +98,9 @@
 // platform's list.
 func (v *View) mayRun(e *entry) bool { return e.State != Gone || e.listed || !v.listKnown }
 
+// ListKnown tells whether the platform's list was merged at least once.
+func (v *View) ListKnown() bool { return v.listKnown }
+
 // Version changes whenever Members does.
 func (v *View) Version() uint64 { return v.version }
 
