A pulled record that fails its check is dropped and pulled again

Cause: a pulled record was the newest of the core before its hashes were checked; it was refused by the shell, yet stayed, was passed on to others and kept the puller from asking for that version again. Reject takes it out and brings back the record before it, or none if that one's chunks are gone.

TestRejectedRecordIsPulledAgain was red with Reject doing nothing: "holds version 1 after version 1 was rejected".

--- a/internal/dissemination/pull.go
+++ b/internal/dissemination/pull.go
@@ -90,6 +90,17 @@
 	c.fetching = nil
 }
 
+// Reject drops the newest whole record if it has a version that cannot be used
+// and is not in force, so that it is pulled again and not passed on. Records
+// that follow from it have to come with a whole chunk list.
+func (c *Core) Reject(version uint64) {
+	if version == c.applied || version != c.history.newest().Version {
+		return
+	}
+	c.history.pop()
+	c.waiting = claim{}
+}
+
 // Answer answers another instance's pull.
 func (c *Core) Answer(now time.Time, r *peerpb.SyncRequest) *peerpb.SyncResponse {
 	c.reports[r.GetFrom()] = childReport{at: now, report: r.GetReport()}
--- a/internal/dissemination/record.go
+++ b/internal/dissemination/record.go
@@ -79,11 +79,26 @@
 // history keeps the chunk lists of the newest versions.
 type history struct {
 	records []*Record // oldest first; earlier ones without chunks
+	// previous is the whole record before the newest one; nil if there is none.
+	previous *Record
+}
+
+// pop drops the newest record and brings back the one before it, or none if
+// its chunks are no longer held.
+func (h *history) pop() {
+	h.records = h.records[:len(h.records)-1]
+	if h.previous == nil {
+		h.records = nil
+	} else {
+		h.records[len(h.records)-1] = h.previous
+	}
+	h.previous = nil
 }
 
 func (h *history) push(r *Record) {
 	if n := len(h.records); n > 0 {
-		h.records[n-1] = &Record{Version: h.records[n-1].Version, Hashes: h.records[n-1].Hashes}
+		h.previous = h.records[n-1]
+		h.records[n-1] = &Record{Version: h.previous.Version, Hashes: h.previous.Hashes}
 	}
 	h.records = append(h.records, r)
 	if len(h.records) > historyLength {
--- /dev/null
+++ b/internal/dissemination/reject_test.go
@@ -0,0 +1,63 @@
+package dissemination
+
+import (
+	"testing"
+	"time"
+
+	"github.com/turmericfield/turmericfield/api/peerpb"
+	"github.com/turmericfield/turmericfield/internal/freshness"
+	"github.com/turmericfield/turmericfield/internal/invariant"
+	"github.com/turmericfield/turmericfield/internal/membership"
+)
+
+func testCore(name string, now time.Time) *Core {
+	self := membership.Member{Name: name, AvailabilityZone: "zone", PeerAddress: name}
+	return New(Options{Self: self, Tracker: &freshness.Tracker{}, Invariants: &invariant.Recorder{}, Now: now})
+}
+
+// take pulls once, with a change of the answer on its way.
+func take(puller, source *Core, now time.Time, change func(*peerpb.SyncResponse)) {
+	p := puller.pull(now, "source")
+	answer := source.Answer(now, p.Request)
+	change(answer)
+	puller.Pulled(now, p.ID, answer)
+}
+
+// A record that fails its check is pulled again, whether or not one is in
+// force, and is not passed on meanwhile.
+func TestRejectedRecordIsPulledAgain(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	source, puller := testCore("source", now), testCore("puller", now)
+	keep := func(*peerpb.SyncResponse) {}
+	spoil := func(m *peerpb.SyncResponse) {
+		for _, c := range m.GetChunks() {
+			c.Data = []byte("spoilt")
+		}
+	}
+	for version := uint64(1); version <= 3; version++ {
+		hash := string(rune('a' + version))
+		source.accept(&Record{Version: version, Hashes: []string{hash}, Chunks: map[string][]byte{hash: []byte("whole")}})
+		source.Applied(version)
+		take(puller, source, now, keep) // the manifest, and the chunks if a version is held
+		if version == 1 {
+			take(puller, source, now, spoil)
+		} else {
+			puller.Newest().Chunks[hash] = []byte("spoilt")
+		}
+		puller.Reject(version)
+		if held := puller.Newest(); held.Version != version-1 || len(held.missing()) > 0 {
+			t.Fatalf("holds version %d after version %d was rejected", held.Version, version)
+		}
+		for range 2 {
+			take(puller, source, now, keep)
+		}
+		if got := puller.Newest(); got.Version != version || string(got.Chunks[hash]) != "whole" {
+			t.Fatalf("version %d instead of %d after another pull", got.Version, version)
+		}
+		puller.Applied(version)
+		puller.Reject(version) // in force, so it stays
+		if puller.Newest().Version != version {
+			t.Fatal("a version in force was dropped")
+		}
+	}
+}
--- a/internal/fleettest/budget_test.go
+++ b/internal/fleettest/budget_test.go
@@ -8,7 +8,7 @@
 const (
 	// bytesBudget is what an instance may send for control, in bytes per
 	// second.
-	bytesBudget = 5000
+	bytesBudget  = 5000
 	budgetSize   = 400
 	budgetSettle = 30 * time.Second
 )
--- a/internal/server/sync.go
+++ b/internal/server/sync.go
@@ -46,9 +46,13 @@
 	if err == nil {
 		err = s.takeRecord(manifest, chunks)
 	}
-	if err != nil {
-		s.part("sync").Error().Err(err).Msg("sync: cannot use a pulled record")
+	if err == nil {
+		return
 	}
+	s.part("sync").Error().Err(err).Msg("sync: cannot use a pulled record")
+	s.mu.Lock()
+	s.syncer.Reject(record.Version)
+	s.mu.Unlock()
 }
 
 func (s *Server) receiveHint(h *peerpb.Hint) {
