Failed pulls are repeated at random relays, and relays pull twice a second

Cause of what was left at the busiest instance: failed pulls were repeated at the zone's first watcher, 347 of its 583 answers in a minute (rank 0 of 73). They now go to a random one of the watchers and the relays ranked above the puller's parent. Evidence aged by up to a second at each of three levels: instances that others pull from now pull each 0.5 s, the others each 0.75 s.

--- a/internal/dissemination/dissemination.go
+++ b/internal/dissemination/dissemination.go
@@ -22,8 +22,10 @@
 const (
 	// ReadPeriod is the time between two reads of the store by a watcher.
 	ReadPeriod = 500 * time.Millisecond
-	// PullPeriod is the time between two pulls of the others.
-	PullPeriod = time.Second
+	// PullPeriod is the time between two pulls of the others, and
+	// RelayPullPeriod that of those among them that others pull from.
+	PullPeriod      = 750 * time.Millisecond
+	RelayPullPeriod = 500 * time.Millisecond
 	// PullTimeout is how long an answer is waited for.
 	PullTimeout = 400 * time.Millisecond
 	// staleTime is the age of the evidence from which other sources than the
@@ -161,7 +163,7 @@
 		a.ReadStore = true
 	}
 	if !now.Before(c.nextPull) {
-		c.nextPull = now.Add(PullPeriod)
+		c.nextPull = now.Add(c.pullPeriod())
 		if peer, ok := c.source(now); ok {
 			a.Pulls = append(a.Pulls, c.pull(now, peer))
 		}
@@ -176,6 +178,15 @@
 	return a
 }
 
+// pullPeriod is shorter for a relay, as its evidence ages on the way to all
+// below it.
+func (c *Core) pullPeriod() time.Duration {
+	if len(c.tree.children()) > 0 {
+		return RelayPullPeriod
+	}
+	return PullPeriod
+}
+
 // source chooses whom to pull from next. While the evidence is stale, other
 // sources than the usual ones take turns with them.
 func (c *Core) source(now time.Time) (string, bool) {
@@ -188,7 +199,10 @@
 	if len(parents) == 0 || !fresh && c.turn%2 == 0 {
 		return c.otherSource()
 	}
-	return parents[c.failures%len(parents)].PeerAddress, true
+	if c.failures == 0 {
+		return parents[0].PeerAddress, true
+	}
+	return parents[c.options.Rand.IntN(len(parents))].PeerAddress, true
 }
 
 // otherSource returns a watcher of another zone, an instance of the own zone
--- a/internal/dissemination/tree.go
+++ b/internal/dissemination/tree.go
@@ -68,14 +68,15 @@
 
 func (t *tree) watcher() bool { return t.rank >= 0 && t.rank < WatchersPerZone }
 
-// parents returns whom to pull from, the usual one first.
+// parents returns whom to pull from, the usual one first; the others are the
+// watchers and the relays that are no further from them.
 func (t *tree) parents() []ranked {
 	if t.rank < WatchersPerZone {
 		return nil
 	}
 	first := (t.rank - WatchersPerZone) / fanOut
 	out := []ranked{t.zone[first]}
-	for i := range WatchersPerZone {
+	for i := range max(WatchersPerZone, first) {
 		if i != first {
 			out = append(out, t.zone[i])
 		}
--- a/internal/fleettest/budget_test.go
+++ b/internal/fleettest/budget_test.go
@@ -8,13 +8,15 @@
 const (
 	// bytesBudget is what an instance may send for control, in bytes per
 	// second.
-	bytesBudget  = 5000
+	bytesBudget = 5000
+	// ageTarget leaves a margin of the bound on the age of evidence.
+	ageTarget    = KeyFreshness - time.Second
 	budgetSize   = 400
 	budgetSettle = 30 * time.Second
 )
 
 // A fleet that starts at once with lossy links is whole soon; then the busiest
-// instance keeps its budget.
+// instance and the oldest evidence keep their budgets.
 func TestBudgets(t *testing.T) {
 	f := New(Measured(budgetSize, 1))
 	f.Bus.Run(budgetSettle)
@@ -28,6 +30,9 @@
 	if figures.BusiestPerSecond >= bytesBudget {
 		t.Errorf("the busiest instance sends %.0f bytes/s", figures.BusiestPerSecond)
 	}
+	if figures.AgeMax > ageTarget {
+		t.Errorf("the oldest evidence is %s old", figures.AgeMax)
+	}
 	if len(f.Violations) > 0 {
 		t.Error(f.Violations)
 	}
