Write seat tables only while the configuration lists their writer

Cause: a writer that was taken off the list and does not know it yet could still write a seat table, since the write compared the table's own version only; the listed writers then vouched without that change, and two processes used one seat. Ruled out: a generation of writers in the keys of tables (an instance that lags would adopt a table that nobody else reads, and all tables would have to move). Change: a write of the store may name other keys that must be unchanged; a seat table names the configuration that lists its writer.

--- a/internal/fleettest/control.go
+++ b/internal/fleettest/control.go
@@ -106,28 +106,33 @@
 	done := false
 	p.j.askStore(p.n, func() func() {
 		table, list := p.j.table(z.AvailabilityZone), p.j.Store.listAt(p.j.Bus.Now)
+		config := p.j.Store.newest().Version
 		return func() {
 			if done {
 				return
 			}
 			done = true
+			if p.j.variant != AnyoneWritesSeats && !slices.Contains(p.j.contents[config].writers, p.id) {
+				return
+			}
 			d.Gone = func(name string) bool {
 				return !slices.ContainsFunc(list, func(i platform.Instance) bool { return i.Name == name })
 			}
 			if next, changed := table.Next(d, p.id.Instance); changed {
-				p.writeTable(z.AvailabilityZone, table.Version, next)
+				p.writeTable(z.AvailabilityZone, config, table.Version, next)
 			}
 		}
 	})
 }
 
-func (p *process) writeTable(zone string, base uint64, next seat.Table) {
+// writeTable writes a table if the given configuration is still the newest one.
+func (p *process) writeTable(zone string, config, base uint64, next seat.Table) {
 	author := &p.n.Tracker.Author
 	author.HoldSeats(zone, base)
 	if author.BeginSeats() != nil {
 		return
 	}
-	p.swap(func() bool { return p.j.acceptTable(zone, base, next) }, func(o freshness.Outcome) {
+	p.swap(func() bool { return p.j.acceptTable(zone, config, base, next) }, func(o freshness.Outcome) {
 		author.EndSeats(zone, base, o)
 	})
 }
--- a/internal/fleettest/joined.go
+++ b/internal/fleettest/joined.go
@@ -40,6 +40,8 @@
 	RemembersRight
 	// SettlesAtOnce uses a new layout at once.
 	SettlesAtOnce
+	// AnyoneWritesSeats writes seat tables without asking who is listed.
+	AnyoneWritesSeats
 )
 
 // Joined is a fleet whose processes also write control records, hold seats
@@ -159,9 +161,10 @@
 	return true
 }
 
-// acceptTable does the same for the seat table of a zone.
-func (j *Joined) acceptTable(zone string, base uint64, next seat.Table) bool {
-	if base != j.table(zone).Version {
+// acceptTable does the same for the seat table of a zone, if the given
+// configuration is the newest one.
+func (j *Joined) acceptTable(zone string, config, base uint64, next seat.Table) bool {
+	if base != j.table(zone).Version || config != j.Store.newest().Version && j.variant != AnyoneWritesSeats {
 		return false
 	}
 	value, err := next.Encode()
--- a/internal/fleettest/soak_test.go
+++ b/internal/fleettest/soak_test.go
@@ -116,11 +116,24 @@
 	}
 }
 
+// TestWriteByARemovedWriterIsCaught plays the same without the store's check.
+func TestWriteByARemovedWriterIsCaught(t *testing.T) {
+	if j := removedWriterWrites(AnyoneWritesSeats); len(j.Violations) == 0 {
+		t.Fatal("two users of one seat are not noticed")
+	}
+}
+
 // TestRemovedWriterCannotChangeSeats pauses a listed writer while another one
 // takes it off the list. When it wakes, it does not know that yet and writes a
 // seat table. The store fails at once, so that the remaining writer vouches.
 func TestRemovedWriterCannotChangeSeats(t *testing.T) {
-	j := NewJoined(1, Sound)
+	if j := removedWriterWrites(Sound); len(j.Violations) > 0 {
+		t.Fatalf("%s\n%s", j.Violations[0], strings.Join(j.Trace(traceLines), "\n"))
+	}
+}
+
+func removedWriterWrites(v Variant) *Joined {
+	j := NewJoined(1, v)
 	j.Bus.Faults = Faults{}
 	j.Bus.Run(20 * time.Second)
 	remaining, removed := j.processes[j.Nodes[0]], j.processes[j.Nodes[1]]
@@ -137,9 +150,7 @@
 		j.Store.Down = j.Store.Down || j.counts.Tables > tables
 	}
 	j.Bus.Run(2 * KeyFreshness)
-	if len(j.Violations) > 0 {
-		t.Fatalf("%s\n%s", j.Violations[0], strings.Join(j.Trace(traceLines), "\n"))
-	}
+	return j
 }
 
 // listWriters accepts a version that lists just these writers.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -81,9 +81,13 @@
 	if len(w.Value) > MaxValueBytes {
 		return false, Entry{}, errors.Wrapf(ErrValueTooLarge, "key %q, %d bytes", w.Key, len(w.Value))
 	}
-	answer, err := c.rpc.CompareAndSwap(ctx, &platformpb.CompareAndSwapRequest{
+	request := &platformpb.CompareAndSwapRequest{
 		Key: w.Key, ExpectedRevision: w.ExpectedRevision, Value: w.Value, LeaseId: w.LeaseID, Delete: w.Delete,
-	})
+	}
+	for _, r := range w.Requires {
+		request.Requires = append(request.Requires, &platformpb.Condition{Key: r.Key, Revision: r.Revision})
+	}
+	answer, err := c.rpc.CompareAndSwap(ctx, request)
 	if err != nil {
 		return false, Entry{}, writeError(err)
 	}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -41,6 +41,15 @@
 	Value            []byte
 	LeaseID          uint64
 	Delete           bool
+	// Requires lists other keys that must be unchanged for the write to take
+	// effect.
+	Requires []Condition
+}
+
+// Condition is the revision that a key must have; 0: it must not exist.
+type Condition struct {
+	Key      string
+	Revision uint64
 }
 
 // Change is one change that a watch reports.
@@ -54,8 +63,9 @@
 type Store interface {
 	Get(ctx context.Context, key string) (Entry, error)
 	List(ctx context.Context, prefix string) ([]Entry, uint64, error)
-	// CompareAndSwap reports whether the write took effect, and the entry after
-	// it or the conflicting one.
+	// CompareAndSwap reports whether the write took effect, and the written key's
+	// entry after it. It takes no effect if the key's revision or a required one
+	// differs.
 	CompareAndSwap(ctx context.Context, w Write) (bool, Entry, error)
 	GrantLease(ctx context.Context, ttl time.Duration) (uint64, error)
 	RenewLease(ctx context.Context, id uint64) error
--- a/internal/server/seat.go
+++ b/internal/server/seat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,6 +11,7 @@
 	"github.com/turmericfield/turmericfield/api/peerpb"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/freshness"
+	"github.com/turmericfield/turmericfield/internal/operator"
 	"github.com/turmericfield/turmericfield/internal/platform"
 	"github.com/turmericfield/turmericfield/internal/seat"
 )
@@ -217,15 +219,40 @@
 	if !changed {
 		return nil
 	}
+	record, err := s.recordThatListsSelf(ctx)
+	if err != nil {
+		return err
+	}
 	value, err := next.Encode()
 	if err != nil {
 		return err
 	}
 	return s.swapTable(ctx, zone, table.Version, platform.Write{
-		Key: seat.KeyPrefix + zone, ExpectedRevision: entry.Revision, Value: value,
+		Key: seat.KeyPrefix + zone, ExpectedRevision: entry.Revision, Value: value, Requires: []platform.Condition{record},
 	})
 }
 
+// errNotWriter means that other processes are listed as writers by now.
+var errNotWriter = errors.New("this process is not a listed writer any more")
+
+// recordThatListsSelf returns the condition that the configuration still lists
+// this process as a writer. The other writers vouch for all tables, so a process
+// that they don't know of must not write one.
+func (s *Server) recordThatListsSelf(ctx context.Context) (platform.Condition, error) {
+	entry, err := s.platform.Get(ctx, operator.RecordKey)
+	if err != nil {
+		return platform.Condition{}, err
+	}
+	manifest, err := operator.DecodeManifest(entry)
+	if err != nil {
+		return platform.Condition{}, err
+	}
+	if !slices.Contains(manifest.Writers, author{s}.Self()) {
+		return platform.Condition{}, errNotWriter
+	}
+	return platform.Condition{Key: entry.Key, Revision: entry.Revision}, nil
+}
+
 // swapTable accounts for the write in this writer's vouchers.
 func (s *Server) swapTable(ctx context.Context, zone string, base uint64, w platform.Write) error {
 	s.mu.Lock()
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -127,7 +127,11 @@
 		return nil, status.Errorf(codes.InvalidArgument, "value has %d bytes, more than %d", len(r.GetValue()), real.MaxValueBytes)
 	}
 	e := entry{key: r.GetKey(), value: r.GetValue(), leaseID: r.GetLeaseId()}
-	swapped, leaseOK, current, revision := s.store.swap(e, r.GetExpectedRevision(), r.GetDelete())
+	var requires []real.Condition
+	for _, c := range r.GetRequires() {
+		requires = append(requires, real.Condition{Key: c.GetKey(), Revision: c.GetRevision()})
+	}
+	swapped, leaseOK, current, revision := s.store.swap(e, r.GetExpectedRevision(), r.GetDelete(), requires)
 	if !leaseOK {
 		return nil, status.Error(codes.NotFound, "lease expired")
 	}
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	real "github.com/turmericfield/turmericfield/internal/platform"
 )
 
 type entry struct {
@@ -68,7 +70,7 @@
 }
 
 // swap applies a compare-and-swap. leaseOK is false if the lease is unknown.
-func (s *store) swap(e entry, expected uint64, remove bool) (swapped, leaseOK bool, current entry, revision uint64) {
+func (s *store) swap(e entry, expected uint64, remove bool, requires []real.Condition) (swapped, leaseOK bool, current entry, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -77,7 +79,7 @@
 	}
 	old := s.entries[e.key]
 	old.key = e.key
-	if old.revision != expected {
+	if old.revision != expected || !s.unchanged(requires) {
 		return false, true, old, s.revision
 	}
 	if remove {
@@ -91,6 +93,15 @@
 	return true, true, e, s.revision
 }
 
+func (s *store) unchanged(requires []real.Condition) bool {
+	for _, r := range requires {
+		if s.entries[r.Key].revision != r.Revision {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *store) remove(key string) {
 	if _, ok := s.entries[key]; !ok {
 		return
