Share out lacking slots by what regions have left; count rejections by share

Ruled out: patience, learning at second choices, ejection of slow targets (each varied, same figures in the first seconds, where all of the difference lay). Change: a region keeps what its slots bear and the rest goes to regions in proportion to their slots left; rejections eject by their share alone; seeds draw names, and comparisons take the mean of 16 of them instead of single ones. Conclusion: kept; nothing is known red.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -1,7 +1,6 @@
 package affinity
 
 import (
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,17 +29,14 @@
 	busyShare = 0.6
 	// spillChoices is how many choices after the first an object may spill to.
 	spillChoices = 2
-	// maxHomeShare is the part of its objects that a region with enough targets
-	// keeps; the rest shares out what other regions lack.
-	maxHomeShare = 0.95
+	// minAway times its slots is what a region weighs at least that is not needed:
+	// its targets come last, in an order that all instances agree on.
+	minAway = 0.001
 	// homedWork is the work of all requests in parts of all slots, if no target
 	// knew their objects: requests with homes ask few targets for all objects.
 	homedWork = 1.2
 	// minSpared is the least weight of a target beside requests with homes.
 	minSpared = 0.1
-	// homeStep is the factor between two weights of a region's own targets;
-	// coarse, because each change of the weight moves objects.
-	homeStep = 1.5
 )
 
 // Request is what a choice depends on.
@@ -134,10 +130,11 @@
 
 	typical map[string]float64 // route → usual time of an answer, seconds
 	work    map[string]float64 // service → usual time of an answer, seconds
-	homes   map[string]float64 // service → weight of this region's targets
 
-	homed  map[string]float64            // region → part of all requests that only it may run
-	spared map[string]map[string]float64 // service → region → weight of its targets for others
+	homed map[string]float64 // region → part of all requests that only it may run
+	// regionWeights: service → region → weight of its targets for objects of this
+	// region's callers
+	regionWeights map[string]map[string]float64
 }
 
 type coldLimit struct {
@@ -150,8 +147,8 @@
 func New(self, region string, regions int) *Balancer {
 	return &Balancer{
 		self: self, region: region, regions: regions,
-		typical: map[string]float64{}, work: map[string]float64{}, homes: map[string]float64{},
-		spared: map[string]map[string]float64{}, targets: map[string]*state{}, services: map[string][]*state{},
+		typical: map[string]float64{}, work: map[string]float64{},
+		regionWeights: map[string]map[string]float64{}, targets: map[string]*state{}, services: map[string][]*state{},
 		closed: map[string]bool{}, cold: map[string]coldLimit{}, names: []string{self},
 	}
 }
@@ -173,13 +170,16 @@
 		b.targets[t.ID] = s
 		b.services[t.Service] = append(b.services[t.Service], s)
 	}
-	b.weighHomes()
+	b.weighRegions()
 }
 
-// weighHomes sets how much more a target of this region weighs: as much as
-// keeps the region's objects there as far as its slots go, if each region has an
-// equal part of the load. Slots that requests with homes need are left out.
-func (b *Balancer) weighHomes() {
+// weighRegions sets how much a target of each region weighs for the objects of
+// this region's callers, if each region has an equal part of the load. A region
+// keeps its objects as far as its slots go; what it lacks is shared out to the
+// regions that have slots left, in proportion to these. All targets then get the
+// same load per slot with the least traffic between regions. Slots that requests
+// with homes need are left out.
+func (b *Balancer) weighRegions() {
 	for service, list := range b.services {
 		slots, all := map[string]float64{}, 0.0
 		for _, s := range list {
@@ -188,27 +188,39 @@
 				all += float64(s.Slots)
 			}
 		}
-		spared, left := map[string]float64{}, 0.0
+		free, left := map[string]float64{}, 0.0 // slots for requests without homes
 		for region, n := range slots {
-			spared[region] = max(1-b.homed[region]*homedWork*all/n, minSpared)
-			left += n * spared[region]
+			free[region] = n * max(1-b.homed[region]*homedWork*all/n, minSpared)
+			left += free[region]
 		}
-		b.spared[service] = spared
-		b.homes[service] = 1
-		part := slots[b.region] * spared[b.region] / max(left, 1)
-		if part <= 0 || part >= 1 {
-			continue
+		b.regionWeights[service] = regionWeights(b.region, b.regions, slots, free, left)
+	}
+}
+
+// regionWeights returns the weight of a target of each region per slot, seen
+// from one of several regions. left is the sum of the free slots.
+func regionWeights(self string, regions int, slots, free map[string]float64, left float64) map[string]float64 {
+	fair := left / float64(max(regions, 1))
+	surplus := 0.0
+	for _, n := range free {
+		surplus += max(n-fair, 0)
+	}
+	lacking := max(fair-free[self], 0)
+	weights := make(map[string]float64, len(free))
+	for region, n := range free {
+		take := min(n, fair)
+		if region != self {
+			take = lacking * max(n-fair, 0) / max(surplus, 1)
 		}
-		keep := min(part*float64(b.regions), maxHomeShare)
-		steps := math.Round(math.Log(keep*(1-part)/(part*(1-keep))) / math.Log(homeStep))
-		b.homes[service] = math.Pow(homeStep, steps)
+		weights[region] = max(take, minAway*n) / max(slots[region], 1)
 	}
+	return weights
 }
 
 // SetHomed sets which part of all requests only a region may run.
 func (b *Balancer) SetHomed(parts map[string]float64) {
 	b.homed = parts
-	b.weighHomes()
+	b.weighRegions()
 }
 
 // SetCold sets the cold rate of a service's targets and how long one that comes
@@ -226,7 +238,7 @@
 		}
 	}
 	b.closed = zones
-	b.weighHomes()
+	b.weighRegions()
 }
 
 // SetInstances sets the names of the live instances.
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -149,10 +149,7 @@
 		}
 		w := weight(h, s)
 		if r.Object != "" && len(r.Homes) == 0 {
-			w *= b.spared[s.Service][s.Region]
-			if s.Region == b.region {
-				w *= b.homes[s.Service]
-			}
+			w *= b.regionWeights[s.Service][s.Region]
 		}
 		list = append(list, candidate{s, w})
 	}
--- a/internal/affinity/learn.go
+++ b/internal/affinity/learn.go
@@ -21,7 +21,7 @@
 	case Rejected:
 		s.answeredAt, s.trial = now, false
 		if !crowded {
-			s.fail(now, false, b.usualBad(s.Service))
+			s.reject(now, b.usualBad(s.Service))
 		}
 	case Failed:
 		s.fail(now, false, b.usualBad(s.Service))
--- a/internal/affinity/target.go
+++ b/internal/affinity/target.go
@@ -146,6 +146,16 @@
 	s.trial = false
 }
 
+// reject notes that the target rejected a request though it had room. Another try
+// costs the caller little, so some rejections in a row do not eject it; one that
+// rejects far more than others does not serve its objects.
+func (s *state) reject(now time.Duration, usual float64) {
+	s.bad += (1 - s.bad) * badWeight
+	if s.bad >= badShare && s.bad >= usual+worseBy {
+		s.eject(now, minEjection)
+	}
+}
+
 func (s *state) eject(now, least time.Duration) {
 	s.trial = false
 	s.ejection = min(max(2*s.ejection, least), maxEjection)
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -118,6 +118,7 @@
 
 type world struct {
 	Scenario
+	seed     uint64 // also in the names of targets and objects, so that each seed places them anew
 	random   *rand.Rand
 	now      time.Duration
 	queue    events
@@ -131,12 +132,12 @@
 
 // Play plays a scenario.
 func Play(s Scenario, seed uint64, policy PolicyOf) Result {
-	w := &world{Scenario: s, random: rand.New(rand.NewPCG(seed, 11)), targets: map[string]*target{}}
+	w := &world{Scenario: s, seed: seed, random: rand.New(rand.NewPCG(seed, 11)), targets: map[string]*target{}}
 	var list []affinity.Target
 	for r, region := range s.Regions {
 		for i := range region.Targets {
 			t := affinity.Target{
-				ID: fmt.Sprintf("r%d-t%d", r, i), Service: service, Address: fmt.Sprintf("10.%d.0.%d:80", r, i),
+				ID: fmt.Sprintf("r%d-t%d-%d", r, i, seed), Service: service, Address: fmt.Sprintf("10.%d.0.%d:80", r, i),
 				Region: regionName(r), AvailabilityZone: regionName(r), Slots: s.Slots, Started: 1,
 			}
 			list = append(list, t)
@@ -177,7 +178,7 @@
 		objects := w.Regions[region].Objects
 		r := &request{
 			born: w.now, region: region, homed: w.random.Float64() < w.Homed,
-			object: fmt.Sprintf("%d/%d", region, int(float64(objects)*w.random.Float64())),
+			object: fmt.Sprintf("%d/%d/%d", w.seed, region, int(float64(objects)*w.random.Float64())),
 		}
 		w.note(r, false)
 		w.send(r)
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -18,32 +18,42 @@
 // gained are the loads that the policy was made for.
 var gained = []string{"cooperative, grown", "burst", "one home with few targets"}
 
+// seeds is the number of placements of objects that a comparison takes the mean of;
+// with one of them alone, luck of a hash moves a share by 0.005.
+const seeds = 16
+
+// mean returns the mean share of answers in time.
+func mean(s Scenario, policy PolicyOf) float64 {
+	sum := 0.0
+	for seed := range uint64(seeds) {
+		sum += Play(s, seed, policy).InTimeShare()
+	}
+	return sum / seeds
+}
+
 // In these loads callers must get more answers in time than under either baseline.
 func TestCallersGetMoreThanUnderTheBaselines(t *testing.T) {
 	for _, name := range gained {
-		s := scenario(t, name)
-		for seed := range uint64(2) {
-			got := Play(s, seed, Own(s))
-			for name, baseline := range map[string]PolicyOf{"spill": Spill, "random": Random} {
-				if other := Play(s, seed, baseline); got.InTimeShare() <= other.InTimeShare() {
-					t.Errorf("%s, seed %d: %.3f in time, %s %.3f", s.Name, seed, got.InTimeShare(), name, other.InTimeShare())
-				}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := scenario(t, name)
+			own, spill, random := mean(s, Own(s)), mean(s, Spill), mean(s, Random)
+			if own <= spill || own <= random {
+				t.Errorf("%.4f in time, %.4f by spilling, %.4f at random", own, spill, random)
 			}
-		}
+		})
 	}
 }
 
 // No load may be served worse than by spilling.
 func TestNoLoadIsServedWorseThanBySpilling(t *testing.T) {
 	for _, s := range Scenarios() {
-		own, spill := 0.0, 0.0
-		for seed := range uint64(4) {
-			own += Play(s, seed, Own(s)).InTimeShare() / 4
-			spill += Play(s, seed, Spill).InTimeShare() / 4
-		}
-		if own < spill {
-			t.Errorf("%s: %.3f in time, %.3f by spilling", s.Name, own, spill)
-		}
+		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			if own, spill := mean(s, Own(s)), mean(s, Spill); own < spill {
+				t.Errorf("%.4f in time, %.4f by spilling", own, spill)
+			}
+		})
 	}
 }
 
@@ -73,12 +83,8 @@
 // Requests bound to a home with few targets must not slow down all others.
 func TestHomedRequestsHarmFewOthers(t *testing.T) {
 	s := scenario(t, "one home with few targets")
-	for seed := range uint64(4) {
-		spared := Play(s, seed, Own(s)).InTimeShare()
-		unaware := Play(s, seed, unaware(nil, len(s.Regions))).InTimeShare()
-		if spared < unaware {
-			t.Errorf("seed %d: %.3f in time with the home's targets spared, %.3f without", seed, spared, unaware)
-		}
+	if spared, unaware := mean(s, Own(s)), mean(s, unaware(nil, len(s.Regions))); spared < unaware {
+		t.Errorf("%.4f in time with the home's targets spared, %.4f without", spared, unaware)
 	}
 }
 
