Let one instance of a region watch the store and the others follow it

Change: internal/relay holds what an instance can pass on and whom it follows; the first instance of a region follows the store, the others one of the first two, the store if both fail, and others yet if the store turns them away. A proof's age is counted from the call on; chains that lead back are refused; heartbeats are not passed on; registrations are decoded once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -84,10 +84,11 @@
 	LogLevel      string
 }
 
-// WatchWait returns how long a watch of the store may be held without news. An
-// answer proves that keys were current when it was asked for, so the proof is up
-// to two such times old, and the rest of the bound is left for a lost store.
-func (s Settings) WatchWait() time.Duration { return s.KeyBound / 5 }
+// WatchWait returns how long a watch of the store, or of another instance, may be
+// held without news. An answer proves that keys were current when it was asked for,
+// so the proof is up to two such times old, three by way of another instance, and
+// the rest of the bound is left for a lost store.
+func (s Settings) WatchWait() time.Duration { return s.KeyBound / 10 }
 
 // regionCount returns the number of regions that the settings name.
 func (s Settings) regionCount() int {
@@ -133,6 +134,9 @@
 	gateway  *gateway.Gateway
 	members  *members
 	hub      *hubServer
+	follower *follower
+	targets  map[string]registration // in use, by key
+	decoded  map[string]registration // newest, by key
 	metrics  *metrics.Set
 	logs     *logging.Log
 	log      *log.Logger
@@ -149,12 +153,14 @@
 	set.Gauge("log_lines_dropped", logs.Dropped)
 	e := &Edge{
 		Settings: s, adapter: adapter, keys: adapter.Keys(), store: store, metrics: set, logs: logs, log: logs.Part("edge"), tableSet: make(chan struct{}),
+		targets: map[string]registration{}, decoded: map[string]registration{},
 		gateway: gateway.New(gateway.Options{
 			Dialect: adapter.Dialect(), Region: s.Region, Regions: s.regionCount(), KeyFreshness: s.KeyBound - keySlack,
 			RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, Metrics: set, Log: logs.Part("gateway"),
 		}, s.Name),
 	}
 	e.hub = &hubServer{Edge: e, hub: quota.NewHub()}
+	e.follower = newFollower(e)
 	e.members = newMembers(s, func() bool { return e.gateway.EvidenceAge() < nameableAge })
 	return e
 }
@@ -191,7 +197,7 @@
 		go func() { failed <- server.Serve(l) }()
 	}
 	e.log.Info().Str("instance", e.Name).Str("zone", e.AvailabilityZone).Str("listen", e.Listen).Msg("life: started")
-	go e.follow(ctx)
+	go e.follower.run(ctx)
 	go e.gateway.Maintain(ctx)
 	go e.servePeers(ctx, peers)
 	go e.report(ctx)
@@ -271,21 +277,6 @@
 	return l, errors.Wrapf(err, "listen on %s", address)
 }
 
-// follow keeps a copy of the store and puts what changes into use.
-func (e *Edge) follow(ctx context.Context) {
-	f := follower{Edge: e, mirror: mirror.New(mirror.Options{
-		Registered: []string{e.keys.Targets, e.keys.Own}, Grace: registrationGrace, Outage: outage,
-		Witnesses: e.keys.Own + instancePrefix, Self: e.keys.Own + instancePrefix + e.Name,
-	})}
-	go func() {
-		for ctx.Err() == nil {
-			time.Sleep(expireInterval)
-			f.expire()
-		}
-	}()
-	f.run(ctx)
-}
-
 // apply puts changed keys into use.
 func (e *Edge) apply(m *mirror.Mirror, changed []string) {
 	var configuration, targets, zones, own bool
@@ -346,40 +337,6 @@
 	e.log.Info().Uint64("revision", m.Revision()).Strs("zones", sortedKeys(zones)).Msg("zones: changed")
 }
 
-func (e *Edge) applyTargets(m *mirror.Mirror) {
-	var targets []affinity.Target
-	leaving := 0
-	m.Each(e.keys.Targets, func(entry platform.Entry) {
-		t, err := e.adapter.Target(strings.TrimPrefix(entry.Key, e.keys.Targets), entry.Value)
-		if err != nil {
-			e.log.Warn().Err(err).Uint64("revision", entry.Revision).Msg("target: registration cannot be used")
-			return
-		}
-		t.Region = e.Regions[t.AvailabilityZone]
-		if t.Leaving {
-			leaving++
-		}
-		targets = append(targets, t)
-	})
-	e.gateway.Update(func(b *affinity.Balancer, _ *quota.Shares, now time.Duration) { b.SetTargets(targets, now) })
-	e.log.Info().Uint64("revision", m.Revision()).Int("targets", len(targets)).Int("leaving", leaving).Msg("targets: changed")
-}
-
-func (e *Edge) applyMembers(m *mirror.Mirror) {
-	var list []member
-	m.Each(e.keys.Own+instancePrefix, func(entry platform.Entry) {
-		one, err := decodeMember(entry.Value)
-		if err != nil {
-			e.log.Warn().Err(err).Str("key", entry.Key).Msg("instance: entry cannot be used")
-			return
-		}
-		list = append(list, one)
-	})
-	names := e.members.set(list)
-	e.gateway.SetInstances(names)
-	e.log.Info().Uint64("revision", m.Revision()).Strs("instances", names).Msg("instances: changed")
-}
-
 func sortedKeys(set map[string]bool) []string {
 	keys := make([]string, 0, len(set))
 	for k := range set {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/turmericfield/turmericfield/internal/mirror"
 	"github.com/turmericfield/turmericfield/internal/platform"
+	"github.com/turmericfield/turmericfield/internal/relay"
 )
 
 const (
@@ -18,44 +19,87 @@
 	// gatherShare times the wait of a watch is the pause after a change in which
 	// more may gather, since each watch is a priced call; it is a small part of
 	// the bounds on changes.
-	gatherShare = 0.4
+	gatherShare = 0.8
 )
 
-// follower copies the store.
+// follower copies the store, from the store itself or from another instance that
+// does.
 type follower struct {
 	*Edge
-	mu     sync.Mutex // guards mirror and the order of its effects
-	mirror *mirror.Mirror
-	lost   bool
-	pause  time.Duration
+	peer  peerConn
+	pause time.Duration
+
+	mu       sync.Mutex // guards what follows and the order of its effects
+	mirror   *mirror.Mirror
+	feed     *relay.Feed
+	chooser  *relay.Chooser
+	source   string        // followed last
+	via      []string      // instances between this copy and the store
+	evidence time.Duration // when the copy was surely complete; 0 if unknown
+	lost     bool
+	woken    chan struct{} // closed when followers should hear something
 }
 
-// run lists the store, then watches it, until the context ends.
+func newFollower(e *Edge) *follower {
+	return &follower{
+		Edge: e, chooser: relay.NewChooser(), feed: relay.NewFeed(e.sameEntry), woken: make(chan struct{}),
+		mirror: mirror.New(mirror.Options{
+			Registered: []string{e.keys.Targets, e.keys.Own}, Grace: registrationGrace, Outage: outage,
+			Witnesses: e.keys.Own + instancePrefix, Self: e.keys.Own + instancePrefix + e.Name,
+		}),
+	}
+}
+
+// run lists the store, then follows it or another instance, until the context ends.
 func (f *follower) run(ctx context.Context) {
+	defer f.peer.close()
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(expireInterval)
+			f.expire()
+		}
+	}()
 	list := true
 	for ctx.Err() == nil {
+		name := relay.Store
 		var err error
-		if list {
+		switch {
+		case list:
 			err = f.list(ctx)
 			list = err != nil
-		}
-		if err == nil {
-			err = f.watch(ctx)
+		default:
+			if name = f.choose(); name == relay.Store {
+				err = f.watch(ctx)
+			} else {
+				err = f.relayed(ctx, name)
+			}
 		}
 		if errors.Is(err, platform.ErrHistoryGone) {
-			f.log.Info().Uint64("revision", f.mirror.Revision()).Msg("store: history is gone, listing again")
+			f.log.Info().Str("source", name).Uint64("revision", f.revision()).Msg("store: history is gone, listing again")
 			list = true
 			continue
 		}
-		if ctx.Err() != nil {
-			return
+		if err == nil || ctx.Err() != nil {
+			continue
 		}
-		f.noteLost(err)
-		f.pause = min(max(2*f.pause, minPause), maxPause)
-		time.Sleep(f.pause)
+		f.noteFailed(name, err)
+		f.rest()
 	}
 }
 
+// rest pauses until a source may be tried again.
+func (f *follower) rest() {
+	f.mu.Lock()
+	at := now()
+	wait := f.chooser.Waiting(f.chooser.Choose(at), at)
+	f.mu.Unlock()
+	if wait <= 0 {
+		return // another source may do better
+	}
+	f.pause = min(max(2*f.pause, minPause), maxPause)
+	time.Sleep(min(f.pause, wait))
+}
+
 func (f *follower) list(ctx context.Context) error {
 	asked := now()
 	entries, revision, err := f.store.List(ctx, "")
@@ -64,33 +108,61 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.noteContact()
+	f.noteCurrent(relay.Store, nil, asked)
+	f.feed.Replace(entries, revision)
 	f.apply(f.mirror, f.mirror.Replace(entries, revision, now()))
-	f.gateway.SetEvidence(asked)
+	f.wake()
 	return nil
 }
 
-// watch takes changes until the watch breaks. An answer proves that the copy
-// was current when it was asked for.
+// watch takes changes from the store until the watch breaks or another source is
+// better. An answer proves that the copy was complete when it was asked for.
 func (f *follower) watch(ctx context.Context) error {
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
 	asked := now()
-	return f.store.Watch(ctx, "", f.mirror.Revision(), func(changes []platform.Change, revision uint64) {
-		if f.take(changes, revision, asked) {
+	err := f.store.Watch(watching, "", f.revision(), func(changes []platform.Change, revision uint64) {
+		f.take(changes, revision, asked, nil)
+		if f.choose() != relay.Store {
+			cancel()
+			return
+		}
+		if len(changes) > 0 {
 			time.Sleep(time.Duration(gatherShare * float64(f.WatchWait())))
 		}
 		asked = now()
 	})
+	if watching.Err() != nil {
+		return nil // another source is better, or the process ends
+	}
+	return err
 }
 
-// take puts changes into use that were asked for at a time. It tells whether
-// there were any.
-func (f *follower) take(changes []platform.Change, revision uint64, asked time.Duration) bool {
+// take puts changes into use that prove the copy complete as of a moment.
+func (f *follower) take(changes []platform.Change, revision uint64, evidence time.Duration, via []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.noteContact()
+	source := relay.Store
+	if len(via) > 0 {
+		source = via[0]
+	}
+	regained := f.lost
+	f.noteCurrent(source, via, evidence)
+	news := f.feed.Apply(changes, revision)
 	f.apply(f.mirror, f.mirror.Apply(changes, revision, now()))
-	f.gateway.SetEvidence(asked)
-	return len(changes) > 0
+	if news || regained {
+		f.wake()
+	}
+}
+
+// learn puts changes into use that prove nothing.
+func (f *follower) learn(changes []platform.Change, revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.feed.Apply(changes, revision) {
+		f.apply(f.mirror, f.mirror.Learn(changes, revision, now()))
+		f.wake()
+	}
 }
 
 // expire puts into use that entries have not come back.
@@ -100,18 +172,54 @@
 	f.apply(f.mirror, f.mirror.Expire(now()))
 }
 
-func (f *follower) noteContact() {
+// revision returns the store's revision that the copy has reached.
+func (f *follower) revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mirror.Revision()
+}
+
+// noteCurrent notes that a source proved the copy complete as of a moment.
+func (f *follower) noteCurrent(source string, via []string, evidence time.Duration) {
 	f.pause = 0
+	f.chooser.Succeed(source)
+	if source != f.source || f.evidence == 0 {
+		f.log.Info().Str("source", sourceName(source)).Strs("via", via).Msg("store: followed")
+	}
 	if f.lost {
 		f.lost = false
-		f.log.Info().Int64("evidence_age_ms", f.gateway.EvidenceAge().Milliseconds()).Msg("store: regained")
+		f.log.Info().Str("source", sourceName(source)).Int64("evidence_age_ms", f.gateway.EvidenceAge().Milliseconds()).Msg("store: regained")
+	}
+	f.source, f.via = source, via
+	if evidence > f.evidence {
+		f.evidence = evidence
+		f.gateway.SetEvidence(evidence)
+	}
+}
+
+// noteFailed notes that a source failed. Followers hear at once if it was the last
+// one that proved the copy complete.
+func (f *follower) noteFailed(source string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.chooser.Fail(source, now())
+	if source == relay.Store {
+		f.metrics.Add("store_failures_total", 1)
+	} else {
+		f.metrics.Add("relay_failures_total", 1)
+	}
+	if f.lost || source != f.source {
+		return
 	}
+	f.lost = true
+	f.log.Warn().Err(err).Str("source", sourceName(source)).Int64("evidence_age_ms", f.gateway.EvidenceAge().Milliseconds()).Msg("store: lost")
+	f.wake()
 }
 
-func (f *follower) noteLost(err error) {
-	f.metrics.Add("store_failures_total", 1)
-	if !f.lost {
-		f.lost = true
-		f.log.Warn().Err(err).Int64("evidence_age_ms", f.gateway.EvidenceAge().Milliseconds()).Msg("store: lost")
+// sourceName returns how logs name a source.
+func sourceName(source string) string {
+	if source == relay.Store {
+		return "store"
 	}
+	return source
 }
--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -8,13 +8,10 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/turmericfield/turmericfield/api/fleetpb"
 	"github.com/turmericfield/turmericfield/internal/affinity"
-	"github.com/turmericfield/turmericfield/internal/gateway"
 	"github.com/turmericfield/turmericfield/internal/quota"
 )
 
@@ -28,26 +25,28 @@
 	// failuresToMove is the number of failed reports in a row after which it goes
 	// to the next one; one may be a lost packet, and levels outlive two.
 	failuresToMove = 2
-	// peerBuffer is the size in bytes of a peer connection's buffers; reports are
-	// small.
-	peerBuffer = 4 << 10
 )
 
-// hubServer serves other instances' reports.
+// hubServer keeps the fleet's quotas for other instances.
 type hubServer struct {
-	fleetpb.UnimplementedFleetServer
 	*Edge
 	mu  sync.Mutex
 	hub *quota.Hub
 }
 
+// fleetServer answers other instances.
+type fleetServer struct {
+	fleetpb.UnimplementedFleetServer
+	*Edge
+}
+
 // Report implements fleetpb.FleetServer.
-func (h *hubServer) Report(_ context.Context, r *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
+func (f fleetServer) Report(_ context.Context, r *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
 	report := quota.Report{Instance: r.GetInstance(), Started: r.GetStarted()}
 	for _, u := range r.GetUsages() {
 		report.Usages = append(report.Usages, quota.Usage{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted()})
 	}
-	levels := h.handle(report)
+	levels := f.hub.handle(report)
 	out := &fleetpb.ReportResponse{Share: levels.Share, Part: levels.Part, Levels: make([]*fleetpb.Level, len(levels.Levels))}
 	for i, l := range levels.Levels {
 		out.Levels[i] = &fleetpb.Level{Workspace: l.Workspace, Left: float32(l.Left)}
@@ -70,7 +69,7 @@
 	server := grpc.NewServer(
 		grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 5 * time.Second, Timeout: 2 * time.Second}))
-	fleetpb.RegisterFleetServer(server, e.hub)
+	fleetpb.RegisterFleetServer(server, fleetServer{Edge: e})
 	context.AfterFunc(ctx, server.Stop)
 	if err := server.Serve(l); err != nil && ctx.Err() == nil {
 		e.log.Error().Err(err).Msg("peers: stopped serving")
@@ -83,8 +82,7 @@
 	choice   int // position of the hub among the live instances
 	failures int // in a row
 	since    time.Time
-	conn     *grpc.ClientConn
-	address  string
+	peer     peerConn
 	lost     bool
 }
 
@@ -92,7 +90,7 @@
 // ends.
 func (e *Edge) report(ctx context.Context) {
 	r := &reporter{Edge: e}
-	defer r.close()
+	defer r.peer.close()
 	for ctx.Err() == nil {
 		begin := time.Now()
 		err := r.once(ctx)
@@ -116,10 +114,10 @@
 	switch {
 	case err != nil && !r.lost:
 		r.lost = true
-		r.log.Warn().Err(err).Str("hub", r.address).Msg("hub: lost")
+		r.log.Warn().Err(err).Str("hub", r.peer.address).Msg("hub: lost")
 	case err == nil && r.lost:
 		r.lost = false
-		r.log.Info().Str("hub", r.address).Msg("hub: regained")
+		r.log.Info().Str("hub", r.peer.address).Msg("hub: regained")
 	}
 }
 
@@ -134,7 +132,8 @@
 		r.gateway.Update(func(_ *affinity.Balancer, q *quota.Shares, _ time.Duration) { q.SetLevels(report, levels, sentAt) })
 		return nil
 	}
-	if err := r.connect(hub.PeerAddress); err != nil {
+	client, err := r.peer.client(hub.PeerAddress, reportTimeout)
+	if err != nil {
 		return err
 	}
 	request := &fleetpb.ReportRequest{Instance: report.Instance, Started: report.Started, Usages: make([]*fleetpb.Usage, len(report.Usages))}
@@ -143,9 +142,9 @@
 	}
 	call, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	answer, err := fleetpb.NewFleetClient(r.conn).Report(call, request)
+	answer, err := client.Report(call, request)
 	if err != nil {
-		r.close()
+		r.peer.close()
 		return errors.Wrap(err, "report")
 	}
 	levels := quota.Levels{Share: answer.GetShare(), Part: answer.GetPart(), Levels: make([]quota.Level, len(answer.GetLevels()))}
@@ -155,30 +154,3 @@
 	r.gateway.Update(func(_ *affinity.Balancer, q *quota.Shares, _ time.Duration) { q.SetLevels(report, levels, sentAt) })
 	return nil
 }
-
-func (r *reporter) connect(address string) error {
-	if r.conn != nil && r.address == address {
-		return nil
-	}
-	r.close()
-	dialer := gateway.Dialer(reportTimeout)
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
-		grpc.WithReadBufferSize(peerBuffer), grpc.WithWriteBufferSize(peerBuffer),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.5, MaxDelay: 500 * time.Millisecond}}),
-		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp4", address)
-		}))
-	if err != nil {
-		return errors.Wrapf(err, "peer address %q", address)
-	}
-	r.conn, r.address = conn, address
-	return nil
-}
-
-func (r *reporter) close() {
-	if r.conn != nil {
-		_ = r.conn.Close() // a new one is made for the next report
-		r.conn = nil
-	}
-}
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -75,7 +75,8 @@
 	able func() bool
 
 	mu      sync.Mutex
-	list    []member // without this instance
+	list    []member // without this instance, by name
+	known   bool     // the store was read
 	leaving bool
 }
 
@@ -87,21 +88,24 @@
 	}
 }
 
-// set takes over the registered instances and returns the names of all live
-// ones, sorted.
-func (m *members) set(list []member) []string {
+// set takes over the registered instances. It returns the names of all live ones,
+// sorted, and whether anything changed.
+func (m *members) set(list []member) ([]string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.list = m.list[:0]
+	others := make([]member, 0, len(list))
 	names := []string{m.self.Name}
 	for _, one := range list {
 		if one.Name != m.self.Name {
-			m.list = append(m.list, one)
+			others = append(others, one)
 			names = append(names, one.Name)
 		}
 	}
 	slices.Sort(names)
-	return names
+	slices.SortFunc(others, func(a, b member) int { return cmp.Compare(a.Name, b.Name) })
+	changed := !m.known || !slices.Equal(others, m.list)
+	m.list, m.known = others, true
+	return names, changed
 }
 
 // names returns the names of all live instances.
@@ -120,6 +124,13 @@
 func (m *members) hub(rank int) member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	all := m.ordered()
+	return all[rank%len(all)]
+}
+
+// ordered returns all live instances, those with wide links first. All instances
+// that know the same others have the same order.
+func (m *members) ordered() []member {
 	all := append([]member{m.self}, m.list...)
 	slices.SortFunc(all, func(a, b member) int {
 		if a.Weight != b.Weight {
@@ -128,7 +139,37 @@
 		x, y := xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)
 		return cmp.Compare(x, y)
 	})
-	return all[rank%len(all)]
+	return all
+}
+
+// ranked returns the names of the region's live instances in their order, and the
+// first ones of the other regions.
+func (m *members) ranked() (region, elsewhere []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen := map[string]bool{m.self.Region: true}
+	for _, one := range m.ordered() {
+		switch {
+		case one.Region == m.self.Region:
+			region = append(region, one.Name)
+		case !seen[one.Region]:
+			seen[one.Region] = true
+			elsewhere = append(elsewhere, one.Name)
+		}
+	}
+	return region, elsewhere
+}
+
+// peerAddress returns where another instance answers peers.
+func (m *members) peerAddress(name string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, one := range m.list {
+		if one.Name == name {
+			return one.PeerAddress, true
+		}
+	}
+	return "", false
 }
 
 // leave stops naming this instance while another lives.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -80,10 +80,16 @@
 	return changed
 }
 
-// Apply takes changes in the order of their revisions. It returns the keys that
-// changed.
+// Apply takes changes in the order of their revisions, which prove the copy current.
+// It returns the keys that changed.
 func (m *Mirror) Apply(changes []platform.Change, revision uint64, now time.Duration) []string {
 	m.Contact(now)
+	return m.Learn(changes, revision, now)
+}
+
+// Learn takes changes that do not prove the copy current, for example from an
+// instance that has lost the store itself.
+func (m *Mirror) Learn(changes []platform.Change, revision uint64, now time.Duration) []string {
 	var changed []string
 	if m.returned {
 		touched := make(map[string]bool, len(changes))
--- /dev/null
+++ b/internal/relay/chooser.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// Store stands for the store itself among the sources of an instance.
+	Store = ""
+	// feeders is how many instances of a region are asked before the store: the
+	// second one takes over at once where the first has failed.
+	feeders = 2
+	// firstPause and maxPause bound how long a source that failed is left alone;
+	// the first is about the time in which a killed process is back.
+	firstPause = time.Second
+	maxPause   = 4 * time.Second
+)
+
+// Chooser decides whom an instance follows: one of the first instances of its
+// region, the first one the store. An instance that the store does not answer
+// follows others, of other regions at last. It is not safe for concurrent use.
+type Chooser struct {
+	sources []string // in order of preference
+	failed  map[string]failure
+}
+
+type failure struct {
+	until time.Duration
+	pause time.Duration
+}
+
+// NewChooser returns a chooser that knows the store only.
+func NewChooser() *Chooser {
+	return &Chooser{sources: []string{Store}, failed: map[string]failure{}}
+}
+
+// SetFleet sets the live instances of the own region in their order, the instance
+// itself among them, and the first ones of the other regions.
+func (c *Chooser) SetFleet(self string, region, elsewhere []string) {
+	rank := max(slices.Index(region, self), 0)
+	c.sources = slices.Clone(region[:min(rank, feeders)])
+	c.sources = append(c.sources, Store)
+	after := region[min(rank+1, len(region)):]
+	c.sources = append(c.sources, after[:min(feeders, len(after))]...)
+	c.sources = append(c.sources, elsewhere...)
+	for name := range c.failed {
+		if !slices.Contains(c.sources, name) {
+			delete(c.failed, name)
+		}
+	}
+}
+
+// Choose returns the source to follow: the first one that has not failed lately, or
+// the one that may be tried again first.
+func (c *Chooser) Choose(now time.Duration) string {
+	best := c.sources[0]
+	for _, name := range c.sources {
+		if now >= c.failed[name].until {
+			return name
+		}
+		if c.failed[name].until < c.failed[best].until {
+			best = name
+		}
+	}
+	return best
+}
+
+// Waiting returns how long to wait before a source may be tried again.
+func (c *Chooser) Waiting(name string, now time.Duration) time.Duration {
+	return max(c.failed[name].until-now, 0)
+}
+
+// Fail notes that a source did not answer or was not current.
+func (c *Chooser) Fail(name string, now time.Duration) {
+	pause := min(max(2*c.failed[name].pause, firstPause), maxPause)
+	c.failed[name] = failure{now + pause, pause}
+}
+
+// Succeed notes that a source is current.
+func (c *Chooser) Succeed(name string) { delete(c.failed, name) }
--- /dev/null
+++ b/internal/relay/feed.go
@@ -0,0 +1,101 @@
+// Package relay lets the instances of a region follow the store through one of
+// them. It holds what that takes without network or clock: the changes that an
+// instance can pass on, and whom an instance follows.
+//
+// It answers the load of many instances beside many targets: the store serves few
+// calls a second, each heartbeat of a target is a change, and a watch per instance
+// carries all of them to all instances and between regions.
+package relay
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/turmericfield/turmericfield/internal/platform"
+)
+
+// maxLog bounds the changes that are kept for followers; one that is further behind
+// lists the store. It is some seconds of a fleet that changes whole.
+const maxLog = 4096
+
+// Feed is what an instance can pass on: the changes of its copy of the store in
+// the order in which it learnt of them. It is not safe for concurrent use.
+type Feed struct {
+	// same tells whether two values of a key mean the same; such a change, for
+	// example a heartbeat, is not passed on.
+	same func(old, next platform.Entry) bool
+
+	entries  map[string]platform.Entry // newest known
+	log      []logged                  // by position
+	oldest   uint64                    // followers behind it have missed changes
+	revision uint64                    // all changes up to it were taken
+}
+
+// logged is a change and the position at which the feed took it.
+type logged struct {
+	at     uint64
+	change platform.Change
+}
+
+// NewFeed returns a feed that has taken nothing.
+func NewFeed(same func(old, next platform.Entry) bool) *Feed {
+	return &Feed{same: same, entries: map[string]platform.Entry{}}
+}
+
+// Replace takes a whole listing. Followers have to list too, since it does not
+// tell what was deleted.
+func (f *Feed) Replace(entries []platform.Entry, revision uint64) {
+	f.entries = make(map[string]platform.Entry, len(entries))
+	for _, e := range entries {
+		f.entries[e.Key] = e
+	}
+	f.revision = max(f.revision, revision)
+	f.oldest, f.log = f.revision, nil
+}
+
+// Apply takes changes, which complete the copy up to a revision. It tells whether
+// there is anything to pass on.
+func (f *Feed) Apply(changes []platform.Change, revision uint64) bool {
+	f.revision = max(f.revision, revision)
+	before := len(f.log)
+	for _, c := range changes {
+		if f.take(c) {
+			f.log = append(f.log, logged{f.revision, c})
+		}
+	}
+	news := len(f.log) > before
+	if over := len(f.log) - maxLog; over > 0 {
+		f.oldest = f.log[over-1].at
+		f.log = slices.Clone(f.log[over:])
+	}
+	return news
+}
+
+// take updates an entry and tells whether followers need the change. One that the
+// copy has already, from a listing that went on while it changed, may be new to them.
+func (f *Feed) take(c platform.Change) bool {
+	old, known := f.entries[c.Entry.Key]
+	newer := !known || old.Revision < c.Entry.Revision
+	switch {
+	case c.Deleted && newer:
+		delete(f.entries, c.Entry.Key)
+	case newer:
+		f.entries[c.Entry.Key] = c.Entry
+	}
+	return c.Deleted || !known || !newer || !f.same(old, c.Entry)
+}
+
+// Since returns the changes that a follower lacks whose copy is complete up to a
+// revision, and the revision up to which they complete it. The last result is false
+// if the follower has to list.
+func (f *Feed) Since(after uint64) ([]platform.Change, uint64, bool) {
+	if after < f.oldest {
+		return nil, 0, false
+	}
+	first := sort.Search(len(f.log), func(i int) bool { return f.log[i].at > after })
+	var changes []platform.Change
+	for _, l := range f.log[first:] {
+		changes = append(changes, l.change)
+	}
+	return changes, f.revision, true
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,212 @@
+package relay
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/platform"
+)
+
+func sameFirstByte(old, next platform.Entry) bool {
+	return bytes.Equal(old.Value[:1], next.Value[:1])
+}
+
+func put(key, value string, revision uint64) platform.Change {
+	return platform.Change{Entry: platform.Entry{Key: key, Value: []byte(value), Revision: revision}}
+}
+
+func gone(key string, revision uint64) platform.Change {
+	return platform.Change{Entry: platform.Entry{Key: key, Revision: revision}, Deleted: true}
+}
+
+func keys(changes []platform.Change) string {
+	s := ""
+	for _, c := range changes {
+		s += fmt.Sprintf("%s@%d ", c.Entry.Key, c.Entry.Revision)
+	}
+	return s
+}
+
+func TestHeartbeatsAreNotPassedOn(t *testing.T) {
+	f := NewFeed(sameFirstByte)
+	f.Replace([]platform.Entry{{Key: "t", Value: []byte("a1"), Revision: 3}}, 5)
+	if f.Apply([]platform.Change{put("t", "a2", 6)}, 6) {
+		t.Error("a heartbeat is news")
+	}
+	if !f.Apply([]platform.Change{put("t", "b2", 7)}, 7) {
+		t.Error("a change is no news")
+	}
+	changes, revision, ok := f.Since(5)
+	if !ok || revision != 7 || keys(changes) != "t@7 " {
+		t.Errorf("%s up to %d, %v", keys(changes), revision, ok)
+	}
+}
+
+func TestEntryThatCameBackIsPassedOn(t *testing.T) {
+	f := NewFeed(sameFirstByte)
+	f.Replace([]platform.Entry{{Key: "t", Value: []byte("a"), Revision: 3}}, 5)
+	f.Apply([]platform.Change{gone("t", 6)}, 6)
+	f.Apply([]platform.Change{put("t", "a", 7)}, 7)
+	if changes, _, _ := f.Since(6); keys(changes) != "t@7 " {
+		t.Errorf("a follower that saw it leave gets %q", keys(changes))
+	}
+}
+
+// A listing's later pages may hold what changed after its revision.
+func TestChangeWithinAListingIsPassedOn(t *testing.T) {
+	f := NewFeed(sameFirstByte)
+	f.Replace([]platform.Entry{{Key: "t", Value: []byte("b"), Revision: 6}}, 5)
+	f.Apply([]platform.Change{put("t", "b", 6)}, 6)
+	if changes, _, _ := f.Since(5); keys(changes) != "t@6 " {
+		t.Errorf("got %q", keys(changes))
+	}
+}
+
+func TestFollowerTooFarBehindLists(t *testing.T) {
+	f := NewFeed(sameFirstByte)
+	f.Replace(nil, 5)
+	if _, _, ok := f.Since(4); ok {
+		t.Error("behind the listing")
+	}
+	for r := uint64(6); r < 6+maxLog+10; r++ {
+		f.Apply([]platform.Change{put(fmt.Sprint(r), "x", r)}, r)
+	}
+	if _, _, ok := f.Since(14); ok {
+		t.Error("behind the log")
+	}
+	if changes, _, ok := f.Since(15); !ok || len(changes) != maxLog {
+		t.Errorf("%d changes, %v", len(changes), ok)
+	}
+}
+
+// A chain of followers that lose track, list and switch sources must end with the
+// store's content, heartbeats aside.
+func TestFollowersConverge(t *testing.T) {
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		var history []platform.Change
+		content := map[string]platform.Entry{}
+		list := func() []platform.Entry {
+			var all []platform.Entry
+			for _, e := range content {
+				all = append(all, e)
+			}
+			return all
+		}
+		type follower struct {
+			feed *Feed
+			copy map[string]platform.Entry
+		}
+		var chain [3]follower
+		for i := range chain {
+			chain[i] = follower{NewFeed(sameFirstByte), map[string]platform.Entry{}}
+		}
+		take := func(f *follower, changes []platform.Change, revision uint64) {
+			f.feed.Apply(changes, revision)
+			for _, c := range changes {
+				if c.Entry.Revision <= f.copy[c.Entry.Key].Revision {
+					continue
+				}
+				if f.copy[c.Entry.Key] = c.Entry; c.Deleted {
+					delete(f.copy, c.Entry.Key)
+				}
+			}
+		}
+		relist := func(f *follower) {
+			f.feed.Replace(list(), uint64(len(history)))
+			f.copy = map[string]platform.Entry{}
+			for _, e := range list() {
+				f.copy[e.Key] = e
+			}
+		}
+		follow := func(i, source int) {
+			f := &chain[i]
+			if source < 0 {
+				take(f, history[f.feed.revision:], uint64(len(history)))
+				return
+			}
+			changes, revision, ok := chain[source].feed.Since(f.feed.revision)
+			if !ok {
+				relist(f)
+				return
+			}
+			take(f, changes, revision)
+		}
+		for range 60 {
+			key, revision := fmt.Sprint(r.IntN(4)), uint64(len(history)+1)
+			change := put(key, fmt.Sprintf("%c%d", 'a'+r.IntN(2), revision), revision)
+			if _, there := content[key]; there && r.IntN(3) == 0 {
+				change = gone(key, revision)
+			}
+			history = append(history, change)
+			if content[key] = change.Entry; change.Deleted {
+				delete(content, key)
+			}
+			for i := range chain {
+				switch r.IntN(6) {
+				case 0:
+					relist(&chain[i])
+				case 1, 2:
+					follow(i, r.IntN(i+1)-1)
+				}
+			}
+		}
+		for i := range chain {
+			follow(i, i-1)
+			for key, e := range content {
+				if got := chain[i].copy[key]; got.Revision == 0 || !sameFirstByte(got, e) {
+					t.Fatalf("seed %d, follower %d: %s is %q, not %q", seed, i, key, got.Value, e.Value)
+				}
+			}
+			if len(chain[i].copy) != len(content) {
+				t.Fatalf("seed %d, follower %d: %d entries, not %d", seed, i, len(chain[i].copy), len(content))
+			}
+		}
+	}
+}
+
+func TestFirstOfARegionFollowsTheStore(t *testing.T) {
+	region := []string{"a", "b", "c", "d", "e", "f"}
+	for self, want := range map[string][]string{
+		"a": {Store, "b", "c", "x"},
+		"b": {"a", Store, "c", "d", "x"},
+		"d": {"a", "b", Store, "e", "f", "x"},
+		"f": {"a", "b", Store, "x"},
+	} {
+		c := NewChooser()
+		c.SetFleet(self, region, []string{"x"})
+		if !slices.Equal(c.sources, want) {
+			t.Errorf("%s: %q, want %q", self, c.sources, want)
+		}
+	}
+}
+
+func TestFailedSourceIsLeftAloneForAWhile(t *testing.T) {
+	c := NewChooser()
+	c.SetFleet("f", []string{"a", "b", "f"}, nil)
+	c.Fail("a", 0)
+	if got := c.Choose(0); got != "b" {
+		t.Errorf("follows %q", got)
+	}
+	c.Fail("b", 0)
+	if got := c.Choose(0); got != Store {
+		t.Errorf("follows %q, not the store", got)
+	}
+	if got := c.Choose(firstPause); got != "a" {
+		t.Errorf("follows %q again", got)
+	}
+	c.Fail("a", firstPause)
+	c.Fail("b", firstPause)
+	c.Fail(Store, firstPause)
+	if got := c.Choose(firstPause); got != Store || c.Waiting(got, firstPause) != firstPause {
+		t.Errorf("where all have failed, follows %q in %v", got, c.Waiting(got, firstPause))
+	}
+	c.Succeed("a")
+	if got := c.Choose(firstPause); got != "a" || c.Waiting(got, firstPause) != time.Duration(0) {
+		t.Errorf("follows %q", got)
+	}
+}
