Log what targets are believed to be and what a refused quota rested on

Cause: an overload showed requests that evaded their target, and no line told why; a request beyond its quota was refused without the level that decided it. Change: each ejection and recovery of a target is a line with its reason, share of failures and pace; a quota's refusal carries rate, burst, level, age of the level and what was taken since; decisions carry the request's rank. Two more emulated loads: some targets slow, an overloaded circuit.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -135,6 +135,18 @@
 	// regionWeights: service → region → weight of its targets for objects of this
 	// region's callers
 	regionWeights map[string]map[string]float64
+
+	ejections []Ejection // not yet asked for
+}
+
+// note keeps a change of belief for Ejections.
+func (b *Balancer) note(e Ejection) { b.ejections = append(b.ejections, e) }
+
+// Ejections returns the changes of belief since the last call.
+func (b *Balancer) Ejections() []Ejection {
+	out := b.ejections
+	b.ejections = nil
+	return out
 }
 
 type coldLimit struct {
@@ -162,7 +174,7 @@
 		s := old[t.ID]
 		switch {
 		case s == nil || s.Started != t.Started || s.Address != t.Address:
-			s = &state{Target: t, seed: xxhash.Sum64String(t.ID), coldUntil: now + t.ColdFor, coldAt: now}
+			s = &state{Target: t, seed: xxhash.Sum64String(t.ID), coldUntil: now + t.ColdFor, coldAt: now, note: b.note}
 		case t.ColdFor > 0 && t.ColdFor != s.ColdFor:
 			s.coldUntil = max(s.coldUntil, now+t.ColdFor)
 		}
--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -179,7 +179,7 @@
 	r := request("o")
 	r.Homes = []string{"r1"}
 	for _, id := range []string{"t01", "t04"} {
-		b.targets[id].eject(0, time.Hour)
+		b.targets[id].eject(0, time.Hour, Slow)
 	}
 	granted := 0
 	for range 60 {
--- a/internal/affinity/target.go
+++ b/internal/affinity/target.go
@@ -92,6 +92,32 @@
 	coldAt    time.Duration
 
 	objects map[uint64]time.Duration // hash → last answer
+
+	note func(Ejection)
+}
+
+// EjectionReason tells why a target gets nothing for a time.
+type EjectionReason string
+
+// Reasons of ejections.
+const (
+	Unreached    EjectionReason = "unreached"
+	FailedInARow EjectionReason = "failed-in-a-row"
+	FailsOften   EjectionReason = "fails-often"
+	FailedTrial  EjectionReason = "failed-trial"
+	Slow         EjectionReason = "slow"
+	// Recovered ends an ejection.
+	Recovered EjectionReason = "recovered"
+)
+
+// Ejection is a change of what is believed of a target.
+type Ejection struct {
+	Target, Service string
+	Reason          EjectionReason
+	For             time.Duration
+	Failures        int     // in a row
+	Bad             float64 // share of failures lately, 0 to 1
+	Pace            float64 // of its answers, in multiples of the usual time
 }
 
 // load estimates the requests that the target has, running and waiting.
@@ -138,10 +164,15 @@
 func (s *state) fail(now time.Duration, certain bool, usual float64) {
 	s.failures++
 	s.bad += (1 - s.bad) * badWeight
-	inRow := s.failures >= failuresToEject && usual < seldom
-	often := s.bad >= badShare && s.bad >= usual+worseBy
-	if certain || inRow || often || s.trial && usual < seldom {
-		s.eject(now, minEjection)
+	switch {
+	case certain:
+		s.eject(now, minEjection, Unreached)
+	case s.failures >= failuresToEject && usual < seldom:
+		s.eject(now, minEjection, FailedInARow)
+	case s.bad >= badShare && s.bad >= usual+worseBy:
+		s.eject(now, minEjection, FailsOften)
+	case s.trial && usual < seldom:
+		s.eject(now, minEjection, FailedTrial)
 	}
 	s.trial = false
 }
@@ -152,21 +183,23 @@
 func (s *state) reject(now time.Duration, usual float64) {
 	s.bad += (1 - s.bad) * badWeight
 	if s.bad >= badShare && s.bad >= usual+worseBy {
-		s.eject(now, minEjection)
+		s.eject(now, minEjection, FailsOften)
 	}
 }
 
-func (s *state) eject(now, least time.Duration) {
+func (s *state) eject(now, least time.Duration, why EjectionReason) {
 	s.trial = false
 	s.ejection = min(max(2*s.ejection, least), maxEjection)
 	s.ejectedUntil = now + s.ejection
+	s.note(Ejection{Target: s.ID, Service: s.Service, Reason: why, For: s.ejection, Failures: s.failures, Bad: s.bad, Pace: math.Exp(s.pace)})
 }
 
 func (s *state) succeed(now time.Duration) {
 	s.failures, s.trial, s.answeredAt = 0, false, now
 	s.bad -= s.bad * badWeight
-	if s.bad < badShare/2 && s.pace < math.Log(slowPace)/2 {
+	if s.ejection > 0 && s.bad < badShare/2 && s.pace < math.Log(slowPace)/2 {
 		s.ejection = 0
+		s.note(Ejection{Target: s.ID, Service: s.Service, Reason: Recovered, Bad: s.bad, Pace: math.Exp(s.pace)})
 	}
 }
 
@@ -175,7 +208,7 @@
 	s.pace += (math.Log(multiple) - s.pace) * paceWeight
 	s.answers++
 	if s.answers >= slowAnswers && s.pace > math.Log(slowPace) {
-		s.eject(now, slowEjection)
+		s.eject(now, slowEjection, Slow)
 		s.pace, s.answers = math.Log(slowPace)*(1-paceWeight), 0 // one slow answer ejects again
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -17,6 +17,7 @@
 	"github.com/turmericfield/turmericfield/internal/clock"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/metrics"
+	"github.com/turmericfield/turmericfield/internal/quota"
 )
 
 const (
@@ -78,7 +79,8 @@
 	attempts int // targets tried
 	arrived  int // targets that the request may have reached
 	excluded []string
-	mayRun   bool // a target may have run the request
+	mayRun   bool           // a target may have run the request
+	standing quota.Standing // of a request beyond its quota
 	// failure is a target's own failure, passed on if no other target does better.
 	failure *exchange
 	// whole says that the request's streamed body was read to its end.
@@ -138,7 +140,11 @@
 		return &refusal{http.StatusUnauthorized, "unknown-key", 0}
 	}
 	c.mu.Lock()
-	ok, wait := c.quotas.Take(c.workspace, clock.SinceBoot())
+	now := clock.SinceBoot()
+	ok, wait := c.quotas.Take(c.workspace, now)
+	if !ok {
+		c.standing = c.quotas.Standing(c.workspace, now)
+	}
 	c.mu.Unlock()
 	if !ok {
 		return &refusal{http.StatusTooManyRequests, "quota", wait}
@@ -295,7 +301,7 @@
 	defer c.mu.Unlock()
 	grant, ok := c.balancer.Choose(affinity.Request{
 		Service: c.service, Object: object, ID: c.id, Homes: homes(c.route, c.workspace), Exclude: c.excluded,
-		Route: c.route.Name, Objective: c.route.Objective, Urgent: c.urgent(),
+		Route: c.route.Name, Objective: c.route.Objective, Urgent: c.priority() <= urgentPriority,
 	}, clock.SinceBoot())
 	c.grant = grant
 	if !ok {
@@ -307,12 +313,12 @@
 // urgentPriority is the highest rank that still counts as urgent.
 const urgentPriority = 1
 
-// urgent tells whether the request goes before others.
-func (c *call) urgent() bool {
+// priority returns the request's rank; 0 is the highest.
+func (c *call) priority() int {
 	if c.workspace != nil && c.workspace.HasPriority {
-		return c.workspace.Priority <= urgentPriority
+		return c.workspace.Priority
 	}
-	return c.route.Priority <= urgentPriority
+	return c.route.Priority
 }
 
 // homes returns the regions that both route and workspace allow; nil means all.
@@ -357,7 +363,9 @@
 	no := c.judge(x, err, &report)
 	c.mu.Lock()
 	c.balancer.Done(c.grant, report, clock.SinceBoot())
+	ejections := c.balancer.Ejections()
 	c.mu.Unlock()
+	c.logEjections(ejections)
 	if no != nil {
 		x.discard()
 		if report.Outcome == affinity.Unreachable || report.Outcome == affinity.Gone || report.Outcome == affinity.TimedOut {
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/turmericfield/turmericfield/internal/affinity"
 	"github.com/turmericfield/turmericfield/internal/hopbyhop"
 	"github.com/turmericfield/turmericfield/internal/metrics"
 )
@@ -145,11 +147,15 @@
 		line = line.Str("reason", reason)
 	}
 	if c.route != nil {
-		line = line.Str("route", c.route.Name).Uint64("version", c.table.Version)
+		line = line.Str("route", c.route.Name).Uint64("version", c.table.Version).Int("priority", c.priority())
 	}
 	if c.workspace != nil {
 		line = line.Str("workspace", c.workspace.Name)
 	}
+	if q := c.standing; q.Rate > 0 {
+		line = line.Float64("quota_rate", q.Rate).Int("quota_burst", q.Burst).Float64("quota_left", round(q.Left)).
+			Uint64("quota_taken", q.Taken).Bool("quota_hub", q.Hub).Int64("quota_age_ms", q.Age.Milliseconds())
+	}
 	if c.route != nil && !c.route.Open && c.table.Keyed {
 		line = line.Int64("evidence_age_ms", c.EvidenceAge().Milliseconds())
 	}
@@ -162,3 +168,16 @@
 	}
 	line.Int64("elapsed_ms", time.Since(c.start).Milliseconds()).Msg("request: decided")
 }
+
+// logEjections writes a line for each change of belief about a target.
+func (g *Gateway) logEjections(list []affinity.Ejection) {
+	for _, e := range list {
+		g.Metrics.Add(metrics.Label("ejections_total", "reason", string(e.Reason)), 1)
+		g.Log.Info().Str("target", e.Target).Str("service", e.Service).Str("reason", string(e.Reason)).
+			Int64("for_ms", e.For.Milliseconds()).Int("failures", e.Failures).Float64("bad", round(e.Bad)).Float64("pace", round(e.Pace)).
+			Msg("target: judged")
+	}
+}
+
+// round keeps two digits for logs.
+func round(x float64) float64 { return math.Round(100*x) / 100 }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -48,6 +48,9 @@
 	Rate func(at time.Duration) float64
 	// Rejects is the part of requests that each target rejects though it has room.
 	Rejects func(at time.Duration) float64
+	// Slowdown is how many times as long the numbered target of a region works at a
+	// time; nil for all at their usual pace.
+	Slowdown func(target int, at time.Duration) float64
 	// Homed is the part of requests that only the first region may run.
 	Homed float64
 }
@@ -86,6 +89,7 @@
 // target is a target with slots, a queue and objects that it knows.
 type target struct {
 	affinity.Target
+	number  int // in its region
 	running int
 	queue   []*request
 	objects []string // the one used last comes last
@@ -141,7 +145,7 @@
 				Region: regionName(r), AvailabilityZone: regionName(r), Slots: s.Slots, Started: 1,
 			}
 			list = append(list, t)
-			w.targets[t.ID] = &target{Target: t}
+			w.targets[t.ID] = &target{Target: t, number: i}
 		}
 	}
 	for i := range s.Instances * len(s.Regions) {
@@ -266,6 +270,9 @@
 			took = w.Warm
 		}
 		took = time.Duration(float64(took) * (0.85 + 0.3*w.random.Float64()))
+		if w.Slowdown != nil {
+			took = time.Duration(float64(took) * w.Slowdown(t.number, w.now))
+		}
 		w.after(took, func() { w.finish(r) })
 	}
 }
--- a/internal/overload/scenario.go
+++ b/internal/overload/scenario.go
@@ -29,12 +29,26 @@
 		return 0
 	}
 	homed.Homed = 0.06
+	slow, hours := small, circuit
+	slow.Slowdown = func(target int, at time.Duration) float64 {
+		if target%7 == 0 && at > 8*time.Second && at < 16*time.Second {
+			return 4
+		}
+		return 1
+	}
+	hours.Rate = func(at time.Duration) float64 {
+		if at > 4*time.Second && at < 16*time.Second {
+			return 30 * 1.8
+		}
+		return 30
+	}
 	named := map[string]Scenario{
 		"cooperative": small, "circuit": circuit, "cooperative, grown": grown, "burst": burst,
 		"all targets reject half": rejecting, "one home with few targets": homed,
+		"some targets slow": slow, "circuit, overloaded": hours,
 	}
 	var list []Scenario
-	for _, name := range []string{"cooperative", "circuit", "cooperative, grown", "burst", "all targets reject half", "one home with few targets"} {
+	for _, name := range []string{"cooperative", "circuit", "cooperative, grown", "burst", "all targets reject half", "one home with few targets", "some targets slow", "circuit, overloaded"} {
 		s := named[name]
 		s.Name = name
 		list = append(list, s)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -171,6 +171,37 @@
 	return true
 }
 
+// Standing is what a decision on a workspace's request rested on.
+type Standing struct {
+	Rate  float64 // requests per second of the fleet
+	Burst int
+	// Left is what was left of the fleet's bucket by the hub's last answer, or of
+	// this instance's equal share if there is no such answer, in requests.
+	Left float64
+	// Hub says that the hub's answer decided, and Age how old it was.
+	Hub bool
+	Age time.Duration
+	// Taken is what this instance has admitted since that answer.
+	Taken uint64
+}
+
+// Standing returns what a decision rests on now, for logs.
+func (s *Shares) Standing(w *config.Workspace, now time.Duration) Standing {
+	out := Standing{Rate: w.Rate, Burst: w.Burst, Hub: s.Fresh(now) && s.hubShare >= minHeard*s.current(now)}
+	b := s.buckets[w.Name]
+	if b == nil {
+		return out
+	}
+	out.Left = b.tokens
+	if out.Hub {
+		out.Age, out.Taken = now-s.levelsAt, b.admitted-b.reported
+		if out.Left = float64(w.Burst) * s.hubShare; b.listed {
+			out.Left = b.left
+		}
+	}
+	return out
+}
+
 // Fresh tells whether a hub answered lately.
 func (s *Shares) Fresh(now time.Duration) bool { return s.known && now-s.levelsAt < levelLife }
 
