Soak larger fleets and broken instances

Change: the soak takes the number of instances and clients, uses four instances of one region, so that they follow one another, and plays instances that repeat all requests, keep withdrawn keys or swap workspaces: each must be caught.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -25,10 +25,9 @@
 
 const (
 	processVariable = "SOAK_PROCESS" // set in the processes that run instances
+	brokenVariable  = "SOAK_BROKEN"  // set to how the instances are broken
 	keyBound        = 3 * time.Second
-	instances       = 3
 	targets         = 4
-	clients         = 12
 	host            = "host.example"
 	// calmTime is how long the fleet is left alone at the end; in its second half
 	// it has to serve well again.
@@ -41,11 +40,17 @@
 	seed     = flag.Uint64("soak.seed", 1, "first seed")
 	seeds    = flag.Int("soak.seeds", 1, "number of seeds")
 	duration = flag.Duration("soak.duration", 6*time.Second, "time with faults for each seed")
+	size     = flag.Int("soak.instances", 4, "instances of each seed")
+	clients  = flag.Int("soak.clients", 12, "clients of each seed")
 	logs     = flag.String("soak.logs", "", "directory for the instances' logs of failed seeds")
 )
 
 func TestMain(m *testing.M) {
-	if os.Getenv(processVariable) != "" {
+	switch {
+	case os.Getenv(brokenVariable) != "":
+		runBroken(os.Getenv(brokenVariable))
+		return
+	case os.Getenv(processVariable) != "":
 		os.Exit(command.Main())
 	}
 	flag.Parse()
@@ -122,6 +127,7 @@
 // instance is a process.
 type instance struct {
 	name, address, file string
+	broken              string
 	proxy               *proxy
 	log                 *os.File
 	mu                  sync.Mutex // held while the process is replaced
@@ -142,15 +148,16 @@
 	ids       atomic.Int64
 	ip        string
 	trace     []string
+	broken    string // how the instances are broken; "" for not
 }
 
 func (f *fleet) note(format string, args ...any) {
 	f.trace = append(f.trace, time.Now().Format("05.000 ")+fmt.Sprintf(format, args...))
 }
 
-func newFleet(t *testing.T, seed uint64, dir string) *fleet {
+func newFleet(t *testing.T, seed uint64, dir, broken string) *fleet {
 	f := &fleet{
-		t: t, random: rand.New(rand.NewPCG(seed, 7)), check: newChecker(keyBound), store: standin.NewStore(),
+		t: t, broken: broken, random: rand.New(rand.NewPCG(seed, 7)), check: newChecker(keyBound), store: standin.NewStore(),
 		stop: make(chan struct{}), ip: fmt.Sprintf("127.92.%d.", seed%250), keys: []string{"key-0", "key-1", "key-2"},
 	}
 	l, err := net.Listen("tcp4", f.ip+"1:17000")
@@ -171,7 +178,7 @@
 		f.store.Put("servers/"+target.ID(), target.Registration("listings", zone(i), "ready"))
 	}
 	f.configure()
-	for i := range instances {
+	for i := range *size {
 		f.instances = append(f.instances, f.newInstance(i, dir))
 		f.instances[i].start(t)
 	}
@@ -231,8 +238,8 @@
 
 func (f *fleet) newInstance(i int, dir string) *instance {
 	ip := fmt.Sprintf("%s%d", f.ip, 10+i)
-	in := &instance{name: fmt.Sprint("i", i), address: ip + ":17000", file: filepath.Join(dir, fmt.Sprint("i", i, ".toml"))}
-	in.proxy = newProxy(f.t, fmt.Sprintf("%s%d:17000", f.ip, 50+i), f.ip+"1:17000")
+	in := &instance{broken: f.broken, name: fmt.Sprint("i", i), address: ip + ":17000", file: filepath.Join(dir, fmt.Sprint("i", i, ".toml"))}
+	in.proxy = newProxy(f.t, fmt.Sprintf("%s%d:17003", f.ip, 10+i), f.ip+"1:17000")
 	text := fmt.Sprintf(`node = %q
 zone = %q
 region = "sierra"
@@ -262,7 +269,7 @@
 // start starts the process; the caller holds the lock or is alone.
 func (in *instance) start(t *testing.T) {
 	in.cmd = exec.Command(os.Args[0], "edge")
-	in.cmd.Env = append(os.Environ(), processVariable+"=1", "TURMERICFIELD_NODE_FILE="+in.file)
+	in.cmd.Env = append(os.Environ(), processVariable+"=1", brokenVariable+"="+in.broken, "TURMERICFIELD_NODE_FILE="+in.file)
 	in.cmd.Stdout, in.cmd.Stderr = in.log, in.log
 	if err := in.cmd.Start(); err != nil {
 		t.Error(err)
@@ -397,12 +404,23 @@
 	}
 }
 
-// play runs one seed and returns what was broken.
+// play runs one seed.
 func play(t *testing.T, seed uint64) {
 	dir := t.TempDir()
-	f := newFleet(t, seed, dir)
+	f := run(t, seed, dir, "")
+	if len(f.check.broken) > 0 {
+		if *logs != "" {
+			keep(t, dir, filepath.Join(*logs, fmt.Sprint("seed-", seed)))
+		}
+		t.Errorf("seed %d: %s\n%s", seed, strings.Join(f.check.broken[:min(len(f.check.broken), 10)], "\n"), strings.Join(f.trace, "\n"))
+	}
+}
+
+// run plays a seed to its end and returns the fleet with what was broken.
+func run(t *testing.T, seed uint64, dir, broken string) *fleet {
+	f := newFleet(t, seed, dir, broken)
 	var sending, pending sync.WaitGroup
-	for n := range clients {
+	for n := range *clients {
 		sending.Add(1)
 		go f.client(n, &sending)
 	}
@@ -438,12 +456,7 @@
 	if f.check.asked == 0 || float64(f.check.served) < leastServed*float64(f.check.asked) {
 		f.check.fail("served %d of %d requests after the faults", f.check.served, f.check.asked)
 	}
-	if len(f.check.broken) > 0 {
-		if *logs != "" {
-			keep(t, dir, filepath.Join(*logs, fmt.Sprint("seed-", seed)))
-		}
-		t.Errorf("seed %d: %s\n%s", seed, strings.Join(f.check.broken[:min(len(f.check.broken), 10)], "\n"), strings.Join(f.trace, "\n"))
-	}
+	return f
 }
 
 // keep copies the logs of a failed seed.
