--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -175,7 +175,7 @@
 		switch {
 		case s == nil || s.Started != t.Started || s.Address != t.Address:
 			s = &state{Target: t, seed: xxhash.Sum64String(t.ID), coldUntil: now + t.ColdFor, coldAt: now, note: b.note}
-		case t.ColdFor > 0 && t.ColdFor != s.ColdFor:
+		case t.ColdFor > 0 && t.Revision != s.Revision:
 			s.coldUntil = max(s.coldUntil, now+t.ColdFor)
 		}
 		s.Target = t
--- a/internal/affinity/target.go
+++ b/internal/affinity/target.go
@@ -23,8 +23,10 @@
 	Slots            int
 	// Leaving says that the target wants no further requests.
 	Leaving bool
-	// ColdFor is how long the target stays cold from its registration on.
-	ColdFor time.Duration
+	// ColdFor is how long the target stays cold from its registration on, and
+	// Revision identifies the registration.
+	ColdFor  time.Duration
+	Revision uint64
 	// Started identifies the start of the target's process.
 	Started int64
 }
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -42,7 +42,16 @@
 		return bytes.Equal(old.Value, next.Value)
 	}
 	a, b := e.decodeTarget(old), e.decodeTarget(next)
-	return a.err == nil && b.err == nil && a.target == b.target
+	return a.err == nil && b.err == nil && sameTarget(a.target, b.target)
+}
+
+// sameTarget tells whether a target is as it was. The rest of its time as a cold one
+// grows shorter by itself; its end is passed on, so that another start of it shows.
+func sameTarget(old, next affinity.Target) bool {
+	if next.ColdFor > 0 && next.ColdFor <= old.ColdFor {
+		next.ColdFor = old.ColdFor
+	}
+	return old == next
 }
 
 // applyTargets puts the registered targets into use if any of them changed.
@@ -54,14 +63,16 @@
 		r := e.decodeTarget(entry)
 		seen[entry.Key] = r
 		old, ok := e.targets[entry.Key]
-		changed = changed || !ok || old.target != r.target || (old.err == nil) != (r.err == nil)
+		changed = changed || !ok || !sameTarget(old.target, r.target) || (old.err == nil) != (r.err == nil)
 		if r.err != nil {
 			return
 		}
 		if r.target.Leaving {
 			leaving++
 		}
-		targets = append(targets, r.target)
+		t := r.target
+		t.Revision = r.revision
+		targets = append(targets, t)
 	})
 	changed = changed || len(seen) != len(e.targets)
 	e.targets, e.decoded = seen, maps.Clone(seen)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -461,5 +461,5 @@
 	}
 	running, err1 := strconv.Atoi(strings.TrimSpace(parts[0]))
 	waiting, err2 := strconv.Atoi(strings.TrimSpace(parts[1]))
-	return running + waiting, err1 == nil && err2 == nil
+	return running + waiting, err1 == nil && err2 == nil && running >= 0 && waiting >= 0 && running+waiting >= 0
 }
