Sum reports by zone and follow in a tree where a fleet is large

Playing 1,600 instances showed two faults of the quota besides: an instance's first request of a workspace saw a whole burst whatever the hub had said, and many instances that admit one request more pass a level that is almost used up. Change: above 48 instances the first one of a zone sums the reports of its zone; levels are told with their age, and a sum estimates what the fleet admits meanwhile by what it has heard. Levels of all workspaces are kept; the less is left, the fewer instances admit one more. Instances of a region follow in a tree of 16; a proof counts the time for which a call was held, so that waits do not add up.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -55,6 +55,8 @@
 	// firstConfiguration is how long a start waits for a configuration before
 	// callers are answered at all.
 	firstConfiguration = time.Second
+	// sumPrefix marks the name under which an instance reports the sum of its zone.
+	sumPrefix = "zone of "
 	// expireInterval is the time between two looks for entries that did not come
 	// back.
 	expireInterval = 250 * time.Millisecond
@@ -159,7 +161,7 @@
 			RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, Metrics: set, Log: logs.Part("gateway"),
 		}, s.Name),
 	}
-	e.hub = &hubServer{Edge: e, hub: quota.NewHub()}
+	e.hub = &hubServer{Edge: e, hub: quota.NewHub(), sum: quota.NewSum(sumPrefix+s.Name, uint64(time.Now().UnixNano()))}
 	e.follower = newFollower(e)
 	e.members = newMembers(s, func() bool { return e.gateway.EvidenceAge() < nameableAge })
 	return e
--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -27,13 +27,18 @@
 	failuresToMove = 2
 )
 
-// hubServer keeps the fleet's quotas for other instances.
+// hubServer keeps the fleet's quotas for other instances, and in a large fleet the
+// sum of its zone.
 type hubServer struct {
 	*Edge
 	mu  sync.Mutex
 	hub *quota.Hub
+	sum *quota.Sum
 }
 
+// errNoLevels means that the sum of a zone has not heard from the hub lately.
+var errNoLevels = errors.New("the zone's sum has no levels")
+
 // fleetServer answers other instances.
 type fleetServer struct {
 	fleetpb.UnimplementedFleetServer
@@ -42,26 +47,60 @@
 
 // Report implements fleetpb.FleetServer.
 func (f fleetServer) Report(_ context.Context, r *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
-	report := quota.Report{Instance: r.GetInstance(), Started: r.GetStarted()}
+	report := quota.Report{Instance: r.GetInstance(), Started: r.GetStarted(), Members: int(r.GetMembers())}
 	for _, u := range r.GetUsages() {
 		report.Usages = append(report.Usages, quota.Usage{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted()})
 	}
-	levels := f.hub.handle(report)
-	out := &fleetpb.ReportResponse{Share: levels.Share, Part: levels.Part, Levels: make([]*fleetpb.Level, len(levels.Levels))}
+	levels, err := f.hub.handle(report, r.GetZone())
+	if err != nil {
+		return nil, err
+	}
+	out := &fleetpb.ReportResponse{
+		Share: levels.Share, Part: levels.Part, AgeNs: int64(levels.Age), Levels: make([]*fleetpb.Level, len(levels.Levels)),
+	}
 	for i, l := range levels.Levels {
 		out.Levels[i] = &fleetpb.Level{Workspace: l.Workspace, Left: float32(l.Left)}
 	}
 	return out, nil
 }
 
-func (h *hubServer) handle(r quota.Report) quota.Levels {
+// handle takes a report to the zone's sum, or to the hub of the fleet.
+func (h *hubServer) handle(r quota.Report, zone bool) (quota.Levels, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	t := h.gateway.Table()
+	if zone {
+		if t != nil {
+			h.sum.SetWorkspaces(t.Workspaces)
+		}
+		levels, ok := h.sum.Handle(r, now())
+		if !ok {
+			return levels, errNoLevels
+		}
+		return levels, nil
+	}
 	h.hub.SetInstances(len(h.members.names()))
-	if t := h.gateway.Table(); t != nil {
+	if t != nil {
 		h.hub.SetWorkspaces(t.Workspaces)
 	}
-	return h.hub.Handle(r, now())
+	return h.hub.Handle(r, now()), nil
+}
+
+// sumReport returns what the zone's sum has to report, if instances report to it or
+// are about to.
+func (h *hubServer) sumReport(first bool) (quota.Report, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !first && !h.sum.Heard(now()) {
+		return quota.Report{}, false
+	}
+	return h.sum.Report(now()), true
+}
+
+func (h *hubServer) setSumLevels(r quota.Report, l quota.Levels, sentAt time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sum.SetLevels(r, l, sentAt)
 }
 
 // servePeers answers other instances until the context ends.
@@ -76,32 +115,34 @@
 	}
 }
 
-// reporter tells a hub what this instance has admitted.
+// reporter tells a hub what is admitted here.
 type reporter struct {
 	*Edge
-	choice   int // position of the hub among the live instances
-	failures int // in a row
+	name     string // of the hub in logs
+	choice   int    // position of the hub among those that may be it
+	failures int    // in a row
 	since    time.Time
 	peer     peerConn
 	lost     bool
 }
 
-// report reports to the first live instance that answers, until the context
-// ends.
+// report reports until the context ends: in a small fleet to the first live instance
+// that answers, in a large one to the first of the zone, which reports the zone's sum
+// to the first of the fleet.
 func (e *Edge) report(ctx context.Context) {
-	r := &reporter{Edge: e}
-	defer r.peer.close()
+	hub, sum := &reporter{Edge: e, name: "hub"}, &reporter{Edge: e, name: "sum"}
+	defer hub.peer.close()
+	defer sum.peer.close()
 	for ctx.Err() == nil {
 		begin := time.Now()
-		err := r.once(ctx)
-		r.note(err)
-		if err != nil {
-			if r.failures++; r.failures%failuresToMove == 0 {
-				r.choice++
+		zoneHub, large := e.members.zoneHub(sum.choice)
+		if large {
+			if r, ok := e.hub.sumReport(zoneHub.Name == e.Name); ok {
+				hub.try(ctx, e.members.hub(hub.choice), r, false, e.hub.setSumLevels)
 			}
-			r.since = begin
-		} else if r.failures = 0; r.choice > 0 && time.Since(r.since) > preferAgain {
-			r.choice, r.since = 0, begin
+			sum.try(ctx, zoneHub, e.ownReport(), true, e.setLevels)
+		} else {
+			hub.try(ctx, e.members.hub(hub.choice), e.ownReport(), false, e.setLevels)
 		}
 		select {
 		case <-ctx.Done():
@@ -110,33 +151,59 @@
 	}
 }
 
-func (r *reporter) note(err error) {
+func (e *Edge) ownReport() (report quota.Report) {
+	e.gateway.Update(func(_ *affinity.Balancer, q *quota.Shares, _ time.Duration) { report = q.Report() })
+	return report
+}
+
+func (e *Edge) setLevels(r quota.Report, l quota.Levels, sentAt time.Duration) {
+	e.gateway.Update(func(_ *affinity.Balancer, q *quota.Shares, _ time.Duration) { q.SetLevels(r, l, sentAt) })
+}
+
+// try sends a report to an instance and notes whether it answered. After some
+// failures in a row another one is chosen for a while.
+func (r *reporter) try(ctx context.Context, to member, report quota.Report, zone bool, take func(quota.Report, quota.Levels, time.Duration)) {
+	begin, sentAt := time.Now(), now()
+	levels, err := r.send(ctx, to, report, zone)
+	r.note(to, err)
+	switch {
+	case err != nil:
+		if r.failures++; r.failures%failuresToMove == 0 {
+			r.choice++
+		}
+		r.since = begin
+		return
+	case r.choice > 0 && time.Since(r.since) > preferAgain:
+		r.choice, r.since = 0, begin
+	}
+	r.failures = 0
+	take(report, levels, sentAt)
+}
+
+func (r *reporter) note(to member, err error) {
 	switch {
 	case err != nil && !r.lost:
 		r.lost = true
-		r.log.Warn().Err(err).Str("hub", r.peer.address).Msg("hub: lost")
+		r.log.Warn().Err(err).Str(r.name, to.Name).Msg("hub: lost")
 	case err == nil && r.lost:
 		r.lost = false
-		r.log.Info().Str("hub", r.peer.address).Msg("hub: regained")
+		r.log.Info().Str(r.name, to.Name).Msg("hub: regained")
 	}
 }
 
-// once sends one report.
-func (r *reporter) once(ctx context.Context) error {
-	sentAt := now()
-	var report quota.Report
-	r.gateway.Update(func(_ *affinity.Balancer, q *quota.Shares, _ time.Duration) { report = q.Report() })
-	hub := r.members.hub(r.choice)
-	if hub.Name == r.Name {
-		levels := r.hub.handle(report)
-		r.gateway.Update(func(_ *affinity.Balancer, q *quota.Shares, _ time.Duration) { q.SetLevels(report, levels, sentAt) })
-		return nil
-	}
-	client, err := r.peer.client(hub.PeerAddress, reportTimeout)
+// send sends one report.
+func (r *reporter) send(ctx context.Context, to member, report quota.Report, zone bool) (quota.Levels, error) {
+	if to.Name == r.Name {
+		return r.hub.handle(report, zone)
+	}
+	client, err := r.peer.client(to.PeerAddress, reportTimeout)
 	if err != nil {
-		return err
+		return quota.Levels{}, err
+	}
+	request := &fleetpb.ReportRequest{
+		Instance: report.Instance, Started: report.Started, Members: uint32(report.Members), Zone: zone,
+		Usages: make([]*fleetpb.Usage, len(report.Usages)),
 	}
-	request := &fleetpb.ReportRequest{Instance: report.Instance, Started: report.Started, Usages: make([]*fleetpb.Usage, len(report.Usages))}
 	for i, u := range report.Usages {
 		request.Usages[i] = &fleetpb.Usage{Workspace: u.Workspace, Admitted: u.Admitted}
 	}
@@ -145,12 +212,13 @@
 	answer, err := client.Report(call, request)
 	if err != nil {
 		r.peer.close()
-		return errors.Wrap(err, "report")
+		return quota.Levels{}, errors.Wrap(err, "report")
+	}
+	levels := quota.Levels{
+		Share: answer.GetShare(), Part: answer.GetPart(), Age: time.Duration(answer.GetAgeNs()), Levels: make([]quota.Level, len(answer.GetLevels())),
 	}
-	levels := quota.Levels{Share: answer.GetShare(), Part: answer.GetPart(), Levels: make([]quota.Level, len(answer.GetLevels()))}
 	for i, l := range answer.GetLevels() {
 		levels.Levels[i] = quota.Level{Workspace: l.GetWorkspace(), Left: float64(l.GetLeft())}
 	}
-	r.gateway.Update(func(_ *affinity.Balancer, q *quota.Shares, _ time.Duration) { q.SetLevels(report, levels, sentAt) })
-	return nil
+	return levels, nil
 }
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -28,6 +28,9 @@
 	// wideLink is the link in Mbit/s that carries a download of half a megabyte
 	// within a tenth of a second; an instance with less is named less often.
 	wideLink = 50.0
+	// flatFleet is the number of instances up to which all report to the hub itself:
+	// its reports then take a few percent of a core.
+	flatFleet = 48
 	// minNamed is how many instances an answer names at least, if there are as
 	// many.
 	minNamed = 2
@@ -128,6 +131,23 @@
 	return all[rank%len(all)]
 }
 
+// zoneHub returns the instance of a rank that sums the reports of this zone. The
+// second result is false if the fleet is so small that there are none.
+func (m *members) zoneHub(rank int) (member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.list)+1 <= flatFleet {
+		return member{}, false
+	}
+	var zone []member
+	for _, one := range m.ordered() {
+		if one.AvailabilityZone == m.self.AvailabilityZone {
+			zone = append(zone, one)
+		}
+	}
+	return zone[rank%len(zone)], true
+}
+
 // ordered returns all live instances, those with wide links first. All instances
 // that know the same others have the same order.
 func (m *members) ordered() []member {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -12,12 +12,17 @@
 )
 
 const (
+	// relayWait times a watch's wait is how long another instance may hold a call
+	// without news; short, because each instance on the way adds one such time to the
+	// age of a proof.
+	relayWait = 0.7
 	// relaySlack is what an answer of another instance may take beyond the wait:
 	// several times the way between regions and back.
 	relaySlack = 300 * time.Millisecond
-	// maxRelayed is the age from which a copy is not current: two waits, a pause and
-	// two answers of a slow store fit in, and the bounds on changes stay in reach.
-	maxRelayed = 2300 * time.Millisecond
+	// maxRelayed is the age from which a copy is not current: two waits of a watch, a
+	// pause, two answers of a slow store and the waits of three instances on the way
+	// fit in, and the bounds on changes stay in reach.
+	maxRelayed = 2500 * time.Millisecond
 	// maxPeerAnswer is the size in bytes of an answer: a log of changes with some
 	// large configurations among them.
 	maxPeerAnswer = 16 << 20
@@ -29,17 +34,18 @@
 // Follow implements fleetpb.FleetServer.
 func (f fleetServer) Follow(ctx context.Context, r *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
 	f.metrics.Add("follows_total", 1)
+	arrived := now()
 	end := time.NewTimer(time.Duration(r.GetWaitMs()) * time.Millisecond)
 	defer end.Stop()
 	for {
-		answer, woken := f.follower.answer(r.GetAfter())
+		answer, woken := f.follower.answer(r.GetAfter(), arrived)
 		if len(answer.GetChanges()) > 0 || answer.GetList() || answer.GetLost() {
 			return answer, nil
 		}
 		select {
 		case <-woken:
 		case <-end.C:
-			answer, _ = f.follower.answer(r.GetAfter())
+			answer, _ = f.follower.answer(r.GetAfter(), arrived)
 			return answer, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -47,13 +53,16 @@
 	}
 }
 
-// answer returns what a follower lacks, and what is closed when there is more.
-func (f *follower) answer(after uint64) (*fleetpb.FollowResponse, <-chan struct{}) {
+// answer returns what a follower lacks whose call arrived at a time, and what is
+// closed when there is more.
+func (f *follower) answer(after uint64, arrived time.Duration) (*fleetpb.FollowResponse, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changes, revision, ok := f.feed.Since(after)
+	at := now()
 	out := &fleetpb.FollowResponse{
-		Revision: revision, List: !ok, Via: f.via, AgeNs: int64(now() - f.evidence), Lost: f.lost || f.evidence == 0,
+		Revision: revision, List: !ok, Via: f.via, Lost: f.lost || f.evidence == 0,
+		AgeNs: int64(at - f.evidence), HeldNs: int64(at - arrived),
 	}
 	for _, c := range changes {
 		out.Changes = append(out.Changes, &fleetpb.Change{Key: c.Entry.Key, Value: c.Entry.Value, Revision: c.Entry.Revision, Deleted: c.Deleted})
@@ -79,8 +88,9 @@
 			return err
 		}
 		asked := now()
-		call, cancel := context.WithTimeout(ctx, f.WatchWait()+relaySlack)
-		answer, err := client.Follow(call, &fleetpb.FollowRequest{After: f.revision(), WaitMs: f.WatchWait().Milliseconds()})
+		wait := time.Duration(relayWait * float64(f.WatchWait()))
+		call, cancel := context.WithTimeout(ctx, wait+relaySlack)
+		answer, err := client.Follow(call, &fleetpb.FollowRequest{After: f.revision(), WaitMs: wait.Milliseconds()})
 		cancel()
 		if err != nil {
 			f.peer.close()
@@ -97,7 +107,8 @@
 }
 
 // takeRelayed puts into use what another instance has passed on. That one's proof is
-// as old as it said when it answered, which was after the call was made.
+// as old as it said when it answered, which was after the call was made by at least
+// the time for which it held the call.
 func (f *follower) takeRelayed(name string, a *fleetpb.FollowResponse, asked time.Duration) error {
 	changes := make([]platform.Change, len(a.GetChanges()))
 	for i, c := range a.GetChanges() {
@@ -105,7 +116,7 @@
 			Entry: platform.Entry{Key: c.GetKey(), Value: c.GetValue(), Revision: c.GetRevision()}, Deleted: c.GetDeleted(),
 		}
 	}
-	evidence := asked - time.Duration(a.GetAgeNs())
+	evidence := asked + time.Duration(a.GetHeldNs()-a.GetAgeNs())
 	circular := slices.Contains(a.GetVia(), f.Name)
 	if a.GetLost() || circular || now()-evidence > maxRelayed {
 		f.learn(changes, a.GetRevision())
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -11,6 +11,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/turmericfield/turmericfield/internal/config"
 )
 
@@ -32,6 +34,10 @@
 	// minHeard is how many instances a hub must hear for its levels to be better
 	// than an equal share.
 	minHeard = 2.0
+	// reserveTime times the rate is the level from which on fewer and fewer
+	// instances admit one request more: about the time until a level that counts
+	// them is back, in a fleet with sums.
+	reserveTime = 500 * time.Millisecond
 	// spareTokens is what an instance may spend at least while over half of a
 	// burst is left: callers come at random, two at a time at times.
 	spareTokens = 2.0
@@ -49,6 +55,8 @@
 	// Started identifies the start of the instance's process.
 	Started uint64
 	Usages  []Usage
+	// Members is how many instances the report speaks for; 0 means 1.
+	Members int
 }
 
 // Level is what is left of a workspace's quota in the whole fleet, in requests;
@@ -66,6 +74,8 @@
 	Share float64
 	// Part is the instance's part in what all that report have used lately, 0 to 1.
 	Part float64
+	// Age is how old the levels were when they were told.
+	Age time.Duration
 }
 
 // Shares admits requests at one instance. It is not safe for concurrent use.
@@ -80,7 +90,8 @@
 	larger    float64
 	largerAt  time.Duration
 
-	levelsAt time.Duration // when the request for them was sent
+	levels   map[string]float64 // what is left, by workspace; others have all
+	levelsAt time.Duration      // when the request for them was sent
 	known    bool
 	hubShare float64
 	part     float64 // of all use
@@ -92,8 +103,6 @@
 
 	admitted uint64
 	reported uint64 // part of the last level
-	left     float64
-	listed   bool
 }
 
 // New returns the shares of a named instance in a fleet of one, which grow only
@@ -136,8 +145,8 @@
 	b.tokens = min(b.tokens+rate*(now-b.at).Seconds(), burst)
 	b.at = now
 	if s.Fresh(now) && s.hubShare >= minHeard*share {
-		if !s.takeLevel(b, w, share) {
-			return false, time.Duration((1 - min(b.left, 0)) / w.Rate * float64(time.Second))
+		if !s.takeLevel(b, w, share, now) {
+			return false, time.Duration((1 - min(s.levels[w.Name], 0)) / w.Rate * float64(time.Second))
 		}
 		// What an equal share may grant after the hub fell silent comes on top of
 		// what the hub has granted before.
@@ -153,9 +162,9 @@
 }
 
 // takeLevel admits a request within this instance's part of the fleet's level.
-func (s *Shares) takeLevel(b *bucket, w *config.Workspace, share float64) bool {
-	left := b.left
-	if !b.listed {
+func (s *Shares) takeLevel(b *bucket, w *config.Workspace, share float64, now time.Duration) bool {
+	left, listed := s.levels[w.Name]
+	if !listed {
 		left = float64(w.Burst) * s.hubShare
 	}
 	left += w.Rate * s.hubShare * lookAhead.Seconds()
@@ -163,8 +172,13 @@
 	if left > float64(w.Burst)*s.hubShare/2 {
 		least = spareTokens
 	}
-	part := max(left*max(share/max(s.hubShare, share)*idlePart, s.part)*unevenness, least)
-	if left < 1 || float64(b.admitted-b.reported)+1 > part {
+	part := left * max(share/max(s.hubShare, share)*idlePart, s.part) * unevenness
+	if left < 1 || float64(b.admitted-b.reported)+1 > max(part, least) {
+		return false
+	}
+	// Many instances that each admit one request more would exceed a level that is
+	// almost used up; so fewer do, the less is left.
+	if reserve := w.Rate * s.hubShare * reserveTime.Seconds(); part < 1 && left < reserve && s.chance(b, now) > left/reserve {
 		return false
 	}
 	b.admitted++
@@ -195,13 +209,23 @@
 	out.Left = b.tokens
 	if out.Hub {
 		out.Age, out.Taken = now-s.levelsAt, b.admitted-b.reported
-		if out.Left = float64(w.Burst) * s.hubShare; b.listed {
-			out.Left = b.left
+		left, listed := s.levels[w.Name]
+		if out.Left = left; !listed {
+			out.Left = float64(w.Burst) * s.hubShare
 		}
 	}
 	return out
 }
 
+// chance draws a number from 0 to 1.
+func (s *Shares) chance(b *bucket, now time.Duration) float64 {
+	h := xxhash.Sum64String(s.name) ^ uint64(now) ^ b.admitted<<32
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return float64(h>>11) / (1 << 53)
+}
+
 // Fresh tells whether a hub answered lately.
 func (s *Shares) Fresh(now time.Duration) bool { return s.known && now-s.levelsAt < levelLife }
 
@@ -218,22 +242,19 @@
 
 // SetLevels takes the hub's answer to a report that was sent at a time.
 func (s *Shares) SetLevels(r Report, l Levels, sentAt time.Duration) {
+	sentAt -= l.Age
 	if s.known && sentAt < s.levelsAt {
 		return
 	}
 	s.levelsAt, s.known, s.hubShare, s.part = sentAt, true, l.Share, l.Part
-	for _, b := range s.buckets {
-		b.listed = false
-	}
+	s.levels = make(map[string]float64, len(l.Levels))
 	for _, u := range r.Usages {
 		if b := s.buckets[u.Workspace]; b != nil {
 			b.reported = u.Admitted
 		}
 	}
 	for _, level := range l.Levels {
-		if b := s.buckets[level.Workspace]; b != nil {
-			b.left, b.listed = level.Left, true
-		}
+		s.levels[level.Workspace] = level.Left
 	}
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -30,6 +30,7 @@
 	asked     int
 	admitted  []time.Duration
 	pending   []delivery
+	sums      []*Sum // of the zones of a large fleet; none for a small one
 	// uneven sends half of the requests to the first two instances.
 	uneven bool
 }
@@ -69,7 +70,12 @@
 		}
 		for i, s := range f.shares {
 			if !f.cut[i] && (f.now+time.Duration(i)*7*time.Millisecond)%Interval == 0 {
-				f.report(s)
+				f.report(i, s)
+			}
+		}
+		for i, s := range f.sums {
+			if (f.now+time.Duration(i)*11*time.Millisecond)%Interval == 0 {
+				f.reportSum(s)
 			}
 		}
 		if f.random.Float64() < perSecond*step.Seconds() {
@@ -85,8 +91,24 @@
 	}
 }
 
-func (f *fleet) report(s *Shares) {
+// reportSum lets a zone's sum report to the hub.
+func (f *fleet) reportSum(s *Sum) {
+	r, sentAt := s.Report(f.now), f.now
+	f.pending = append(f.pending, delivery{f.now + way, func() {
+		levels := f.hub.Handle(r, f.now)
+		f.pending = append(f.pending, delivery{f.now + way, func() { s.SetLevels(r, levels, sentAt) }})
+	}})
+}
+
+func (f *fleet) report(i int, s *Shares) {
 	r, sentAt := s.Report(), f.now
+	if len(f.sums) > 0 {
+		levels, ok := f.sums[i%len(f.sums)].Handle(r, f.now) // within a zone
+		if ok {
+			s.SetLevels(r, levels, sentAt)
+		}
+		return
+	}
 	f.pending = append(f.pending, delivery{f.now + way, func() {
 		levels := f.hub.Handle(r, f.now)
 		f.pending = append(f.pending, delivery{f.now + way, func() { s.SetLevels(r, levels, sentAt) }})
--- /dev/null
+++ b/internal/quota/sum.go
@@ -0,0 +1,92 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+)
+
+// leastPart bounds the estimate of what others have admitted from little use here.
+const leastPart = 0.25
+
+// Sum stands between the instances of an availability zone and the hub of a large
+// fleet: it reports what they admitted together and hands the hub's levels on. It is
+// not safe for concurrent use.
+type Sum struct {
+	name       string
+	started    uint64
+	workspaces map[string]*config.Workspace
+	reporters  reporters
+	admitted   map[string]uint64 // since the start, by those that were heard
+
+	levels   Levels
+	levelsAt time.Duration // when the request for them was sent, less their age
+	known    bool
+	reported map[string]uint64 // part of the levels
+}
+
+// NewSum returns a sum that reports under a name.
+func NewSum(name string, started uint64) *Sum {
+	return &Sum{name: name, started: started, reporters: reporters{}, admitted: map[string]uint64{}, reported: map[string]uint64{}}
+}
+
+// SetWorkspaces sets the quotas in force.
+func (s *Sum) SetWorkspaces(workspaces map[string]*config.Workspace) { s.workspaces = workspaces }
+
+// Heard tells whether instances report to the sum.
+func (s *Sum) Heard(now time.Duration) bool { return s.reporters.members(now) > 0 }
+
+// Report returns what to tell the hub.
+func (s *Sum) Report(now time.Duration) Report {
+	r := Report{Instance: s.name, Started: s.started, Members: s.reporters.members(now), Usages: make([]Usage, 0, len(s.admitted))}
+	for name, n := range s.admitted {
+		r.Usages = append(r.Usages, Usage{name, n})
+	}
+	return r
+}
+
+// SetLevels takes the hub's answer to a report that was sent at a time.
+func (s *Sum) SetLevels(r Report, l Levels, sentAt time.Duration) {
+	s.levels, s.levelsAt, s.known = l, sentAt-l.Age, true
+	clear(s.reported)
+	for _, u := range r.Usages {
+		s.reported[u.Workspace] = u.Admitted
+	}
+}
+
+// Handle takes an instance's report and returns the levels after it. The last result
+// is false if the hub has not answered lately.
+func (s *Sum) Handle(r Report, now time.Duration) (Levels, bool) {
+	from, first := s.reporters.hear(r, now)
+	fresh := 0.0
+	for _, u := range r.Usages {
+		if n := from.admitted(u); !first {
+			s.admitted[u.Workspace] += uint64(n)
+			fresh += n
+		}
+	}
+	from.use(fresh, now)
+	age := now - s.levelsAt
+	if !s.known || age >= levelLife {
+		return Levels{}, false
+	}
+	out := Levels{Share: s.levels.Share, Part: s.levels.Part * s.reporters.part(from, now), Age: age}
+	listed := make(map[string]bool, len(s.levels.Levels))
+	for _, l := range s.levels.Levels {
+		listed[l.Workspace] = true
+		out.Levels = append(out.Levels, Level{l.Workspace, l.Left - s.pending(l.Workspace)})
+	}
+	for name := range s.admitted {
+		if w := s.workspaces[name]; w != nil && !listed[name] && s.pending(name) > 0 {
+			out.Levels = append(out.Levels, Level{name, float64(w.Burst)*out.Share - s.pending(name)})
+		}
+	}
+	return out, true
+}
+
+// pending estimates what the whole fleet has admitted since the report that the
+// levels answer, by what was admitted here.
+func (s *Sum) pending(workspace string) float64 {
+	here := s.admitted[workspace] - min(s.reported[workspace], s.admitted[workspace])
+	return float64(here) / max(s.levels.Part, leastPart)
+}
--- /dev/null
+++ b/internal/quota/sum_test.go
@@ -0,0 +1,76 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+)
+
+const testZones = 9
+
+// newTree returns a fleet whose instances report to one sum a zone.
+func newTree(t *testing.T, n int, rate float64, seed uint64) *fleet {
+	f := newFleet(t, n, rate, seed)
+	for i := range testZones {
+		s := NewSum(fmt.Sprint("z", i), 1)
+		s.SetWorkspaces(map[string]*config.Workspace{"w": f.workspace})
+		f.sums = append(f.sums, s)
+	}
+	return f
+}
+
+// A workspace must get its usual requests served by a fleet of any size.
+func TestUsualLoadIsNotRefusedInLargeFleets(t *testing.T) {
+	for _, n := range []int{100, 400, 1600} {
+		f := newTree(t, n, 15, 1)
+		f.play(0, 2*time.Second)
+		f.play(8, 30*time.Second)
+		if refused := f.asked - len(f.admitted); float64(refused) > 0.02*float64(f.asked) {
+			t.Errorf("%d instances refused %d of %d requests within the quota", n, refused, f.asked)
+		}
+	}
+}
+
+func TestHotWorkspaceStaysInItsQuotaInLargeFleets(t *testing.T) {
+	for _, rate := range []float64{15, 60, 300} {
+		for _, n := range []int{100, 400, 1600} {
+			f := newTree(t, n, rate, 2)
+			f.play(rate/2, 10*time.Second)
+			f.play(4*rate, 15*time.Second)
+			f.check()
+			if least := rate * 20 * 0.8; float64(len(f.admitted)) < least {
+				t.Errorf("rate %.0f, %d instances: admitted %d in 25 s, want %.0f at least", rate, n, len(f.admitted), least)
+			}
+		}
+	}
+}
+
+// A sum that starts anew while its instances go on must not count anything twice, nor
+// give a burst again.
+func TestSuccessorOfASumGrantsNothingTwice(t *testing.T) {
+	f := newTree(t, 100, 60, 3)
+	f.play(30, 5*time.Second)
+	for i := range f.sums {
+		f.sums[i] = NewSum(fmt.Sprint("other z", i), 2)
+		f.sums[i].SetWorkspaces(map[string]*config.Workspace{"w": f.workspace})
+	}
+	f.play(240, 10*time.Second)
+	f.check()
+}
+
+// Without the hub's answer a sum has nothing to tell.
+func TestSumWithoutTheHubTellsNothing(t *testing.T) {
+	s := NewSum("z", 1)
+	if _, ok := s.Handle(Report{Instance: "a", Started: 1}, time.Second); ok {
+		t.Error("levels without a hub")
+	}
+	s.SetLevels(s.Report(time.Second), Levels{Share: 1, Part: 1}, time.Second)
+	if _, ok := s.Handle(Report{Instance: "a", Started: 1}, time.Second); !ok {
+		t.Error("no levels although the hub has answered")
+	}
+	if _, ok := s.Handle(Report{Instance: "a", Started: 1}, time.Second+levelLife); ok {
+		t.Error("levels of long ago")
+	}
+}
--- a/internal/relay/chooser.go
+++ b/internal/relay/chooser.go
@@ -8,17 +8,21 @@
 const (
 	// Store stands for the store itself among the sources of an instance.
 	Store = ""
-	// feeders is how many instances of a region are asked before the store: the
-	// second one takes over at once where the first has failed.
-	feeders = 2
+	// fanout is how many instances follow one at most while none fails: each is sent
+	// all targets when a fleet starts, and ways to the store stay three long at 4,000
+	// instances in a region.
+	fanout = 16
+	// others is how many more of the region are asked where the store does not answer.
+	others = 2
 	// firstPause and maxPause bound how long a source that failed is left alone;
 	// the first is about the time in which a killed process is back.
 	firstPause = time.Second
 	maxPause   = 4 * time.Second
 )
 
-// Chooser decides whom an instance follows: one of the first instances of its
-// region, the first one the store. An instance that the store does not answer
+// Chooser decides whom an instance follows. The instances of a region form a tree:
+// the first one follows the store, each other its parent, where that has failed
+// another one above it, then the store. An instance that the store does not answer
 // follows others, of other regions at last. It is not safe for concurrent use.
 type Chooser struct {
 	sources []string // in order of preference
@@ -39,10 +43,13 @@
 // itself among them, and the first ones of the other regions.
 func (c *Chooser) SetFleet(self string, region, elsewhere []string) {
 	rank := max(slices.Index(region, self), 0)
-	c.sources = slices.Clone(region[:min(rank, feeders)])
+	c.sources = nil
+	for _, above := range parents(rank) {
+		c.sources = append(c.sources, region[above])
+	}
 	c.sources = append(c.sources, Store)
 	after := region[min(rank+1, len(region)):]
-	c.sources = append(c.sources, after[:min(feeders, len(after))]...)
+	c.sources = append(c.sources, after[:min(others, len(after))]...)
 	c.sources = append(c.sources, elsewhere...)
 	for name := range c.failed {
 		if !slices.Contains(c.sources, name) {
@@ -51,6 +58,20 @@
 	}
 }
 
+// parents returns the ranks that an instance follows before the store.
+func parents(rank int) []int {
+	switch {
+	case rank == 0:
+		return nil
+	case rank == 1:
+		return []int{0}
+	case rank <= fanout:
+		return []int{0, 1}
+	}
+	parent := (rank - 1) / fanout
+	return []int{parent, (parent - 1) / fanout}
+}
+
 // Choose returns the source to follow: the first one that has not failed lately, or
 // the one that may be tried again first.
 func (c *Chooser) Choose(now time.Duration) string {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -185,6 +185,36 @@
 	}
 }
 
+// In a large region no instance has many followers, and every way ends at the store.
+func TestLargeRegionFormsATree(t *testing.T) {
+	for _, n := range []int{1, 2, 17, 100, 533, 4000} {
+		var region []string
+		for i := range n {
+			region = append(region, fmt.Sprint("i", i))
+		}
+		followed := map[string]string{}
+		followers := map[string]int{}
+		for _, self := range region {
+			c := NewChooser()
+			c.SetFleet(self, region, nil)
+			followed[self] = c.Choose(0)
+			followers[c.Choose(0)]++
+		}
+		if followers[Store] != 1 {
+			t.Errorf("%d instances: %d follow the store", n, followers[Store])
+		}
+		for _, self := range region {
+			way := 0
+			for at := self; at != Store; at = followed[at] {
+				way++
+			}
+			if way > 4 || followers[self] > fanout {
+				t.Errorf("%d instances: %s is %d away from the store and has %d followers", n, self, way, followers[self])
+			}
+		}
+	}
+}
+
 func TestFailedSourceIsLeftAloneForAWhile(t *testing.T) {
 	c := NewChooser()
 	c.SetFleet("f", []string{"a", "b", "f"}, nil)
