--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -212,7 +212,7 @@
 	case <-time.After(firstConfiguration):
 	case <-stop.Done():
 	}
-	server := e.frontServer()
+	server := e.frontServer(ctx)
 	go func() { failed <- server.Serve(front) }()
 	for running := true; running; {
 		select {
@@ -231,20 +231,27 @@
 	return nil
 }
 
-func (e *Edge) frontServer() *http.Server {
-	server := &http.Server{Handler: e.gateway, ReadHeaderTimeout: defaultHeader, IdleTimeout: defaultIdle}
+func (e *Edge) frontServer(ctx context.Context) *http.Server {
+	idle := &idleConns{limit: e.idleLimit, since: map[net.Conn]time.Time{}}
+	go idle.sweep(ctx)
+	server := &http.Server{Handler: e.gateway, ReadHeaderTimeout: defaultHeader, ConnState: idle.note}
 	if t := e.gateway.Table(); t != nil {
 		server.MaxHeaderBytes = t.Limits.HeaderBytes
 		if t.Limits.HeaderTimeout > 0 {
 			server.ReadHeaderTimeout = t.Limits.HeaderTimeout
 		}
-		if t.Limits.IdleTimeout > 0 {
-			server.IdleTimeout = t.Limits.IdleTimeout
-		}
 	}
 	return server
 }
 
+// idleLimit returns how long callers' connections may be idle now.
+func (e *Edge) idleLimit() time.Duration {
+	if t := e.gateway.Table(); t != nil && t.Limits.IdleTimeout > 0 {
+		return t.Limits.IdleTimeout
+	}
+	return defaultIdle
+}
+
 // leave serves on what callers still hold look-up answers for, then ends.
 func (e *Edge) leave(kill context.Context, server *http.Server) {
 	begin := time.Now()
