Keep followers while another source can be tried

Cause: an instance whose source failed told its followers to leave at once, although the next source proves its copy current within milliseconds; in a tree that moves whole branches to the store. Change: it tells so only if no source is left to try or the proof is older than three waits; each failed source is a line, with what is tried next.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -20,6 +20,10 @@
 	// more may gather, since each watch is a priced call; it is a small part of
 	// the bounds on changes.
 	gatherShare = 0.8
+	// lostWaits is the age of the proof, in waits of a watch, from which an instance
+	// whose source failed tells its followers to leave: more than it is while a watch
+	// is held and a pause is made.
+	lostWaits = 3
 )
 
 // follower copies the store, from the store itself or from another instance that
@@ -197,23 +201,30 @@
 	}
 }
 
-// noteFailed notes that a source failed. Followers hear at once if it was the last
-// one that proved the copy complete.
+// noteFailed notes that a source failed. Followers hear of it at once if there is no
+// other to try, or if the proof has grown old meanwhile; else they would leave an
+// instance that is current again in a moment.
 func (f *follower) noteFailed(source string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.chooser.Fail(source, now())
+	at := now()
+	f.chooser.Fail(source, at)
 	if source == relay.Store {
 		f.metrics.Add("store_failures_total", 1)
 	} else {
 		f.metrics.Add("relay_failures_total", 1)
 	}
-	if f.lost || source != f.source {
+	if f.lost {
 		return
 	}
-	f.lost = true
-	f.log.Warn().Err(err).Str("source", sourceName(source)).Int64("evidence_age_ms", f.gateway.EvidenceAge().Milliseconds()).Msg("store: lost")
-	f.wake()
+	next := f.chooser.Choose(at)
+	f.lost = f.chooser.Waiting(next, at) > 0 || at-f.evidence > lostWaits*f.WatchWait()
+	f.log.Warn().Err(err).Str("source", sourceName(source)).Str("next", sourceName(next)).Bool("lost", f.lost).
+		Int64("evidence_age_ms", f.gateway.EvidenceAge().Milliseconds()).Msg("store: source failed")
+	if f.lost {
+		f.log.Warn().Err(err).Int64("evidence_age_ms", f.gateway.EvidenceAge().Milliseconds()).Msg("store: lost")
+		f.wake()
+	}
 }
 
 // sourceName returns how logs name a source.
