Pass changes on in parts

Cause: an instance with followers held all registrations several times while it sent them at the start (67 MB at 303 instances and 3,000 targets, 232 MB carried on). Change: an answer holds 1,024 changes at most, about 300 KB; what is not whole yet proves nothing. Tests: TestFollowerTooFarBehindLists, TestChangesOfOnePositionArePassedOnTogether.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -163,8 +163,9 @@
 func (f *follower) learn(changes []platform.Change, revision uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.feed.Apply(changes, revision) {
-		f.apply(f.mirror, f.mirror.Learn(changes, revision, now()))
+	news := f.feed.Apply(changes, revision)
+	f.apply(f.mirror, f.mirror.Learn(changes, revision, now()))
+	if news {
 		f.wake()
 	}
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -58,13 +58,13 @@
 func (f *follower) answer(after uint64, arrived time.Duration) (*fleetpb.FollowResponse, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	changes, revision, ok := f.feed.Since(after)
+	news, ok := f.feed.Since(after)
 	at := now()
 	out := &fleetpb.FollowResponse{
-		Revision: revision, List: !ok, Via: f.via, Lost: f.lost || f.evidence == 0,
+		Revision: news.Revision, More: news.More, List: !ok, Via: f.via, Lost: f.lost || f.evidence == 0,
 		AgeNs: int64(at - f.evidence), HeldNs: int64(at - arrived),
 	}
-	for _, c := range changes {
+	for _, c := range news.Changes {
 		out.Changes = append(out.Changes, &fleetpb.Change{Key: c.Entry.Key, Value: c.Entry.Value, Revision: c.Entry.Revision, Deleted: c.Deleted})
 	}
 	return out, f.woken
@@ -116,6 +116,10 @@
 			Entry: platform.Entry{Key: c.GetKey(), Value: c.GetValue(), Revision: c.GetRevision()}, Deleted: c.GetDeleted(),
 		}
 	}
+	if a.GetMore() {
+		f.learn(changes, a.GetRevision())
+		return nil
+	}
 	evidence := asked + time.Duration(a.GetHeldNs()-a.GetAgeNs())
 	circular := slices.Contains(a.GetVia(), f.Name)
 	if a.GetLost() || circular || now()-evidence > maxRelayed {
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -18,6 +18,10 @@
 // lists the store. It is some seconds of a fleet that changes whole.
 const maxLog = 4096
 
+// maxPassed is how many changes are passed on at once, about 300 KB of registrations:
+// an instance with 16 followers holds as many answers.
+const maxPassed = 1024
+
 // Feed is what an instance can pass on: the changes of its copy of the store in
 // the order in which it learnt of them. It is not safe for concurrent use.
 type Feed struct {
@@ -31,7 +35,8 @@
 	revision uint64                    // all changes up to it were taken
 }
 
-// logged is a change and the position at which the feed took it.
+// logged is a change and its position: a follower whose copy is complete up to there
+// has it.
 type logged struct {
 	at     uint64
 	change platform.Change
@@ -56,13 +61,14 @@
 // Apply takes changes, which complete the copy up to a revision. It tells whether
 // there is anything to pass on.
 func (f *Feed) Apply(changes []platform.Change, revision uint64) bool {
-	f.revision = max(f.revision, revision)
-	before := len(f.log)
+	before, at := len(f.log), f.revision
 	for _, c := range changes {
+		at = max(at, c.Entry.Revision)
 		if f.take(c) {
-			f.log = append(f.log, logged{f.revision, c})
+			f.log = append(f.log, logged{at, c})
 		}
 	}
+	f.revision = max(at, revision)
 	news := len(f.log) > before
 	if over := len(f.log) - maxLog; over > 0 {
 		f.oldest = f.log[over-1].at
@@ -85,17 +91,34 @@
 	return c.Deleted || !known || !newer || !f.same(old, c.Entry)
 }
 
-// Since returns the changes that a follower lacks whose copy is complete up to a
-// revision, and the revision up to which they complete it. The last result is false
-// if the follower has to list.
-func (f *Feed) Since(after uint64) ([]platform.Change, uint64, bool) {
+// News is what a follower lacks.
+type News struct {
+	Changes []platform.Change
+	// Revision is up to which they complete its copy.
+	Revision uint64
+	// More says that there are further changes.
+	More bool
+}
+
+// Since returns what a follower lacks whose copy is complete up to a revision. The
+// second result is false if the follower has to list.
+func (f *Feed) Since(after uint64) (News, bool) {
 	if after < f.oldest {
-		return nil, 0, false
+		return News{}, false
 	}
 	first := sort.Search(len(f.log), func(i int) bool { return f.log[i].at > after })
-	var changes []platform.Change
-	for _, l := range f.log[first:] {
-		changes = append(changes, l.change)
+	news := News{Revision: f.revision}
+	for i, l := range f.log[first:] {
+		// Changes with the same position belong together.
+		if i >= maxPassed && l.at > news.Revision {
+			news.More = true
+			return news, true
+		}
+		news.Changes = append(news.Changes, l.change)
+		if i >= maxPassed-1 {
+			news.Revision = l.at
+		}
 	}
-	return changes, f.revision, true
+	news.Revision = f.revision
+	return news, true
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -40,9 +40,9 @@
 	if !f.Apply([]platform.Change{put("t", "b2", 7)}, 7) {
 		t.Error("a change is no news")
 	}
-	changes, revision, ok := f.Since(5)
-	if !ok || revision != 7 || keys(changes) != "t@7 " {
-		t.Errorf("%s up to %d, %v", keys(changes), revision, ok)
+	news, ok := f.Since(5)
+	if !ok || news.Revision != 7 || news.More || keys(news.Changes) != "t@7 " {
+		t.Errorf("%+v, %v", news, ok)
 	}
 }
 
@@ -51,8 +51,8 @@
 	f.Replace([]platform.Entry{{Key: "t", Value: []byte("a"), Revision: 3}}, 5)
 	f.Apply([]platform.Change{gone("t", 6)}, 6)
 	f.Apply([]platform.Change{put("t", "a", 7)}, 7)
-	if changes, _, _ := f.Since(6); keys(changes) != "t@7 " {
-		t.Errorf("a follower that saw it leave gets %q", keys(changes))
+	if news, _ := f.Since(6); keys(news.Changes) != "t@7 " {
+		t.Errorf("a follower that saw it leave gets %q", keys(news.Changes))
 	}
 }
 
@@ -61,25 +61,49 @@
 	f := NewFeed(sameFirstByte)
 	f.Replace([]platform.Entry{{Key: "t", Value: []byte("b"), Revision: 6}}, 5)
 	f.Apply([]platform.Change{put("t", "b", 6)}, 6)
-	if changes, _, _ := f.Since(5); keys(changes) != "t@6 " {
-		t.Errorf("got %q", keys(changes))
+	if news, _ := f.Since(5); keys(news.Changes) != "t@6 " {
+		t.Errorf("got %q", keys(news.Changes))
 	}
 }
 
 func TestFollowerTooFarBehindLists(t *testing.T) {
 	f := NewFeed(sameFirstByte)
 	f.Replace(nil, 5)
-	if _, _, ok := f.Since(4); ok {
+	if _, ok := f.Since(4); ok {
 		t.Error("behind the listing")
 	}
 	for r := uint64(6); r < 6+maxLog+10; r++ {
 		f.Apply([]platform.Change{put(fmt.Sprint(r), "x", r)}, r)
 	}
-	if _, _, ok := f.Since(14); ok {
+	if _, ok := f.Since(14); ok {
 		t.Error("behind the log")
 	}
-	if changes, _, ok := f.Since(15); !ok || len(changes) != maxLog {
-		t.Errorf("%d changes, %v", len(changes), ok)
+	passed := 0
+	for after, more := uint64(15), true; more; {
+		news, ok := f.Since(after)
+		if !ok || len(news.Changes) > maxPassed {
+			t.Fatalf("%d changes, %v", len(news.Changes), ok)
+		}
+		passed += len(news.Changes)
+		after, more = news.Revision, news.More
+	}
+	if passed != maxLog {
+		t.Errorf("%d changes passed on, not %d", passed, maxLog)
+	}
+}
+
+// Changes that came out of order have one position and must not be torn apart.
+func TestChangesOfOnePositionArePassedOnTogether(t *testing.T) {
+	f := NewFeed(sameFirstByte)
+	f.Replace(nil, 5)
+	var changes []platform.Change
+	for i := range uint64(maxPassed + 50) {
+		changes = append(changes, put(fmt.Sprint(i), "x", 6000-i))
+	}
+	f.Apply(changes, 6000)
+	news, _ := f.Since(5)
+	if news.More || len(news.Changes) != len(changes) {
+		t.Errorf("%d of %d changes, more %v", len(news.Changes), len(changes), news.More)
 	}
 }
 
@@ -129,12 +153,12 @@
 				take(f, history[f.feed.revision:], uint64(len(history)))
 				return
 			}
-			changes, revision, ok := chain[source].feed.Since(f.feed.revision)
+			news, ok := chain[source].feed.Since(f.feed.revision)
 			if !ok {
 				relist(f)
 				return
 			}
-			take(f, changes, revision)
+			take(f, news.Changes, news.Revision)
 		}
 		for range 60 {
 			key, revision := fmt.Sprint(r.IntN(4)), uint64(len(history)+1)
