--- a/internal/overload/scenario.go
+++ b/internal/overload/scenario.go
@@ -36,6 +36,13 @@
 		}
 		return 1
 	}
+	stuck := small
+	stuck.Slowdown = func(target int, at time.Duration) float64 {
+		if target%7 == 0 && at > 4*time.Second {
+			return 12
+		}
+		return 1
+	}
 	hours.Rate = func(at time.Duration) float64 {
 		if at > 4*time.Second && at < 16*time.Second {
 			return 30 * 1.8
@@ -45,10 +52,10 @@
 	named := map[string]Scenario{
 		"cooperative": small, "circuit": circuit, "cooperative, grown": grown, "burst": burst,
 		"all targets reject half": rejecting, "one home with few targets": homed,
-		"some targets slow": slow, "circuit, overloaded": hours,
+		"some targets slow": slow, "some targets stay slow": stuck, "circuit, overloaded": hours,
 	}
 	var list []Scenario
-	for _, name := range []string{"cooperative", "circuit", "cooperative, grown", "burst", "all targets reject half", "one home with few targets", "some targets slow", "circuit, overloaded"} {
+	for _, name := range []string{"cooperative", "circuit", "cooperative, grown", "burst", "all targets reject half", "one home with few targets", "some targets slow", "some targets stay slow", "circuit, overloaded"} {
 		s := named[name]
 		s.Name = name
 		list = append(list, s)
