Count a proof only once its changes are in force

Cause: since instances follow one another, the proof was set before the changes that came with it were applied; after an outage of the store an instance trusted the old keys while it decoded the configuration that withdrew one. Found by reading. Test first: TestProofCountsOnlyOnceItsChangesAreInForce, 48 requests ran; none now.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -115,6 +115,7 @@
 	f.noteCurrent(relay.Store, nil, asked)
 	f.feed.Replace(entries, revision)
 	f.apply(f.mirror, f.mirror.Replace(entries, revision, now()))
+	f.gateway.SetEvidence(f.evidence) // not before the changes are in force
 	f.wake()
 	return nil
 }
@@ -154,6 +155,7 @@
 	f.noteCurrent(source, via, evidence)
 	news := f.feed.Apply(changes, revision)
 	f.apply(f.mirror, f.mirror.Apply(changes, revision, now()))
+	f.gateway.SetEvidence(f.evidence) // not before the changes are in force
 	if news || regained {
 		f.wake()
 	}
@@ -196,10 +198,7 @@
 		f.log.Info().Str("source", sourceName(source)).Int64("evidence_age_ms", f.gateway.EvidenceAge().Milliseconds()).Msg("store: regained")
 	}
 	f.source, f.via = source, via
-	if evidence > f.evidence {
-		f.evidence = evidence
-		f.gateway.SetEvidence(evidence)
-	}
+	f.evidence = max(f.evidence, evidence)
 }
 
 // noteFailed notes that a source failed. Followers hear of it at once if there is no
