gateway: log where a request may run, where it ran and how old its configuration is

It named the version and the target's availability zone, but not the home regions that bound the request, not the target's region, not whether another version had come into force since the arrival, and the age of the proof only for requests with a key. The line has homes, region, in_force and evidence_age_ms now; a gauge requests_in_flight tells how many requests a stuck caller holds.

No decision changes. TestLogTellsWhereARequestMayRunAndRan fails without it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -173,6 +173,7 @@
 			RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, Metrics: set, Log: logs.Part("gateway"),
 		}, s.Name),
 	}
+	set.Gauge("requests_in_flight", e.gateway.InFlight)
 	e.hub = &hubServer{Edge: e, hub: quota.NewHub(), aggregator: quota.NewAggregator(zoneReporterPrefix+s.Name, uint64(time.Now().UnixNano()))}
 	e.follower = newFollower(e)
 	e.members = newMembers(s, func() bool { return e.gateway.Staleness() < maxSelfListingStaleness })
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -160,14 +160,22 @@
 		line = line.Float64("quota_rate", q.Rate).Int("quota_burst", q.Burst).Float64("quota_left", round(q.Left)).
 			Uint64("quota_taken", q.Taken).Bool("quota_hub", q.Hub).Int64("quota_age_ms", q.Age.Milliseconds())
 	}
-	if c.route != nil && !c.route.Open && c.table.RequiresKey {
+	if c.table != nil {
 		line = line.Int64("evidence_age_ms", c.Staleness().Milliseconds())
+		if newest := c.Table(); newest.Version != c.table.Version {
+			line = line.Uint64("in_force", newest.Version)
+		}
+	}
+	if c.route != nil {
+		if homes := allowedRegions(c.route, c.workspace); len(homes) > 0 {
+			line = line.Strs("homes", homes)
+		}
 	}
 	if object := c.request.Header.Get(c.HeaderNames.Object); object != "" {
 		line = line.Str("object", object)
 	}
 	if c.grant.Target.ID != "" {
-		line = line.Str("target", c.grant.Target.ID).Str("zone", c.grant.Target.AvailabilityZone).
+		line = line.Str("target", c.grant.Target.ID).Str("zone", c.grant.Target.AvailabilityZone).Str("region", c.grant.Target.Region).
 			Str("placement", string(c.grant.Reason)).Float64("load", c.grant.Load).Int("attempt", c.attempts)
 	}
 	line.Int64("elapsed_ms", time.Since(c.start).Milliseconds()).Msg("request: decided")
