gateway: resolve a request again when another configuration comes into force

Cause: route, workspace, service, home regions and number of attempts were read from the routing table at the arrival. The check right before the send repeated the deadline, the key and the target only: a decision was carried out after the knowledge that it rested on had been replaced. The same gap let a request run with a route or a service that the newer version had dropped.

Now a request is bound to one table. Before each choice of a target it is resolved again if another table is in force, and the check before the send compares the tables, so that it covers everything read from one. What may have run under a route that forbids repeating stays unrepeatable, the service stays where the new route still sends to it, and a key that has moved to another workspace refuses the request instead of charging both.

--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -9,7 +9,10 @@
 // a RoutingTable is compiled from it instead.
 package config
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Document is a whole configuration, as an operator writes it in YAML. It is stored
 // as JSON.
@@ -146,6 +149,14 @@
 	Affinity bool `yaml:"-" json:"-"`
 }
 
+// SendsTo reports whether some of the route's requests go to the service.
+func (r Route) SendsTo(service string) bool {
+	if len(r.Split) == 0 {
+		return r.Service == service
+	}
+	return slices.ContainsFunc(r.Split, func(p SplitPart) bool { return p.Service == service && p.Weight > 0 })
+}
+
 // SplitPart is one service's share of a route's requests.
 type SplitPart struct {
 	Service string
--- /dev/null
+++ b/internal/gateway/admission.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/clock"
+	"github.com/turmericfield/turmericfield/internal/config"
+)
+
+// admit checks, in this order, the configuration, route, body size, deadline,
+// draining, API key and quota. The last two are skipped for open routes and on
+// platforms without keys. It returns nil if the request may be sent.
+func (c *call) admit() *refusal {
+	if refused := c.resolveRoute(); refused != nil {
+		return refused
+	}
+	c.repeatable = c.route.Repeatable
+	if limit := c.table.Limits.BodyBytes; limit > 0 && c.request.ContentLength > limit {
+		return &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
+	}
+	c.setDeadline()
+	if d := c.draining.Load(); d != nil && c.start.After(d.lastStart) && c.deadline.After(d.end) {
+		return &refusal{http.StatusServiceUnavailable, "leaving", retryAfterDraining}
+	}
+	if refused := c.resolveWorkspace(); refused != nil {
+		return refused
+	}
+	return c.takeQuota()
+}
+
+// resolveRoute makes the call follow the configuration in force and finds its route.
+func (c *call) resolveRoute() *refusal {
+	c.table = c.Table()
+	if c.table == nil {
+		return &refusal{http.StatusServiceUnavailable, "no-configuration", retryAfterStaleConfig}
+	}
+	if c.route = c.table.Route(c.request.Host, c.request.URL.EscapedPath()); c.route == nil {
+		return &refusal{http.StatusNotFound, "no-route", 0}
+	}
+	return nil
+}
+
+// resolveWorkspace finds the workspace that holds the request's API key, unless the
+// route needs none.
+func (c *call) resolveWorkspace() *refusal {
+	c.workspace = nil
+	if !c.table.RequiresKey || c.route.Open {
+		return nil
+	}
+	if !c.keysFresh() {
+		return &refusal{http.StatusServiceUnavailable, "keys-stale", retryAfterStaleConfig}
+	}
+	keys := c.request.Header[textproto.CanonicalMIMEHeaderKey(c.HeaderNames.APIKey)]
+	if len(keys) != 1 {
+		return &refusal{http.StatusUnauthorized, "one-key-needed", 0}
+	}
+	if c.workspace = c.table.WorkspaceOf(keys[0]); c.workspace == nil {
+		return &refusal{http.StatusUnauthorized, "unknown-key", 0}
+	}
+	return nil
+}
+
+// takeQuota takes the request from the quota of its workspace, if it has one.
+func (c *call) takeQuota() *refusal {
+	if c.workspace == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := clock.SinceBoot()
+	ok, wait := c.limiter.Take(c.workspace, now)
+	if !ok {
+		c.exceededQuota = c.limiter.Status(c.workspace, now)
+		return &refusal{http.StatusTooManyRequests, "quota", wait}
+	}
+	c.charged = c.workspace.Name
+	return nil
+}
+
+// followConfiguration resolves the request again if another configuration has come
+// into force since it was last resolved. A request that another workspace would have to
+// be charged for is refused; the caller's next request will be.
+func (c *call) followConfiguration(object string) *refusal {
+	if c.Table() == c.table {
+		return nil
+	}
+	if refused := c.resolveRoute(); refused != nil {
+		return refused
+	}
+	if refused := c.resolveWorkspace(); refused != nil {
+		return refused
+	}
+	if c.workspace == nil && c.charged != "" || c.workspace != nil && c.workspace.Name != c.charged {
+		return &refusal{http.StatusServiceUnavailable, "withdrawn", retryAfterStaleConfig}
+	}
+	c.repeatable = c.repeatable && c.route.Repeatable
+	if !c.route.SendsTo(c.service) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.service = c.splitter.Choose(c.route, object)
+	}
+	return nil
+}
+
+// setDeadline sets the deadline from the shortest of defaultTimeout, the
+// route's timeout and the time that the caller waits.
+func (c *call) setDeadline() {
+	limit := defaultTimeout
+	if t := c.route.Timeout(); t > 0 {
+		limit = min(limit, t)
+	}
+	if ms, err := strconv.ParseInt(c.request.Header.Get(c.HeaderNames.Deadline), 10, 32); err == nil && ms > 0 {
+		limit = min(limit, max(time.Duration(ms)*time.Millisecond-responseTransit, time.Millisecond))
+	}
+	c.deadline = c.start.Add(limit)
+}
+
+// allowedRegions returns the regions that both route and workspace allow; an
+// empty list means all regions.
+func allowedRegions(route *config.Route, w *config.Workspace) []string {
+	if w == nil || len(w.HomeRegions) == 0 {
+		return route.HomeRegions
+	}
+	if len(route.HomeRegions) == 0 {
+		return w.HomeRegions
+	}
+	common := []string{""} // matches no region; without it, a list without common regions would mean all
+	for _, r := range route.HomeRegions {
+		for _, s := range w.HomeRegions {
+			if r == s {
+				common = append(common, r)
+			}
+		}
+	}
+	return common
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -53,9 +52,9 @@
 )
 
 // errWithdrawn is returned by send if, between the choice of a target and the
-// send, the deadline passed, the API key became invalid or untrusted, or the
-// target left, restarted or moved or its availability zone was closed.
-var errWithdrawn = errors.New("deadline passed, or API key or target withdrawn, before the request was sent")
+// send, the deadline passed, another configuration came into force, API keys became
+// untrusted, or the target left, restarted or moved or its availability zone was closed.
+var errWithdrawn = errors.New("deadline passed, or configuration, API key or target withdrawn, before the request was sent")
 
 // refusal is an error response that the gateway itself gives. The request was
 // not run by a target, unless the status is 502 or 504: then it may have been.
@@ -76,8 +75,11 @@
 	table     *config.RoutingTable
 	route     *config.Route
 	workspace *config.Workspace
-	apiKey    string
-	id        string
+	charged   string // workspace whose quota the request was taken from; "" if none
+	// repeatable is set if the route's requests could be repeated in each
+	// configuration that the request was resolved by.
+	repeatable bool
+	id         string
 	service   string
 	deadline  time.Time // of the whole request, including retries
 
@@ -123,64 +125,6 @@
 	c.dispatch()
 }
 
-// admit checks, in this order, the configuration, route, body size, deadline,
-// draining, API key and quota. The last two are skipped for open routes and on
-// platforms without keys. It returns nil if the request may be sent.
-func (c *call) admit() *refusal {
-	c.table = c.Table()
-	if c.table == nil {
-		return &refusal{http.StatusServiceUnavailable, "no-configuration", retryAfterStaleConfig}
-	}
-	if c.route = c.table.Route(c.request.Host, c.request.URL.EscapedPath()); c.route == nil {
-		return &refusal{http.StatusNotFound, "no-route", 0}
-	}
-	if limit := c.table.Limits.BodyBytes; limit > 0 && c.request.ContentLength > limit {
-		return &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
-	}
-	c.setDeadline()
-	if d := c.draining.Load(); d != nil && c.start.After(d.lastStart) && c.deadline.After(d.end) {
-		return &refusal{http.StatusServiceUnavailable, "leaving", retryAfterDraining}
-	}
-	if !c.table.RequiresKey || c.route.Open {
-		return nil
-	}
-	if !c.keysFresh() {
-		return &refusal{http.StatusServiceUnavailable, "keys-stale", retryAfterStaleConfig}
-	}
-	keys := c.request.Header[textproto.CanonicalMIMEHeaderKey(c.HeaderNames.APIKey)]
-	if len(keys) != 1 {
-		return &refusal{http.StatusUnauthorized, "one-key-needed", 0}
-	}
-	c.apiKey = keys[0]
-	if c.workspace = c.table.WorkspaceOf(c.apiKey); c.workspace == nil {
-		return &refusal{http.StatusUnauthorized, "unknown-key", 0}
-	}
-	c.mu.Lock()
-	now := clock.SinceBoot()
-	ok, wait := c.limiter.Take(c.workspace, now)
-	if !ok {
-		c.exceededQuota = c.limiter.Status(c.workspace, now)
-	}
-	c.mu.Unlock()
-	if !ok {
-		return &refusal{http.StatusTooManyRequests, "quota", wait}
-	}
-	return nil
-}
-
-// setDeadline sets the deadline from the shortest of defaultTimeout, the
-// route's timeout and the time that the caller waits.
-func (c *call) setDeadline() {
-	limit := defaultTimeout
-	if t := c.route.Timeout(); t > 0 {
-		limit = min(limit, t)
-	}
-	if ms, err := strconv.ParseInt(c.request.Header.Get(c.HeaderNames.Deadline), 10, 32); err == nil && ms > 0 {
-		limit = min(limit, max(time.Duration(ms)*time.Millisecond-responseTransit, time.Millisecond))
-	}
-	c.deadline = c.start.Add(limit)
-}
-
 // readBody reads a body of up to maxBufferedRequestBody bytes completely and
 // prepares a longer one for streaming.
 func (c *call) readBody() *refusal {
@@ -246,18 +190,12 @@
 }
 
 // stillAllowed reports whether the request may still be sent. It repeats the
-// checks whose result may have changed since admission and the choice of the
-// target.
+// checks whose result may have changed since the request was resolved and its target
+// was chosen.
 func (c *call) stillAllowed() bool {
-	if time.Now().After(c.deadline) {
+	if time.Now().After(c.deadline) || c.Table() != c.table || c.workspace != nil && !c.keysFresh() {
 		return false
 	}
-	if c.workspace != nil {
-		table := c.Table()
-		if !c.keysFresh() || table != c.table && table.WorkspaceOf(c.apiKey) == nil {
-			return false
-		}
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.balancer.StillValid(c.grant)
@@ -277,7 +215,11 @@
 	c.mu.Unlock()
 	last := refusal{http.StatusServiceUnavailable, "no-target", retryAfterNoTarget}
 	for {
-		if refused := c.chooseTarget(object); refused != nil {
+		refused := c.followConfiguration(object)
+		if refused == nil {
+			refused = c.chooseTarget(object)
+		}
+		if refused != nil {
 			if c.attempts == 0 || !c.mayHaveRun {
 				last = *refused
 			}
@@ -293,7 +235,7 @@
 		if x.mayHaveArrived {
 			c.possibleDeliveries++
 		}
-		if c.ctx.Err() != nil || c.streamedBody != nil && x.mayHaveArrived || c.mayHaveRun && !c.route.Repeatable || !c.takeRetry(x.mayHaveArrived) {
+		if c.ctx.Err() != nil || c.streamedBody != nil && x.mayHaveArrived || c.mayHaveRun && !c.repeatable || !c.takeRetry(x.mayHaveArrived) {
 			break
 		}
 	}
@@ -308,9 +250,9 @@
 	if c.mayHaveRun && last.status == http.StatusServiceUnavailable {
 		last = refusal{http.StatusBadGateway, last.reason, 0}
 	}
-	if !c.mayHaveRun && c.workspace != nil {
+	if !c.mayHaveRun && c.charged != "" {
 		c.mu.Lock()
-		c.limiter.Refund(c.workspace.Name)
+		c.limiter.Refund(c.charged)
 		c.mu.Unlock()
 	}
 	c.writeRefusal(last)
@@ -349,26 +291,6 @@
 	return c.route.Priority
 }
 
-// allowedRegions returns the regions that both route and workspace allow; an
-// empty list means all regions.
-func allowedRegions(route *config.Route, w *config.Workspace) []string {
-	if w == nil || len(w.HomeRegions) == 0 {
-		return route.HomeRegions
-	}
-	if len(route.HomeRegions) == 0 {
-		return w.HomeRegions
-	}
-	common := []string{""} // matches no region; without it, a list without common regions would mean all
-	for _, r := range route.HomeRegions {
-		for _, s := range w.HomeRegions {
-			if r == s {
-				common = append(common, r)
-			}
-		}
-	}
-	return common
-}
-
 // takeRetry reports whether one more attempt is allowed after one that failed.
 // If the failed one may have reached a target, the next one is taken from the
 // retry budget.
@@ -459,7 +381,7 @@
 		return &refusal{http.StatusBadGateway, "unproven-answer", 0}
 	case status >= 500:
 		report.Outcome = affinity.Failed
-		if c.route.Repeatable && c.possibleDeliveries+1 < c.route.MaxAttempts && time.Until(c.deadline) > c.route.LatencyObjective/2 && c.retryBudgetLeft() {
+		if c.repeatable && c.possibleDeliveries+1 < c.route.MaxAttempts && time.Until(c.deadline) > c.route.LatencyObjective/2 && c.retryBudgetLeft() {
 			c.mayHaveRun = true
 			if x.bodyComplete {
 				x.finish(c.pool)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -59,7 +59,7 @@
 // send writes a request to a target and reads the head of the response and, if
 // it is short, its body. The exchange is not nil, also beside an error.
 func (g *Gateway) send(ctx context.Context, c *call, id, address string, head []byte) (*exchange, error) {
-	conn, err := g.pool.get(ctx, id, address, c.route.Repeatable)
+	conn, err := g.pool.get(ctx, id, address, c.repeatable)
 	if err != nil {
 		return &exchange{}, err
 	}
