gateway: trust home regions only while the configuration is known to be current

Cause: a right that the operator can take back was bounded for keys and not for home regions. Both are now trusted for the same time after the last proof; a request bound to home regions is refused with 503, 'homes-stale', which is true, before the send as well as on arrival. Open routes without home regions go on as before: a store that is away excuses no refusal of those.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -24,6 +24,7 @@
 	"body-late":        "the caller had not sent the whole body at the request's deadline",
 	"body-incomplete":  "the caller did not send the whole body",
 	"keys-stale":       "the instance could not prove that keys are current: look at 'store: lost' and the age of the evidence",
+	"homes-stale":      "the instance could not prove that the request's home regions are current: look at 'store: lost' and the age of the evidence",
 	"one-key-needed":   "the request had no key, or more than one",
 	"unknown-key":      "no workspace of the version in force holds the key: wrong, withdrawn, or not yet in force here",
 	"quota":            "the workspace's rate and burst in the whole fleet are used up; look for 'hub: lost' if they should not be",
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -11,8 +11,8 @@
 )
 
 // admit checks, in this order, the configuration, route, body size, deadline,
-// draining, API key and quota. The last two are skipped for open routes and on
-// platforms without keys. It returns nil if the request may be sent.
+// draining, API key, home regions and quota. Key and quota are skipped for open routes
+// and on platforms without keys. It returns nil if the request may be sent.
 func (c *call) admit() *refusal {
 	if refused := c.resolveRoute(); refused != nil {
 		return refused
@@ -28,6 +28,9 @@
 	if refused := c.resolveWorkspace(); refused != nil {
 		return refused
 	}
+	if refused := c.resolveHomeRegions(); refused != nil {
+		return refused
+	}
 	return c.takeQuota()
 }
 
@@ -50,7 +53,7 @@
 	if !c.table.RequiresKey || c.route.Open {
 		return nil
 	}
-	if !c.keysFresh() {
+	if !c.configurationFresh() {
 		return &refusal{http.StatusServiceUnavailable, "keys-stale", retryAfterStaleConfig}
 	}
 	keys := c.request.Header[textproto.CanonicalMIMEHeaderKey(c.HeaderNames.APIKey)]
@@ -63,6 +66,16 @@
 	return nil
 }
 
+// resolveHomeRegions finds the regions that may run the request. Like keys, they are
+// not trusted once the configuration may be outdated.
+func (c *call) resolveHomeRegions() *refusal {
+	c.homeRegions = allowedRegions(c.route, c.workspace)
+	if len(c.homeRegions) > 0 && !c.configurationFresh() {
+		return &refusal{http.StatusServiceUnavailable, "homes-stale", retryAfterStaleConfig}
+	}
+	return nil
+}
+
 // takeQuota takes the request from the quota of its workspace, if it has one.
 func (c *call) takeQuota() *refusal {
 	if c.workspace == nil {
@@ -93,6 +106,9 @@
 	if refused := c.resolveWorkspace(); refused != nil {
 		return refused
 	}
+	if refused := c.resolveHomeRegions(); refused != nil {
+		return refused
+	}
 	if c.workspace == nil && c.charged != "" || c.workspace != nil && c.workspace.Name != c.charged {
 		return &refusal{http.StatusServiceUnavailable, "withdrawn", retryAfterStaleConfig}
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -78,10 +78,11 @@
 	charged   string // workspace whose quota the request was taken from; "" if none
 	// repeatable is set if the route's requests could be repeated in each
 	// configuration that the request was resolved by.
-	repeatable bool
-	id         string
-	service   string
-	deadline  time.Time // of the whole request, including retries
+	repeatable  bool
+	homeRegions []string // the only regions that may run the request; empty means all
+	id          string
+	service     string
+	deadline    time.Time // of the whole request, including retries
 
 	// The request's body is either in bufferedBody or, if streamedBody is not
 	// nil, read from there, which is possible only once.
@@ -193,7 +194,8 @@
 // checks whose result may have changed since the request was resolved and its target
 // was chosen.
 func (c *call) stillAllowed() bool {
-	if time.Now().After(c.deadline) || c.Table() != c.table || c.workspace != nil && !c.keysFresh() {
+	if time.Now().After(c.deadline) || c.Table() != c.table ||
+		(c.workspace != nil || len(c.homeRegions) > 0) && !c.configurationFresh() {
 		return false
 	}
 	c.mu.Lock()
@@ -268,7 +270,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	grant, ok := c.balancer.Choose(affinity.Request{
-		Service: c.service, Object: object, ID: c.id, HomeRegions: allowedRegions(c.route, c.workspace), Exclude: c.excluded,
+		Service: c.service, Object: object, ID: c.id, HomeRegions: c.homeRegions, Exclude: c.excluded,
 		Route: c.route.Name, Objective: c.route.LatencyObjective, Urgent: c.priority() <= urgentPriority,
 	}, clock.SinceBoot())
 	c.grant = grant
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,8 +41,8 @@
 	Region      string // region of this instance
 	RegionCount int    // number of regions of the fleet
 	// MaxKeyStaleness bounds the time since the configuration was last known to
-	// be current. Beyond it, API keys are no longer trusted and requests that
-	// need one are refused. It is also the time after which the instance uses a
+	// be current. Beyond it, API keys and home regions are no longer trusted, and
+	// requests that are bound to either are refused. It is also the time after which the instance uses a
 	// larger share of the quotas when others have left.
 	MaxKeyStaleness time.Duration
 	// RetryRatio and RetryExtra bound the fleet's retries, which are sends of a
@@ -153,14 +153,14 @@
 	}
 }
 
-// keysFresh reports whether the table is current enough for its API keys to be
-// trusted.
-func (g *Gateway) keysFresh() bool { return g.Staleness() < g.MaxKeyStaleness }
+// configurationFresh reports whether the table is current enough for its API keys and
+// home regions to be trusted.
+func (g *Gateway) configurationFresh() bool { return g.Staleness() < g.MaxKeyStaleness }
 
 // Ready reports whether the instance can serve callers: it has a current
 // configuration and is not draining.
 func (g *Gateway) Ready() bool {
-	return g.draining.Load() == nil && g.table.Load() != nil && g.keysFresh()
+	return g.draining.Load() == nil && g.table.Load() != nil && g.configurationFresh()
 }
 
 // jitter returns a random duration between d and 4/3 of it, so that refused
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -166,10 +166,8 @@
 			line = line.Uint64("in_force", newest.Version)
 		}
 	}
-	if c.route != nil {
-		if homes := allowedRegions(c.route, c.workspace); len(homes) > 0 {
-			line = line.Strs("homes", homes)
-		}
+	if len(c.homeRegions) > 0 {
+		line = line.Strs("homes", c.homeRegions)
 	}
 	if object := c.request.Header.Get(c.HeaderNames.Object); object != "" {
 		line = line.Str("object", object)
