config, affinity: tell a set of no regions from a set of all

Cause: regions were plain lists in which empty means all. The common regions therefore began with an entry '' that was to match no region, but '' is just the region of a target of an unknown zone. config.RegionSet has nil for all and empty for none, and no bound set has the region ''.

TestTargetOfAnUnknownZoneRunsNoRequestWithHomeRegions: before, 200; after, 503. Where the zone is known nothing changes.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericfield/turmericfield/internal/config"
 )
 
 const (
@@ -65,8 +67,8 @@
 	// Urgent marks a request of high priority, which may wait longer for a slot
 	// before it is refused.
 	Urgent bool
-	// HomeRegions lists the only regions that may run the request; empty means all.
-	HomeRegions []string
+	// HomeRegions is the set of regions that may run the request.
+	HomeRegions config.RegionSet
 	// Exclude lists the IDs of targets that must not be chosen, because the request
 	// was sent to them before.
 	Exclude []string
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -151,12 +151,11 @@
 	h := xxhash.Sum64String(key)
 	list := make([]candidate, 0, len(b.services[r.Service]))
 	for _, s := range b.services[r.Service] {
-		if s.Leaving || b.closedZones[s.AvailabilityZone] || slices.Contains(r.Exclude, s.ID) ||
-			len(r.HomeRegions) > 0 && !slices.Contains(r.HomeRegions, s.Region) {
+		if s.Leaving || b.closedZones[s.AvailabilityZone] || slices.Contains(r.Exclude, s.ID) || !r.HomeRegions.Has(s.Region) {
 			continue
 		}
 		w := score(h, s)
-		if r.Object != "" && len(r.HomeRegions) == 0 {
+		if r.Object != "" && !r.HomeRegions.Bound() {
 			w *= b.regionWeights[s.Service][s.Region]
 		}
 		list = append(list, candidate{s, w})
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -141,9 +141,8 @@
 	MaxAttempts int `yaml:"-" json:"-"`
 	// Priority ranks routes; 0 is the most urgent.
 	Priority int `yaml:"-" json:"-"`
-	// HomeRegions lists the regions whose targets may run the requests; empty means
-	// all.
-	HomeRegions []string `yaml:"-" json:"-"`
+	// HomeRegions is the set of regions whose targets may run the requests.
+	HomeRegions RegionSet `yaml:"-" json:"-"`
 	// Affinity says that a target is faster with objects that it has served lately,
 	// so that requests for the same object should go to the same target.
 	Affinity bool `yaml:"-" json:"-"`
@@ -189,8 +188,8 @@
 	// was accepted outside this system.
 	Priority    int  `yaml:"-" json:"-"`
 	HasPriority bool `yaml:"-" json:"-"`
-	// HomeRegions lists the regions that may serve the workspace; empty means all.
-	HomeRegions []string `yaml:"-" json:"-"`
+	// HomeRegions is the set of regions that may serve the workspace.
+	HomeRegions RegionSet `yaml:"-" json:"-"`
 }
 
 // Key is one API key of a workspace. Callers present it as ID, a dot and the secret.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/clock"
-	"github.com/turmericfield/turmericfield/internal/config"
 )
 
 // admit checks, in this order, the configuration, route, body size, deadline,
@@ -69,8 +68,11 @@
 // resolveHomeRegions finds the regions that may run the request. Like keys, they are
 // not trusted once the configuration may be outdated.
 func (c *call) resolveHomeRegions() *refusal {
-	c.homeRegions = allowedRegions(c.route, c.workspace)
-	if len(c.homeRegions) > 0 && !c.configurationFresh() {
+	c.homeRegions = c.route.HomeRegions
+	if c.workspace != nil {
+		c.homeRegions = c.homeRegions.Intersect(c.workspace.HomeRegions)
+	}
+	if c.homeRegions.Bound() && !c.configurationFresh() {
 		return &refusal{http.StatusServiceUnavailable, "homes-stale", retryAfterStaleConfig}
 	}
 	return nil
@@ -133,23 +135,3 @@
 	}
 	c.deadline = c.start.Add(limit)
 }
-
-// allowedRegions returns the regions that both route and workspace allow; an
-// empty list means all regions.
-func allowedRegions(route *config.Route, w *config.Workspace) []string {
-	if w == nil || len(w.HomeRegions) == 0 {
-		return route.HomeRegions
-	}
-	if len(route.HomeRegions) == 0 {
-		return w.HomeRegions
-	}
-	common := []string{""} // matches no region; without it, a list without common regions would mean all
-	for _, r := range route.HomeRegions {
-		for _, s := range w.HomeRegions {
-			if r == s {
-				common = append(common, r)
-			}
-		}
-	}
-	return common
-}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -79,7 +79,7 @@
 	// repeatable is set if the route's requests could be repeated in each
 	// configuration that the request was resolved by.
 	repeatable  bool
-	homeRegions []string // the only regions that may run the request; empty means all
+	homeRegions config.RegionSet // regions that may run the request
 	id          string
 	service     string
 	deadline    time.Time // of the whole request, including retries
@@ -195,7 +195,7 @@
 // was chosen.
 func (c *call) stillAllowed() bool {
 	if time.Now().After(c.deadline) || c.Table() != c.table ||
-		(c.workspace != nil || len(c.homeRegions) > 0) && !c.configurationFresh() {
+		(c.workspace != nil || c.homeRegions.Bound()) && !c.configurationFresh() {
 		return false
 	}
 	c.mu.Lock()
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -166,7 +166,7 @@
 			line = line.Uint64("in_force", newest.Version)
 		}
 	}
-	if len(c.homeRegions) > 0 {
+	if c.homeRegions.Bound() {
 		line = line.Strs("homes", c.homeRegions)
 	}
 	if object := c.request.Header.Get(c.HeaderNames.Object); object != "" {
