gateway: bind requests on open routes to the home regions of their key's workspace

Cause: a route that needs no key did not read it, and the workspace's home regions went with the key's check. A key that is sent now binds its request to the workspace's regions on every route; on open routes it is neither checked nor charged, an unknown one binds nothing, and two different ones bind to what they have in common.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -55,7 +55,7 @@
 	if !c.configurationFresh() {
 		return &refusal{http.StatusServiceUnavailable, "keys-stale", retryAfterStaleConfig}
 	}
-	keys := c.request.Header[textproto.CanonicalMIMEHeaderKey(c.HeaderNames.APIKey)]
+	keys := c.apiKeys()
 	if len(keys) != 1 {
 		return &refusal{http.StatusUnauthorized, "one-key-needed", 0}
 	}
@@ -65,12 +65,15 @@
 	return nil
 }
 
-// resolveHomeRegions finds the regions that may run the request. Like keys, they are
-// not trusted once the configuration may be outdated.
+// resolveHomeRegions finds the regions that may run the request: those of its route and
+// of the workspace of its key, also on a route that needs none. Like keys, they are not
+// trusted once the configuration may be outdated.
 func (c *call) resolveHomeRegions() *refusal {
 	c.homeRegions = c.route.HomeRegions
-	if c.workspace != nil {
-		c.homeRegions = c.homeRegions.Intersect(c.workspace.HomeRegions)
+	for _, key := range c.apiKeys() {
+		if w := c.table.WorkspaceOf(key); w != nil {
+			c.homeRegions = c.homeRegions.Intersect(w.HomeRegions)
+		}
 	}
 	if c.homeRegions.Bound() && !c.configurationFresh() {
 		return &refusal{http.StatusServiceUnavailable, "homes-stale", retryAfterStaleConfig}
@@ -78,6 +81,11 @@
 	return nil
 }
 
+// apiKeys returns the values of the request's API key header.
+func (c *call) apiKeys() []string {
+	return c.request.Header[textproto.CanonicalMIMEHeaderKey(c.HeaderNames.APIKey)]
+}
+
 // takeQuota takes the request from the quota of its workspace, if it has one.
 func (c *call) takeQuota() *refusal {
 	if c.workspace == nil {
