--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -306,6 +306,7 @@
 		"leaving":   func(x *Target) { x.Leaving = true },
 		"restarted": func(x *Target) { x.Started++ },
 		"moved":     func(x *Target) { x.Address = "10.9.9.9:80" },
+		"rezoned":   func(x *Target) { x.AvailabilityZone, x.Region = "r9-a", "r9" },
 	} {
 		changed := newTargets(3, 6)
 		for i := range changed {
