gateway: count suspensions in the check of the deadline before a send

Incident HOME, the same cause elsewhere: the check right before the send measured the deadline by a clock that stands still while the machine is suspended.

The arrival is now also kept on the clock that goes on in a suspension, by which the age of keys is measured already.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -71,6 +71,8 @@
 	request *http.Request
 	ctx     context.Context
 	start   time.Time
+	// startSinceBoot is the arrival on a clock that counts suspensions.
+	startSinceBoot time.Duration
 
 	table     *config.RoutingTable
 	route     *config.Route
@@ -111,7 +113,7 @@
 	if g.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{Gateway: g, writer: w, request: r, start: time.Now(), id: r.Header.Get(g.HeaderNames.RequestID)}
+	c := &call{Gateway: g, writer: w, request: r, start: time.Now(), startSinceBoot: clock.SinceBoot(), id: r.Header.Get(g.HeaderNames.RequestID)}
 	if refused := c.admit(); refused != nil {
 		c.writeRefusal(*refused)
 		return
@@ -194,7 +196,8 @@
 // checks whose result may have changed since the request was resolved and its target
 // was chosen.
 func (c *call) stillAllowed() bool {
-	if time.Now().After(c.deadline) || c.Table() != c.table ||
+	expired := clock.SinceBoot()-c.startSinceBoot > c.deadline.Sub(c.start)
+	if expired || c.Table() != c.table ||
 		(c.workspace != nil || c.homeRegions.Bound()) && !c.configurationFresh() {
 		return false
 	}
