--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -216,7 +216,8 @@
 }
 
 // lookup returns the addresses of instances in the caller's region, or of instances in
-// all regions if the caller's region has none.
+// all regions if the caller's region has none. Until this instance has read which others
+// there are, it has no answer for callers of other regions, who then ask another one.
 func (m *members) lookup(region, _ string) LookupResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -233,7 +234,7 @@
 	for _, instance := range m.list {
 		add(instance)
 	}
-	if len(inRegion) == 0 {
+	if len(inRegion) == 0 && m.known {
 		inRegion = all
 	}
 	return LookupResult{Addresses: sampleAddresses(inRegion), TTL: m.ttl}
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -63,3 +63,17 @@
 		t.Error("the removal of an instance does not count as a change")
 	}
 }
+
+func TestInstanceThatKnowsNoOthersIsNotNamedToOtherRegions(t *testing.T) {
+	m := newMembers(Settings{Name: "i0", AvailabilityZone: "a1", Region: "a", Listen: "x"}, func() bool { return true })
+	if got := m.lookup("b", "b1").Addresses; len(got) != 0 {
+		t.Errorf("caller in another region, fleet unknown: got %q", got)
+	}
+	if got := m.lookup("a", "a1").Addresses; len(got) != 1 {
+		t.Errorf("caller in the region, fleet unknown: got %q, want the instance itself", got)
+	}
+	m.replace(nil)
+	if got := m.lookup("b", "b1").Addresses; len(got) != 1 {
+		t.Errorf("only instance of the fleet: got %q, want it", got)
+	}
+}
