gateway: believe a refusal only if it is proven to answer the request sent

Callers could be told "not run, try again" for a request that a target had run, or the request ran at a second target, when a faulty target wrote an earlier refusal once more on a kept connection. An answer of an earlier exchange could also be passed on as a success.

The cause was that words were believed that may belong to another exchange: - the NotRun header and status 421 counted without the request's id; - a rejected request could be sent again on the connection on which it was rejected, so that a repeated refusal carried the right id; the same for a caller that repeats its id; - a request without an id was sent on kept connections, where nothing tells its answer from an earlier one; - the load header was learnt from answers with no proof; - of two different ids in one head the first was taken; - a response to another request was skipped as if it answered HEAD, so that its body was read as the next head.

A connection now carries each request id at most once (it keeps 8 bytes for each and is closed after 1024 requests), so that an echoed id proves that the response answers this send. Without an id, a refusal is believed only as the first response on a connection that carried nothing before. Requests without an id get a new connection. Everything else is an unproven answer: 502, may have run. Connections of rejected requests are still kept, for others.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -365,8 +365,11 @@
 		return &refusal{http.StatusBadGateway, "broken-answer", 0}
 	}
 	h, status := x.response.Header, x.response.StatusCode
-	report.Load, report.HasLoad = parseLoad(h.Get(c.HeaderNames.Load))
-	if h.Get(c.HeaderNames.NotRun) != "" || status == http.StatusMisdirectedRequest {
+	if x.evidence != unproven {
+		report.Load, report.HasLoad = parseLoad(h.Get(c.HeaderNames.Load))
+	}
+	rejected := h.Get(c.HeaderNames.NotRun) != "" || status == http.StatusMisdirectedRequest
+	if rejected && x.evidence != unproven {
 		report.Outcome = affinity.Rejected
 		if status == http.StatusMisdirectedRequest {
 			report.Outcome = affinity.AddressReused
@@ -377,9 +380,10 @@
 		}
 		return &refusal{http.StatusServiceUnavailable, "rejected", retryAfterRejected}
 	}
-	signed, echoed := h.Get(c.HeaderNames.Signature) != "", h.Get(c.HeaderNames.RequestID) == c.id
+	signed := h.Get(c.HeaderNames.Signature) != ""
+	proven := x.evidence == echoedID || x.evidence == firstOnConn && c.id == ""
 	switch {
-	case !echoed || !signed && status < 300 || impliesNotRun(status):
+	case !proven || !signed && status < 300 || impliesNotRun(status):
 		c.mayHaveRun = true
 		x.notReusable = true
 		report.Outcome = affinity.Failed
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -32,6 +33,20 @@
 
 var errMismatchedResponses = errors.New("responses on the connection belong to other requests")
 
+// evidence is what proves that a response answers the request that was sent.
+type evidence int
+
+const (
+	// unproven means that the response may belong to an earlier exchange.
+	unproven evidence = iota
+	// firstOnConn means that the response has no id, and that nothing was sent
+	// or received on the connection before the request and the response.
+	firstOnConn
+	// echoedID means that the response echoes the request's id, which the
+	// connection has not carried before.
+	echoedID
+)
+
 // exchange is one request to one target and its response.
 type exchange struct {
 	conn *targetConn
@@ -39,6 +54,8 @@
 	// target.
 	mayHaveArrived bool
 	response       *http.Response
+	// evidence tells by what the response is known to answer this request.
+	evidence evidence
 	// body is the response's body if bodyComplete is set, else the beginning of
 	// it.
 	body         []byte
@@ -59,7 +76,7 @@
 // send writes a request to a target and reads the head of the response and, if
 // it is short, its body. The exchange is not nil, also beside an error.
 func (g *Gateway) send(ctx context.Context, c *call, id, address string, head []byte) (*exchange, error) {
-	conn, err := g.pool.get(ctx, id, address, c.repeatable)
+	conn, err := g.pool.get(ctx, id, address, c.id, c.repeatable)
 	if err != nil {
 		return &exchange{}, err
 	}
@@ -106,14 +123,22 @@
 // readHead reads the head of the response. Responses to other requests that
 // precede it are skipped.
 func (x *exchange) readHead(r *http.Request, names HeaderNames, id string) error {
-	for range maxMismatchedResponses + 1 {
+	for skipped := range maxMismatchedResponses + 1 {
 		response, err := readResponse(x.conn.reader, r)
 		if err != nil {
 			return errors.Wrap(err, "read response")
 		}
-		if got := response.Header.Get(names.RequestID); got != "" && got != id {
+		echoed := response.Header[textproto.CanonicalMIMEHeaderKey(names.RequestID)]
+		switch {
+		case len(echoed) == 0 && skipped == 0 && len(x.conn.carried) == 1:
+			x.evidence = firstOnConn
+		case len(echoed) == 1 && echoed[0] == id && id != "":
+			x.evidence = echoedID
+		case len(echoed) > 0:
 			x.notReusable = true
-			if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			// Read as a response to HEAD, it has no body, so that its body would
+			// be taken for the next head.
+			if r.Method == http.MethodHead || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 				return errMismatchedResponses
 			}
 			if _, err := io.Copy(io.Discard, response.Body); err != nil {
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -33,7 +33,7 @@
 	}
 	r := httptest.NewRequest(http.MethodGet, "/x", nil)
 	f.Fuzz(func(t *testing.T, answer []byte) {
-		x := &exchange{conn: &targetConn{reader: bufio.NewReader(bytes.NewReader(answer))}}
+		x := &exchange{conn: &targetConn{carried: []uint64{1}, reader: bufio.NewReader(bytes.NewReader(answer))}}
 		if x.readHead(r, testHeaders, "a") != nil {
 			return
 		}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +31,9 @@
 	// unackedTimeout is how long sent data may stay unacknowledged by the peer
 	// before the connection is ended.
 	unackedTimeout = 1500 * time.Millisecond
+	// maxRequestsPerConn bounds the requests that a connection carries, as it
+	// remembers all of them, in 8 bytes each.
+	maxRequestsPerConn = 1024
 	// readBufferSize and writeBufferSize are sizes in bytes; they hold the head
 	// of a usual message.
 	readBufferSize  = 4 << 10
@@ -39,9 +44,12 @@
 type targetConn struct {
 	net.Conn
 	reader   *bufio.Reader
-	targetID string    // id of the target
-	used     bool      // whether it has carried a request before
-	idleAt   time.Time // since when it has been idle
+	targetID string // id of the target
+	// carried holds a hash of the id of each request that it has carried, so
+	// that it carries none twice: a response that echoes the request's id could
+	// not be told from one that belongs to the earlier exchange.
+	carried []uint64
+	idleAt  time.Time // since when it has been idle
 	// idleLimit is the idle time that the target allows, by its last response;
 	// 0 if it named none.
 	idleLimit time.Duration
@@ -51,12 +59,13 @@
 // use.
 type pool struct {
 	dialer net.Dialer
+	seed   maphash.Seed // of the hashes of request ids
 	mu     sync.Mutex
 	idle   map[string][]*targetConn // by target id; the one used last is at the end
 }
 
 func newPool() *pool {
-	return &pool{dialer: Dialer(dialTimeout), idle: map[string][]*targetConn{}}
+	return &pool{dialer: Dialer(dialTimeout), seed: maphash.MakeSeed(), idle: map[string][]*targetConn{}}
 }
 
 // Dialer returns a dialer whose connections fail within seconds after their
@@ -75,21 +84,25 @@
 	}
 }
 
-// get returns a connection to a target: the idle one that was used last, or a
-// new one. Connections that idled too long, lead to an earlier address of the
-// target or were closed by it are closed on the way.
-func (p *pool) get(ctx context.Context, id, address string, repeatable bool) (*targetConn, error) {
+// get returns a connection to a target for one request: of the idle ones that
+// have not carried a request with its id, the one that was used last, or a new
+// one. A request without an id always gets a new one, on which the first response
+// can only be its own. Connections that idled too long, lead to an earlier address
+// of the target or were closed by it are closed on the way.
+func (p *pool) get(ctx context.Context, id, address, requestID string, repeatable bool) (*targetConn, error) {
 	limit := maxIdle
 	if !repeatable {
 		limit = maxIdleUnsafe
 	}
-	for {
-		c := p.takeIdle(id)
+	request := maphash.String(p.seed, requestID)
+	for requestID != "" {
+		c := p.takeIdle(id, request)
 		if c == nil {
 			break
 		}
 		idle := time.Since(c.idleAt)
 		if idle < limit && (c.idleLimit == 0 || idle < c.idleLimit/2) && c.RemoteAddr().String() == address && c.openAndEmpty() {
+			c.carried = append(c.carried, request)
 			return c, nil
 		}
 		_ = c.Close()
@@ -98,31 +111,33 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
-	return &targetConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), targetID: id}, nil
+	return &targetConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), targetID: id, carried: []uint64{request}}, nil
 }
 
 // takeIdle removes and returns the idle connection to a target that was used
-// last, or nil.
-func (p *pool) takeIdle(id string) *targetConn {
+// last and has not carried the request, or nil.
+func (p *pool) takeIdle(id string, request uint64) *targetConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[id]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(c.carried, request) {
+			p.idle[id] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[id] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put keeps a connection whose last response was read completely. It is closed
-// if there are unread bytes or enough idle connections.
+// if there are unread bytes, enough idle connections or no room for the ids of
+// more requests.
 func (p *pool) put(c *targetConn) {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || len(c.carried) >= maxRequestsPerConn {
 		_ = c.Close()
 		return
 	}
-	c.used, c.idleAt = true, time.Now()
+	c.idleAt = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.targetID]) >= maxIdlePerTarget {
