--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -31,7 +31,12 @@
 	abortBodyInterval = time.Millisecond
 )
 
-var errMismatchedResponses = errors.New("responses on the connection belong to other requests")
+var (
+	errMismatchedResponses = errors.New("responses on the connection belong to other requests")
+	// errSwitchedProtocols is returned for status 101: no request asks for
+	// another protocol, as Upgrade headers are not forwarded.
+	errSwitchedProtocols = errors.New("target switched to another protocol")
+)
 
 // evidence is what proves that a response answers the request that was sent.
 type evidence int
@@ -157,8 +162,13 @@
 func readResponse(reader *bufio.Reader, r *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(reader, r)
-		if err != nil || response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, err
+		switch {
+		case err != nil:
+			return nil, err
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitchedProtocols
+		case response.StatusCode >= 200:
+			return response, nil
 		}
 	}
 }
