entry: believe an answer on a kept connection only with its try's id

A target that wrote an earlier refusal once more on a kept connection was believed: the caller of a repeatable request was told "not run" although the target ran it. An earlier answer was passed on in the same way.

The id of the try is optional for targets. Without it only the request's id ties an answer to its request, and callers use that for several sendings: after "not run" they send the request again, with the same id, over the same pooled connection. Requests that may not be repeated have a connection of their own and were not affected.

On a connection that has carried a request before, an answer without the id of the try now proves nothing: the outcome is unknown and the connection is closed. Targets that do not repeat the id would lose every second request to this rule, so their connections are closed after one request, as for requests that may not be repeated.

--- a/internal/entry/header.go
+++ b/internal/entry/header.go
@@ -24,7 +24,8 @@
 	RequestIDHeader = "X-Request-Id"
 	// TryHeader carries a random id of one try of a request. If a target repeats it
 	// in its response, the response cannot be taken for that of another request,
-	// even if callers use the same request id for several.
+	// even if callers use the same request id for several. A connection is used for
+	// several requests only if the target repeats it in each response.
 	TryHeader = "Turmericfield-Try"
 	// DeadlineHeader carries the time left for a request, in milliseconds: in a
 	// caller's request its own limit, in a request to a target what remains.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -146,7 +146,7 @@
 		return e.discard(err)
 	}
 	c.response, c.exchange = response, e
-	kind := classify(response, c.requestID, tryID)
+	kind := classify(response, c.requestID, tryID, e.onReusedConnection())
 	if kind == attempt.ResponseHeader {
 		if err := c.bufferSmallBody(); err != nil {
 			_ = response.Body.Close()
@@ -201,11 +201,13 @@
 	return out.WithContext(c.ctx)
 }
 
-// classify returns what the header of a response proves about the try.
-func classify(response *http.Response, requestID, tryID string) attempt.EventKind {
+// classify returns what the header of a response proves about the try. On a reused
+// connection, a response without the id of the try may be that of an earlier
+// sending of a request with the same id.
+func classify(response *http.Response, requestID, tryID string, reused bool) attempt.EventKind {
 	echo := response.Header.Get(TryHeader)
 	switch {
-	case response.Header.Get(RequestIDHeader) != requestID, echo != "" && echo != tryID:
+	case response.Header.Get(RequestIDHeader) != requestID, echo != tryID && (echo != "" || reused):
 		return attempt.WrongRequestID
 	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(OutcomeHeader) == string(attempt.NotRun):
 		return attempt.Shed
--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -37,6 +37,9 @@
 	dialer   *limitedDialer  // of both transports
 	pooled   *http.Transport // reuses connections
 	unpooled *http.Transport // opens a connection for each request
+	// withoutTryID has the addresses whose latest response did not repeat the id of
+	// the try. Nothing would tell responses on a reused connection to them apart.
+	withoutTryID sync.Map
 }
 
 func newTargetTransport() *targetTransport {
@@ -66,7 +69,7 @@
 		defer timer.Stop()
 	}
 	transport := t.pooled
-	if d.NewConnection {
+	if _, indistinguishable := t.withoutTryID.Load(r.URL.Host); d.NewConnection || indistinguishable {
 		transport = t.unpooled
 		if t.dialer.atLimit(r.URL.Host) {
 			// Idle connections count against the limit.
@@ -77,6 +80,14 @@
 	if err != nil && errors.Is(context.Cause(ctx), errHeaderTimeout) {
 		err = errors.Mark(err, errHeaderTimeout)
 	}
+	if err == nil {
+		e.repeatsTryID = response.Header.Get(TryHeader) == r.Header.Get(TryHeader)
+		if e.repeatsTryID {
+			t.withoutTryID.Delete(r.URL.Host)
+		} else {
+			t.withoutTryID.Store(r.URL.Host, struct{}{})
+		}
+	}
 	return response, e, err
 }
 
@@ -88,9 +99,12 @@
 type exchange struct {
 	cancel   context.CancelCauseFunc // ends the exchange's context
 	deadline time.Time               // of the request
+	// repeatsTryID says that the response has the id of the request's try.
+	repeatsTryID bool
 
 	mu        sync.Mutex  // guards the fields below
 	conn      *targetConn // the latest; nil before the first
+	reused    bool        // conn had carried a request before
 	connCount int         // connections that the transport chose for the request
 	anyReused bool        // one of them had carried a request before
 }
@@ -104,7 +118,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.conn = conn
+	e.conn, e.reused = conn, info.Reused
 	e.connCount++
 	e.anyReused = e.anyReused || info.Reused
 }
@@ -117,6 +131,14 @@
 	return e.connCount <= 1 && !e.anyReused
 }
 
+// onReusedConnection reports whether the connection that the request used last had
+// carried another before.
+func (e *exchange) onReusedConnection() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reused
+}
+
 // replayed reports whether the transport has resent the request by itself.
 func (e *exchange) replayed() bool {
 	e.mu.Lock()
@@ -125,8 +147,14 @@
 }
 
 // finish ends an exchange whose response has been read to its end. A pooled
-// connection stays open for other requests.
-func (e *exchange) finish() { e.cancel(nil) }
+// connection stays open for other requests if the response proved to be the one of
+// this try.
+func (e *exchange) finish() {
+	if !e.repeatsTryID {
+		_ = e.discard(nil)
+	}
+	e.cancel(nil)
+}
 
 // discard ends the exchange and closes its connection, so that no other request
 // can use it. It returns what a try that failed with err proves.
