affinity: send nothing to a registration whose address a later target uses

Requests went on to the old id at that address. The new target refuses them, but head and body of a request with home regions had reached it, and each cost an attempt.

Cause: registrations were used one by one. That a second one names the same address, which tells that the first has ended, was known and not used.

Of several registrations with one address, the balancer now uses the one whose process started last; at equal starts, the one registered last. The others count as removed, also for grants not yet sent. A later write of the earlier process does not bring it back, since starts are compared first. An entry of a service that no configuration names may come from anybody and must not take an address away, so such entries no longer reach the balancer; targets are passed on again with each configuration.

What this cannot keep: until the new target has registered, or where it never does, nothing tells that the address has a new user; and where the new one's registration is gone before the old one's, the old one is used again.

TestTargetWhoseAddressALaterOneUsesIsNeverChosen: before, 'later start: chose old, want new'. TestRegistrationWithAnUnknownServiceReplacesNoTarget passes before too; it guards the fix.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -192,8 +192,11 @@
 }
 
 // SetTargets replaces the registered targets. The state of a target is kept unless
-// its process has restarted or its address has changed.
+// its process has restarted or its address has changed. If several have the same
+// address, the one that started last is the only one used: the others have ended, and
+// their registrations are yet to be removed.
 func (b *Balancer) SetTargets(targets []Target, now time.Duration) {
+	targets = withoutReplaced(targets)
 	old := b.targets
 	b.targets, b.services = make(map[string]*targetState, len(targets)), map[string][]*targetState{}
 	for _, t := range targets {
@@ -211,6 +214,26 @@
 	b.updateRegionWeights()
 }
 
+// withoutReplaced returns the targets whose address no later one has.
+func withoutReplaced(targets []Target) []Target {
+	last := make(map[string]Target, len(targets)) // by address
+	for _, t := range targets {
+		if known, ok := last[t.Address]; !ok || t.replaces(known) {
+			last[t.Address] = t
+		}
+	}
+	if len(last) == len(targets) {
+		return targets
+	}
+	kept := make([]Target, 0, len(last))
+	for _, t := range targets {
+		if last[t.Address].ID == t.ID {
+			kept = append(kept, t)
+		}
+	}
+	return kept
+}
+
 // updateRegionWeights computes regionWeights, assuming that the callers of each
 // region cause an equal share of the load. A region serves its own callers as far as
 // its slots go. What it lacks is distributed over the regions with surplus slots, in
--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -397,3 +397,34 @@
 		t.Errorf("%d of 2,000 requests went to a target that rejects all, want 60 at most", toBad)
 	}
 }
+
+func TestTargetWhoseAddressALaterOneUsesIsNeverChosen(t *testing.T) {
+	for name, test := range map[string]struct {
+		oldStarted, newStarted   int64
+		oldRevision, newRevision uint64
+		want                     string
+	}{
+		"later start":                             {1, 2, 9, 3, "new"},
+		"earlier start, later write":              {2, 1, 3, 9, "old"},
+		"same start, later write":                 {1, 1, 3, 9, "new"},
+		"start unknown, earlier write than known": {0, 1, 9, 3, "new"},
+	} {
+		old := Target{ID: "old", Service: service, Address: "10.0.0.1:80", AvailabilityZone: "r0-a", Region: "r0", Slots: 6, Started: test.oldStarted, Revision: test.oldRevision}
+		b := newBalancer("a", "r0", []Target{old})
+		granted := mustChoose(t, b, newRequest("o"), 1)
+		next := Target{ID: "new", Service: service, Address: old.Address, AvailabilityZone: "r1-a", Region: "r1", Slots: 6, Started: test.newStarted, Revision: test.newRevision}
+		for _, targets := range [][]Target{{old, next}, {next, old}} {
+			b.SetTargets(targets, 2)
+			for i := range 20 {
+				g := mustChoose(t, b, newRequest(fmt.Sprint("o", i)), 2)
+				b.Done(g, Report{Outcome: Answered}, 2)
+				if g.Target.ID != test.want {
+					t.Fatalf("%s: chose %s, want %s", name, g.Target.ID, test.want)
+				}
+			}
+			if valid := b.StillValid(granted); valid != (test.want == "old") {
+				t.Errorf("%s: grant of the old target still valid: %v", name, valid)
+			}
+		}
+	}
+}
--- a/internal/affinity/target.go
+++ b/internal/affinity/target.go
@@ -35,6 +35,16 @@
 	Started int64
 }
 
+// replaces reports whether the target, which has the same address as another, uses it
+// after that one: it started later or, if both started at the same time, was
+// registered later.
+func (t Target) replaces(other Target) bool {
+	if t.Started != other.Started {
+		return t.Started > other.Started
+	}
+	return t.Revision > other.Revision
+}
+
 // Parameters of the health checks by observed responses. A failure rate is an
 // exponential moving average of failures, 0 to 1. A relative latency is a multiple of
 // the median latency of the request's route.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -334,8 +334,8 @@
 	if zones {
 		e.applyClosedZones(m)
 	}
-	if targets {
-		e.applyTargets(m)
+	if targets || configuration {
+		e.applyTargets(m, configuration)
 	}
 	if own {
 		e.applyMembers(m)
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -57,9 +57,11 @@
 	return old == next
 }
 
-// applyTargets passes the registered targets to the balancer if any of them changed.
-func (e *Edge) applyTargets(m *mirror.Mirror) {
-	changed, leaving := false, 0
+// applyTargets passes the registered targets of the configured services to the balancer
+// if any of them changed, or if the configuration did.
+func (e *Edge) applyTargets(m *mirror.Mirror, configurationChanged bool) {
+	table := e.gateway.Table()
+	changed, leaving := configurationChanged, 0
 	seen := make(map[string]registration, len(e.targets))
 	var targets []affinity.Target
 	m.Each(e.storeKeys.TargetPrefix, func(entry platform.Entry) {
@@ -67,7 +69,7 @@
 		seen[entry.Key] = r
 		old, ok := e.targets[entry.Key]
 		changed = changed || !ok || !sameTarget(old.target, r.target) || (old.err == nil) != (r.err == nil)
-		if r.err != nil {
+		if r.err != nil || table == nil || table.Services[r.target.Service] == nil {
 			return
 		}
 		if r.target.Leaving {
