gateway: bound what is read of answers that are not passed on

Bytes that are no answer may come without end. The gateway read them until the target stopped: the head had no bound, nor had the number of informational responses and the body of a skipped response, and memory grew with them. The caller waited for as long.

The head of a response, with the informational ones before it, is now bounded to 64 KiB, the body of a skipped response to 1 MiB. Beyond that the connection is closed and the caller gets 502. The head alone decides whether an answer is passed on (verdict): the body of an unproven one is not read at all, that of a rejection up to 4 KiB; a longer one costs the connection only. A body that is passed on is streamed with constant memory, as before, and ends at the request's deadline; the caller sees it as cut.

FuzzAnswerOnAKeptConnection answers with arbitrary bytes on a kept connection.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -337,6 +337,33 @@
 	return x, refused
 }
 
+// verdict is what the head of a response makes of it.
+type verdict int
+
+const (
+	distrusted verdict = iota // it may belong to another exchange or is no target's answer
+	rejected                  // the target did not run the request
+	answered                  // an answer for the caller
+)
+
+// verdict judges a response by its head. Without an id, a rejection is believed if
+// it is the first response on its connection; an answer to a request that has an
+// id is not.
+func (c *call) verdict(x *exchange) verdict {
+	h, status := x.response.Header, x.response.StatusCode
+	saysRejected := h.Get(c.HeaderNames.NotRun) != "" || status == http.StatusMisdirectedRequest
+	unsigned := status < http.StatusMultipleChoices && h.Get(c.HeaderNames.Signature) == ""
+	switch {
+	case x.evidence == unproven:
+		return distrusted
+	case saysRejected:
+		return rejected
+	case x.evidence == firstOnConn && c.id != "", unsigned, impliesNotRun(status):
+		return distrusted
+	}
+	return answered
+}
+
 // classify decides whether the response, or the error, is returned to the
 // caller, and fills in the outcome that the balancer learns from. It returns
 // nil if the response is for the caller.
@@ -364,12 +391,12 @@
 		report.Outcome = affinity.Failed
 		return &refusal{http.StatusBadGateway, "broken-answer", 0}
 	}
-	h, status := x.response.Header, x.response.StatusCode
+	status := x.response.StatusCode
 	if x.evidence != unproven {
-		report.Load, report.HasLoad = parseLoad(h.Get(c.HeaderNames.Load))
+		report.Load, report.HasLoad = parseLoad(x.response.Header.Get(c.HeaderNames.Load))
 	}
-	rejected := h.Get(c.HeaderNames.NotRun) != "" || status == http.StatusMisdirectedRequest
-	if rejected && x.evidence != unproven {
+	switch verdict := c.verdict(x); {
+	case verdict == rejected:
 		report.Outcome = affinity.Rejected
 		if status == http.StatusMisdirectedRequest {
 			report.Outcome = affinity.AddressReused
@@ -379,11 +406,7 @@
 			x.conn = nil
 		}
 		return &refusal{http.StatusServiceUnavailable, "rejected", retryAfterRejected}
-	}
-	signed := h.Get(c.HeaderNames.Signature) != ""
-	proven := x.evidence == echoedID || x.evidence == firstOnConn && c.id == ""
-	switch {
-	case !proven || !signed && status < 300 || impliesNotRun(status):
+	case verdict == distrusted:
 		c.mayHaveRun = true
 		x.notReusable = true
 		report.Outcome = affinity.Failed
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -19,6 +20,15 @@
 	// completely before any of it is returned to the caller, so that another
 	// target can be tried if it is cut off.
 	maxBufferedResponse = 128 << 10
+	// maxRefusalBody is the size in bytes up to which the body of a rejection is
+	// read, so that its connection can be reused.
+	maxRefusalBody = 4 << 10
+	// maxResponseHead bounds the head of a response in bytes, together with the
+	// informational responses before it.
+	maxResponseHead = 64 << 10
+	// maxMismatchedBody bounds the body, in bytes, of a response to another
+	// request that is skipped.
+	maxMismatchedBody = 1 << 20
 	// maxMismatchedResponses is how many responses to other requests are
 	// skipped on a connection before the one to this request.
 	maxMismatchedResponses = 2
@@ -32,6 +42,7 @@
 )
 
 var (
+	errTooManyBytes        = errors.New("response has too many bytes")
 	errMismatchedResponses = errors.New("responses on the connection belong to other requests")
 	// errSwitchedProtocols is returned for status 101: no request asks for
 	// another protocol, as Upgrade headers are not forwarded.
@@ -101,7 +112,13 @@
 	if err := x.readHead(c.request, g.HeaderNames, c.id); err != nil {
 		return x, err
 	}
-	return x, x.readBody()
+	switch c.verdict(x) {
+	case answered:
+		return x, x.readBody(maxBufferedResponse)
+	case rejected:
+		return x, x.readBody(maxRefusalBody)
+	}
+	return x, nil
 }
 
 // write writes the request. A long body is written in the background.
@@ -129,6 +146,7 @@
 // precede it are skipped.
 func (x *exchange) readHead(r *http.Request, names HeaderNames, id string) error {
 	for skipped := range maxMismatchedResponses + 1 {
+		x.conn.limit(maxResponseHead)
 		response, err := readResponse(x.conn.reader, r)
 		if err != nil {
 			return errors.Wrap(err, "read response")
@@ -146,12 +164,14 @@
 			if r.Method == http.MethodHead || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 				return errMismatchedResponses
 			}
+			x.conn.limit(maxMismatchedBody)
 			if _, err := io.Copy(io.Discard, response.Body); err != nil {
 				return errors.Wrap(err, "read response to another request")
 			}
 			continue
 		}
 		x.response = response
+		x.conn.limit(math.MaxInt64) // the body is bounded by readBody or the deadline
 		return nil
 	}
 	return errMismatchedResponses
@@ -173,11 +193,11 @@
 	}
 }
 
-// readBody reads a response body of up to maxBufferedResponse bytes completely.
-// Of a longer one it reads nothing if its length is known, else the beginning.
-func (x *exchange) readBody() error {
+// readBody reads a response body of up to limit bytes completely. Of a longer one
+// it reads nothing if its length is known, else the beginning.
+func (x *exchange) readBody(limit int64) error {
 	length := x.response.ContentLength
-	if length > maxBufferedResponse {
+	if length > limit {
 		return nil
 	}
 	if length >= 0 {
@@ -186,8 +206,8 @@
 		return errors.Wrap(err, "read response body")
 	}
 	var b bytes.Buffer
-	n, err := io.CopyN(&b, x.response.Body, maxBufferedResponse)
-	x.body, x.bodyComplete = b.Bytes(), n < maxBufferedResponse
+	n, err := io.CopyN(&b, x.response.Body, limit)
+	x.body, x.bodyComplete = b.Bytes(), n < limit
 	if err == io.EOF {
 		err = nil
 	}
--- a/internal/gateway/faulty_target_test.go
+++ b/internal/gateway/faulty_target_test.go
@@ -105,7 +105,7 @@
 	}
 	g.SetTable(config.NewRoutingTable(config.RoutingTableSource{
 		Version: 1, Services: []config.Service{{Name: "s"}},
-		Routes: []config.Route{route("once", false, testTimeout), route("safe", true, testTimeout), route("short", true, 300*time.Millisecond)},
+		Routes: []config.Route{route("once", false, testTimeout), route("safe", true, testTimeout), route("short", false, time.Second)},
 	}))
 	var list []affinity.Target
 	for i, target := range targets {
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/turmericfield/turmericfield/internal/config"
@@ -19,6 +22,14 @@
 	ExpectedInstance: "Expected", Signature: "Proof", NotRun: "Not-Run", Load: "Load",
 }
 
+// bytesConn is a connection from which given bytes are read.
+type bytesConn struct {
+	net.Conn
+	io.Reader
+}
+
+func (c bytesConn) Read(p []byte) (int, error) { return c.Reader.Read(p) }
+
 // Whatever bytes a target sends must be read as a complete response to this
 // request, or give an error.
 func FuzzTargetResponse(f *testing.F) {
@@ -33,14 +44,16 @@
 	}
 	r := httptest.NewRequest(http.MethodGet, "/x", nil)
 	f.Fuzz(func(t *testing.T, answer []byte) {
-		x := &exchange{conn: &targetConn{carried: []uint64{1}, reader: bufio.NewReader(bytes.NewReader(answer))}}
+		conn := newTargetConn(bytesConn{Reader: bytes.NewReader(answer)}, "t")
+		conn.carried = []uint64{1}
+		x := &exchange{conn: conn}
 		if x.readHead(r, testHeaders, "a") != nil {
 			return
 		}
 		if got := x.response.Header.Get(testHeaders.RequestID); got != "" && got != "a" {
 			t.Errorf("took the response to request %q", got)
 		}
-		if x.readBody() == nil && x.bodyComplete && x.response.ContentLength >= 0 && int64(len(x.body)) != x.response.ContentLength {
+		if x.readBody(maxBufferedResponse) == nil && x.bodyComplete && x.response.ContentLength >= 0 && int64(len(x.body)) != x.response.ContentLength {
 			t.Errorf("read %d of %d body bytes", len(x.body), x.response.ContentLength)
 		}
 		if load, ok := parseLoad(x.response.Header.Get(testHeaders.Load)); ok && load < 0 {
@@ -50,6 +63,49 @@
 	})
 }
 
+// Whatever bytes a target sends on a kept connection for a request that it has run,
+// a success or a refusal must not be passed on, and the request not be sent again,
+// unless the bytes name the request.
+func FuzzAnswerOnAKeptConnection(f *testing.F) {
+	const id = "b7f3"
+	for _, answer := range []string{
+		success(id, "ok"), success("", "ok"), success("a", "ok") + success(id, "ok"), rejection(id), rejection(""), rejection("a") + rejection(""),
+		"HTTP/1.1 421 X\r\n\r\n", "HTTP/1.1 100 X\r\n\r\n" + rejection(""), "HTTP/1.1 200 OK\r\nId: " + id + "\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+		"HTTP/1.1 200 OK\r\nId: " + id + "\r\nProof: p\r\nContent-Length: 20\r\n\r\nshort", "nonsense", "", strings.Repeat("x", 100),
+	} {
+		f.Add([]byte(answer))
+	}
+	var bytesToSend atomic.Pointer[[]byte]
+	var ran atomic.Int32
+	call := newCaller(f, newRawTarget(f, func(c *net.TCPConn, r received) bool {
+		if r.id != id {
+			return write(c, success(r.id, "ok"))
+		}
+		ran.Add(1)
+		_, _ = c.Write(*bytesToSend.Load()) // the gateway may have closed the connection
+		return false
+	}))
+	n := 0
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		bytesToSend.Store(&answer)
+		n++
+		if status, _, err := call.do(http.MethodPost, "/once/1", fmt.Sprint(n)); status != 200 || err != nil {
+			t.Fatalf("the request before got %d, %v", status, err)
+		}
+		ran.Store(0)
+		status, body, err := call.do(http.MethodPost, "/once/2", id)
+		if named := bytes.Contains(answer, []byte(id)); !named && (err != nil || status != 502 || ran.Load() != 1) {
+			t.Errorf("got %d %q, %v after %d runs; want 502 after one", status, body, err, ran.Load())
+		}
+		if refused := impliesNotRun(status); refused && !bytes.Contains(answer, []byte("421")) && !bytes.Contains(bytes.ToLower(answer), []byte("not-run")) {
+			t.Errorf("got %d, which no target said", status)
+		}
+		if status < 300 && err == nil && !bytes.Contains(bytes.ToLower(answer), []byte("proof")) {
+			t.Errorf("got %d %q without a signature", status, body)
+		}
+	})
+}
+
 // A load header must never give a negative load, also where the sum overflows.
 func FuzzLoadHeader(f *testing.F) {
 	for _, s := range []string{"3,0,8", "", "-3,0,8", "1,2", "9223372036854775807,1,1", " 1 , 2 , 3 "} {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -44,6 +44,7 @@
 type targetConn struct {
 	net.Conn
 	reader   *bufio.Reader
+	unread   int64  // bytes that may still be read from the connection
 	targetID string // id of the target
 	// carried holds a hash of the id of each request that it has carried, so
 	// that it carries none twice: a response that echoes the request's id could
@@ -111,7 +112,29 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
-	return &targetConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), targetID: id, carried: []uint64{request}}, nil
+	c := newTargetConn(conn, id)
+	c.carried = append(c.carried, request)
+	return c, nil
+}
+
+func newTargetConn(conn net.Conn, targetID string) *targetConn {
+	c := &targetConn{Conn: conn, targetID: targetID}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c
+}
+
+// limit bounds what is read from the connection from now on, in bytes, without
+// what is buffered already.
+func (c *targetConn) limit(n int64) { c.unread = n }
+
+// Read implements io.Reader for the buffered reader.
+func (c *targetConn) Read(p []byte) (int, error) {
+	if c.unread <= 0 {
+		return 0, errTooManyBytes
+	}
+	n, err := c.Conn.Read(p[:min(int64(len(p)), c.unread)])
+	c.unread -= int64(n)
+	return n, err
 }
 
 // takeIdle removes and returns the idle connection to a target that was used
