operator: bound the response that the client reads

A response without end filled the memory of plan, confirm and status until the client's timeout of 20 s, whatever its status was: a decoder of JSON holds a whole value. The body is now bounded like that of a request, at 64 MiB.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -71,14 +71,15 @@
 		return errors.Mark(errors.Wrap(err, "operator API"), classifySendError(err))
 	}
 	defer response.Body.Close()
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxResponseBytes))
 	if response.StatusCode != http.StatusOK {
 		apiError := &APIError{Status: response.StatusCode}
-		if err := json.NewDecoder(response.Body).Decode(&apiError.Response); err != nil {
+		if err := decoder.Decode(&apiError.Response); err != nil {
 			apiError.Response = ErrorResponse{Error: response.Status, Code: "internal"}
 		}
 		return apiError
 	}
-	return errors.Wrap(json.NewDecoder(response.Body).Decode(answer), "operator API answer")
+	return errors.Wrap(decoder.Decode(answer), "operator API answer")
 }
 
 // Errors of a call that got no response.
--- a/internal/operator/transport.go
+++ b/internal/operator/transport.go
@@ -24,8 +24,12 @@
 	StatusPath  = "/v1/status"
 )
 
-// maxRequestBytes bounds the body of a request.
-const maxRequestBytes = 64 << 20
+const (
+	// maxRequestBytes bounds the body of a request.
+	maxRequestBytes = 64 << 20
+	// maxResponseBytes bounds the body of a response.
+	maxResponseBytes = 64 << 20
+)
 
 var (
 	errUnauthorized = errors.New("operator credential is missing or wrong")
--- a/internal/operator/transport_test.go
+++ b/internal/operator/transport_test.go
@@ -1,12 +1,42 @@
 package operator
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 )
 
+// TestEndlessResponse guards against a response without end that fills the memory of
+// the operators' client, whatever its status is.
+func TestEndlessResponse(t *testing.T) {
+	const slack = 32 << 20 // buffers of the sockets
+	for _, status := range []int{http.StatusOK, http.StatusInternalServerError} {
+		var written atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			part := []byte(`{"error":"` + strings.Repeat("x", 1<<20))
+			for written.Load() < 2*(maxResponseBytes+slack) {
+				n, err := w.Write(part)
+				written.Add(int64(n))
+				if err != nil {
+					return
+				}
+				part = part[len(part)-1<<20:]
+			}
+			_, _ = io.WriteString(w, `"}`)
+		}))
+		client := Client{BaseURL: server.URL, HTTP: server.Client()}
+		if _, err := client.Status(t.Context()); err == nil || written.Load() > maxResponseBytes+slack {
+			t.Errorf("status %d: read %d bytes, error %.100s", status, written.Load(), fmt.Sprint(err))
+		}
+		server.Close()
+	}
+}
+
 // A request without the token must be refused before any byte of its body is read,
 // whatever its path, so that its sender learns nothing about the API.
 func TestCredentialIsCheckedBeforeTheBody(t *testing.T) {
