entry, load, command: bound the JSON that callers read from an instance

The load generator and the command lookup decoded the answer to a look-up, and the load generator the body of a refusal, without a bound. What an instance itself answers to callers is a few hundred bytes; entry.MaxJSONBytes (64 KiB) bounds it for both.

--- a/internal/command/lookup.go
+++ b/internal/command/lookup.go
@@ -79,5 +79,5 @@
 	if response.StatusCode != http.StatusOK {
 		return answer, errors.Newf("look-up: %s answered %s", instanceAddress, response.Status)
 	}
-	return answer, errors.Wrap(json.NewDecoder(response.Body).Decode(&answer), "look-up answer")
+	return answer, errors.Wrap(json.NewDecoder(http.MaxBytesReader(nil, response.Body, entry.MaxJSONBytes)).Decode(&answer), "look-up answer")
 }
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -19,6 +19,9 @@
 	retryAfter time.Duration // sent as Retry-After in whole seconds, unless 0
 }
 
+// MaxJSONBytes bounds a LookupResponse or an ErrorResponse.
+const MaxJSONBytes = 64 << 10
+
 // ErrorResponse is the JSON body of each response of the data path that does not
 // come from a target.
 type ErrorResponse struct {
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -128,7 +128,7 @@
 		return answer, err
 	}
 	defer response.Body.Close()
-	return answer, json.NewDecoder(response.Body).Decode(&answer)
+	return answer, json.NewDecoder(http.MaxBytesReader(nil, response.Body, entry.MaxJSONBytes)).Decode(&answer)
 }
 
 // expireLookup makes the next send look up the instances again.
@@ -165,7 +165,7 @@
 func classify(response *http.Response, request Request) result {
 	if statedOutcome := response.Header.Get(entry.OutcomeHeader); statedOutcome != "" {
 		var body entry.ErrorResponse
-		_ = json.NewDecoder(response.Body).Decode(&body)
+		_ = json.NewDecoder(http.MaxBytesReader(nil, response.Body, entry.MaxJSONBytes)).Decode(&body)
 		if statedOutcome == "not-run" {
 			return result{outcome: Refused, reason: body.Reason}
 		}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -109,6 +110,31 @@
 	}
 }
 
+// TestEndlessLookupAnswer guards against a look-up's answer without end that fills the
+// memory of the load generator.
+func TestEndlessLookupAnswer(t *testing.T) {
+	const maxWritten = 32 << 20 // entry.MaxJSONBytes and the buffers of the sockets
+	var written atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		part := []byte(`{"instances":[{"name":"` + strings.Repeat("x", 1<<20))
+		for written.Load() < 2*maxWritten {
+			n, err := w.Write(part)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+			part = part[len(part)-1<<20:]
+		}
+		_, _ = io.WriteString(w, `"}]}`)
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	c := newCallers(Options{Callers: 1, Instances: []string{address}})[0]
+	if _, err := c.queryInstance(t.Context(), address); err == nil || written.Load() > maxWritten {
+		t.Errorf("read %d bytes, error %.100s", written.Load(), fmt.Sprint(err))
+	}
+}
+
 // TestBuiltInMixesMatchExamples checks that each built-in mix can run against the
 // example configuration of the same name: the keys are valid, and each workspace may
 // use the routes of its requests.
