peer, edge: name the bounds of messages between instances

gRPC's default of 4 MiB bounded the requests that an instance takes from another, and in internal/peer the responses as well. The bound now stands in the code, with the same value, beside that of the responses of Follow.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -27,6 +27,9 @@
 	// maxPeerResponseBytes is the maximum size of a response of another instance: a
 	// full log of changes with some large configurations among them.
 	maxPeerResponseBytes = 16 << 20
+	// maxPeerRequestBytes is the maximum size of a request of another instance: a
+	// report of the use of every workspace.
+	maxPeerRequestBytes = 4 << 20
 )
 
 // errNotCurrent means that the copy of the followed instance is not current.
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -108,6 +108,7 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}))
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer address %q", address)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,6 +22,7 @@
 	keepaliveTimeout  = 3 * time.Second  // until a connection without an answer to the ping is closed
 	sendTimeout       = 2 * time.Second  // of each call but those of ConfirmAt
 	idleTimeout       = time.Minute      // without calls, until a client connection is closed
+	maxMessageBytes   = 4 << 20          // of one request or response
 )
 
 // ReceiveFunc takes a message of another instance. The message is acknowledged to its
@@ -72,6 +73,7 @@
 func (n *Network) Serve(ctx context.Context, listener net.Listener, creds credentials.TransportCredentials) error {
 	options := []grpc.ServerOption{
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 	}
 	if creds != nil {
