server: bound the header of a target's answer to a poll

The body was bounded at 64 KiB, but the header with all interim answers before it by net/http's default of 10 MiB only, for up to 16 polls at once. maxPollHeaderBytes is 64 KiB too.

--- a/internal/server/placement.go
+++ b/internal/server/placement.go
@@ -32,6 +32,8 @@
 	maxConcurrentPolls = 16
 	// maxPollAnswerBytes bounds the part of a target's answer to a poll that is read.
 	maxPollAnswerBytes = 1 << 16
+	// maxPollHeaderBytes bounds the header of such an answer.
+	maxPollHeaderBytes = 1 << 16
 
 	// Paths that targets answer to polls.
 	targetHealthPath = "/-/health"
@@ -72,7 +74,9 @@
 
 // runTargetPollLoop polls those targets that this instance has to poll.
 func (s *Server) runTargetPollLoop(ctx context.Context) {
-	client := &http.Client{Timeout: pollTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}}
+	client := &http.Client{Timeout: pollTimeout, Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: maxPollHeaderBytes,
+	}}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		zone := s.liveZoneInstances()
