--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -39,6 +39,7 @@
 	handlers      []*Handler // one for each instance
 	addresses     []string   // host:port of each instance
 	store         *standinplatform.Server
+	storeClient   platform.Store // of the last instance
 
 	mu         sync.Mutex // guards violations
 	violations []string   // of invariants
@@ -107,6 +108,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = client.Close() })
+		s.storeClient = client
 		limiter, placer := ratelimit.NewStaticShares(1), placement.New(placement.Options{AvailabilityZone: "sierra-1", Seats: &placement.StaticSeat{AvailabilityZone: "sierra-1", ZoneSeats: 1, FleetSeats: 1, Clean: true}})
 		limiter.Update(snapshot, time.Now())
 		placer.Update(snapshot, time.Now())
