logging: leave what an answer quotes out of the standard library's log

When a target writes an answer once more on a kept connection, net/http's client logs up to 4 KiB of it through the standard library's logger, which the program left as it is. That line went to the instance's log output with a part of the answer. The client offers no other way to it, so the program now sets the standard logger's output to a writer that leaves out what is quoted. The rest of the line stays, and so do the lines of net/http's servers. edge's data path has a client of its own and writes no such line.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,6 +15,7 @@
 	"github.com/spf13/pflag"
 
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/operator"
 	"github.com/turmericfield/turmericfield/internal/server"
 	"github.com/turmericfield/turmericfield/internal/settings"
@@ -57,6 +59,7 @@
 
 // Main runs the command line of this process and returns its exit code.
 func Main() int {
+	log.SetOutput(logging.OmitQuoted(os.Stderr))
 	root := newRoot()
 	err := root.ExecuteContext(context.Background())
 	if err == nil {
