gateway: do not take the proof of a newer configuration for that of the one before

Cause: the check before a send read two facts that belong together in the order in which they are written. It reads the proof first now. If that is the newer table's, the newer table is in force already and the comparison fails.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -46,3 +46,28 @@
 		t.Error("the request is sent although its caller has stopped waiting")
 	}
 }
+
+func TestProofOfANewerConfigurationDoesNotProveTheOneBefore(t *testing.T) {
+	c := admittedCall(t)
+	c.homeRegions = config.RegionSet{"r"}
+	next := config.NewRoutingTable(config.RoutingTableSource{Version: 2})
+	for range 100_000 {
+		c.SetTable(c.table)
+		c.SetCurrentAsOf(clock.SinceBoot() - 2*c.MaxKeyStaleness)
+		allowed := make(chan bool)
+		go func() {
+			for c.Table() == c.table {
+				if c.stillAllowed() {
+					allowed <- true
+					return
+				}
+			}
+			allowed <- false
+		}()
+		c.SetTable(next)
+		c.SetCurrentAsOf(clock.SinceBoot())
+		if <-allowed {
+			t.Fatal("a request is sent by an outdated configuration once the next one is known to be current")
+		}
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -197,8 +197,10 @@
 // was chosen.
 func (c *call) stillAllowed() bool {
 	expired := clock.SinceBoot()-c.startSinceBoot > c.deadline.Sub(c.start)
-	if expired || c.Table() != c.table ||
-		(c.workspace != nil || c.homeRegions.Bound()) && !c.configurationFresh() {
+	// Read before the tables are compared: if the proof is a newer table's, that one
+	// is in force by then.
+	fresh := c.configurationFresh()
+	if expired || c.Table() != c.table || (c.workspace != nil || c.homeRegions.Bound()) && !fresh {
 		return false
 	}
 	c.mu.Lock()
