affinity: withdraw a grant when its target's service is corrected

TestGrantIsInvalidOnceItsTargetLeavesRestartsOrMoves, case 'reassigned': before, 'the grant is still valid'.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -313,9 +313,9 @@
 
 // StillValid reports whether the granted target may still be sent to. It is for a
 // check right before sending, since the target may have left, restarted or moved, or
-// its zone been corrected or closed, after the choice.
+// its service or zone been corrected or its zone closed, after the choice.
 func (b *Balancer) StillValid(g Grant) bool {
 	s := b.targets[g.Target.ID]
-	return s != nil && !s.Leaving && s.Started == g.Target.Started && s.Address == g.Target.Address &&
+	return s != nil && !s.Leaving && s.Started == g.Target.Started && s.Address == g.Target.Address && s.Service == g.Target.Service &&
 		s.AvailabilityZone == g.Target.AvailabilityZone && !b.closedZones[s.AvailabilityZone]
 }
--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -303,10 +303,11 @@
 		t.Fatal("a new grant is not valid")
 	}
 	for name, change := range map[string]func(*Target){
-		"leaving":   func(x *Target) { x.Leaving = true },
-		"restarted": func(x *Target) { x.Started++ },
-		"moved":     func(x *Target) { x.Address = "10.9.9.9:80" },
-		"rezoned":   func(x *Target) { x.AvailabilityZone, x.Region = "r9-a", "r9" },
+		"leaving":    func(x *Target) { x.Leaving = true },
+		"restarted":  func(x *Target) { x.Started++ },
+		"moved":      func(x *Target) { x.Address = "10.9.9.9:80" },
+		"reassigned": func(x *Target) { x.Service = "records" },
+		"rezoned":    func(x *Target) { x.AvailabilityZone, x.Region = "r9-a", "r9" },
 	} {
 		changed := newTargets(3, 6)
 		for i := range changed {
