--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -31,6 +31,7 @@
 	"no-target":        "no registered target may run the request: look at 'targets: changed', 'zones: changed' and the route's homes",
 	"full":             "the target that knows the object had a queue too long for the objective, and the service had no room to teach another",
 	"rejected":         "the targets asked said that they did not run it",
+	"address-reused":   "another target had the address: the log names the one that was there before; look at 'targets: changed'",
 	"unreachable":      "no connection to the targets tried",
 	"withdrawn":        "key or target went between the decision and the send",
 	"deadline":         "too little of the caller's time was left",
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -377,6 +377,9 @@
 			x.finish(c.pool)
 			x.conn = nil
 		}
+		if report.Outcome == affinity.AddressReused {
+			return &refusal{http.StatusServiceUnavailable, "address-reused", retryAfterRejected}
+		}
 		return &refusal{http.StatusServiceUnavailable, "rejected", retryAfterRejected}
 	}
 	signed, echoed := h.Get(c.HeaderNames.Signature) != "", h.Get(c.HeaderNames.RequestID) == c.id
