edge: do not take a configuration for current that the store has replaced

Home regions and keys that the newer version had taken away were trusted without end.

Cause: the age of the copy of the store stood for the age of the configuration in force. They are the same only if the copy's configuration is the one in force. The follower now passes the proof on to the gateway only then. The copy itself stays proven, also for instances that follow this one; each decides for itself.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -155,6 +155,9 @@
 	logs       *logging.Log
 	log        *log.Logger
 	configured chan struct{} // closed when the first configuration is in force
+	// configurationApplied says that the configuration in force is the one in the copy
+	// of the store. The follower's lock guards it.
+	configurationApplied bool
 }
 
 // Provision builds an instance that logs to out. It does not listen or connect yet.
@@ -343,10 +346,13 @@
 }
 
 // applyConfiguration brings the stored configuration into force unless it is
-// unreadable or has a lower version than the one in force.
+// unreadable or has a lower version than the one in force. The one in force then stays,
+// but is no longer known to be current.
 func (e *Edge) applyConfiguration(m *mirror.Mirror) {
+	e.configurationApplied = false
 	entry, ok := m.Get(e.storeKeys.Configuration)
 	if !ok {
+		e.log.Error().Uint64("revision", m.Revision()).Msg("configuration: removed from the store, the old one stays")
 		return
 	}
 	source, err := e.adapter.Configuration(entry.Value)
@@ -361,6 +367,7 @@
 	}
 	table := config.NewRoutingTable(source)
 	e.gateway.SetTable(table)
+	e.configurationApplied = true
 	e.log.Info().Uint64("version", table.Version).Uint64("revision", entry.Revision).
 		Int("routes", len(source.Routes)).Int("workspaces", len(source.Workspaces)).Msg("configuration: in force")
 	if old == nil {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -120,7 +120,7 @@
 	f.markCurrent(changefeed.StoreSource, nil, askedAt)
 	f.feed.Replace(entries, revision)
 	f.apply(f.mirror, f.mirror.Replace(entries, revision, now()))
-	f.gateway.SetCurrentAsOf(f.currentAsOf) // not before the changes are in force
+	f.confirmConfiguration() // not before the changes are in force
 	f.notifyFollowers()
 	return nil
 }
@@ -162,12 +162,20 @@
 	f.markCurrent(source, via, currentAsOf)
 	hasNew := f.feed.Apply(changes, revision)
 	f.apply(f.mirror, f.mirror.Apply(changes, revision, now()))
-	f.gateway.SetCurrentAsOf(f.currentAsOf) // not before the changes are in force
+	f.confirmConfiguration() // not before the changes are in force
 	if hasNew || regained {
 		f.notifyFollowers()
 	}
 }
 
+// confirmConfiguration tells the gateway as of when its configuration was current, if
+// it is the one in the copy. The caller holds the lock.
+func (f *follower) confirmConfiguration() {
+	if f.configurationApplied {
+		f.gateway.SetCurrentAsOf(f.currentAsOf)
+	}
+}
+
 // applyUnconfirmed applies changes that do not show whether the copy is current.
 func (f *follower) applyUnconfirmed(changes []platform.Change, revision uint64) {
 	f.mu.Lock()
