--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -46,7 +46,8 @@
 // such as a new configuration or a lost store. The last line of each before a request
 // shows the state in which the instance decided.
 var stateMessages = []string{
-	"life: started", "configuration: in force", "configuration: cannot be read, the old one stays", "targets: changed",
+	"life: started", "configuration: in force", "configuration: cannot be read, the old one stays", "configuration: older than the one in force",
+	"configuration: removed from the store, the old one stays", "targets: changed",
 	"zones: changed", "instances: changed", "store: lost", "store: regained", "hub: lost", "hub: regained", "life: leaving",
 }
 
