config: test that home regions in an operator's file are refused

serve cannot bind requests to home regions: the fields are set only in configurations that were accepted outside this system, and its placement does not read them. A file that names them is refused with its place instead of being followed without them. The test passes on the code as it is; it fails once the fields get a name in the file without placement heeding them.

--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -73,6 +73,19 @@
 	}
 }
 
+// TestHomeRegionsInAFileAreRefused guards against home regions that an operator's file
+// sets and that serve, whose placement knows none, does not keep to.
+func TestHomeRegionsInAFileAreRefused(t *testing.T) {
+	for _, c := range []struct{ old, place string }{{"timeout_ms: 2000", "f.yaml:12"}, {"burst: 20", "f.yaml:14"}} {
+		for _, name := range []string{"home_regions", "homeRegions", "HomeRegions", "homeregions"} {
+			_, err := Parse("f.yaml", []byte(strings.Replace(smallFile, c.old, c.old+", "+name+": [sierra]", 1)))
+			if want := c.place + ": yaml: field " + name + " not found"; err == nil || !strings.Contains(err.Error(), want) {
+				t.Errorf("error is %v, not %q", err, want)
+			}
+		}
+	}
+}
+
 func TestAllFindingsAreReportedAtOnce(t *testing.T) {
 	text := strings.NewReplacer("slots: 6", "slots: 0", "class: interactive", "class: fast", "burst: 20", "burst: 0").Replace(smallFile)
 	_, err := Parse("f.yaml", []byte(text))
