gateway, platform: test both checks of home regions before the send

Shown by taking each check out. Without the comparison of tables: 'the request is sent although its route is not in the configuration in force'. Without Bound(): 'the request is sent although its home regions may have moved'.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -46,3 +46,23 @@
 		t.Error("the request is sent although its caller has stopped waiting")
 	}
 }
+
+func TestRequestIsNotSentByAConfigurationThatAnotherHasReplaced(t *testing.T) {
+	c := admittedCall(t)
+	c.SetTable(config.NewRoutingTable(config.RoutingTableSource{Version: 2}))
+	if c.stillAllowed() {
+		t.Error("the request is sent although its route is not in the configuration in force")
+	}
+}
+
+func TestRequestWithHomeRegionsIsNotSentOnceTheyMayBeOutdated(t *testing.T) {
+	c := admittedCall(t)
+	c.SetCurrentAsOf(clock.SinceBoot() - 2*c.MaxKeyStaleness)
+	if !c.stillAllowed() {
+		t.Error("a request without home regions may not be sent")
+	}
+	c.homeRegions = config.RegionSet{"r"}
+	if c.stillAllowed() {
+		t.Error("the request is sent although its home regions may have moved")
+	}
+}
