affinity: limit how fast requests change their region

The weights of regions followed each change of the registered targets at once and in full, cold and ejected targets counted like others, and an instance that had just started took the newest weights whatever its neighbours had reached.

In virtual time, at 25 and 300 instances, before: TestTargetsThatComeBack- TogetherShiftFewRequestsAtOnce '40% of the requests of r0 changed their region within 2 s at 4s, want at most 15%', the same with instances restarted meanwhile (TestInstancesRestartedDuringAShiftDoNotCompleteItAtOnce), and TestReadmittedTargetsGetTheirRequestsBackGradually '36% ... at 8s'. All pass now. TestRequestsKeepTheirRegionsWhenManyInstancesAreRestarted and TestTargetsThatGoTogetherMoveOnlyTheirOwnRequestsAtOnce passed before too and keep it so.

Requests of slots that fall away move at once. A restarted instance repeats the steps that the ages of the targets show. Requests bound to home regions are not concerned.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -157,9 +157,8 @@
 	meanLatency   map[string]float64 // service → moving average of latency, seconds
 
 	homeRegionShares map[string]float64 // region → fraction of all requests that only it may run
-	// regionWeights is service → region → factor on the rendezvous scores of the
-	// region's targets, for the objects of callers in this balancer's region.
-	regionWeights map[string]map[string]float64
+	maxShift         float64            // see SetMaxShift
+	regionMixes      map[string]*regionMix
 
 	ejections []Ejection // not yet returned by Ejections
 }
@@ -186,7 +185,7 @@
 	return &Balancer{
 		self: self, region: region, regionCount: regionCount,
 		medianLatency: map[string]float64{}, meanLatency: map[string]float64{},
-		regionWeights: map[string]map[string]float64{}, targets: map[string]*targetState{}, services: map[string][]*targetState{},
+		regionMixes: map[string]*regionMix{}, targets: map[string]*targetState{}, services: map[string][]*targetState{},
 		closedZones: map[string]bool{}, coldLimits: map[string]coldLimit{}, instances: []string{self},
 	}
 }
@@ -208,59 +207,14 @@
 		b.targets[t.ID] = s
 		b.services[t.Service] = append(b.services[t.Service], s)
 	}
-	b.updateRegionWeights()
-}
-
-// updateRegionWeights computes regionWeights, assuming that the callers of each
-// region cause an equal share of the load. A region serves its own callers as far as
-// its slots go. What it lacks is distributed over the regions with surplus slots, in
-// proportion to the surplus. All targets then get the same load per slot with the
-// least traffic between regions. Slots needed for requests that only certain regions
-// may run (see Request.HomeRegions) are not counted.
-func (b *Balancer) updateRegionWeights() {
-	for service, list := range b.services {
-		slots, total := map[string]float64{}, 0.0
-		for _, s := range list {
-			if !s.Leaving && !b.closedZones[s.AvailabilityZone] {
-				slots[s.Region] += float64(s.Slots)
-				total += float64(s.Slots)
-			}
-		}
-		free, freeTotal := map[string]float64{}, 0.0 // slots for requests without home regions
-		for region, n := range slots {
-			free[region] = n * max(1-b.homeRegionShares[region]*uncachedUtilization*total/n, minFreeShare)
-			freeTotal += free[region]
-		}
-		b.regionWeights[service] = regionWeights(b.region, b.regionCount, slots, free, freeTotal)
-	}
-}
-
-// regionWeights returns, by region, the weight per slot of its targets for callers
-// in the region self. slots are all slots of a region, free those left for requests
-// without home regions, and freeTotal is the sum of the latter.
-func regionWeights(self string, regionCount int, slots, free map[string]float64, freeTotal float64) map[string]float64 {
-	fairShare := freeTotal / float64(max(regionCount, 1))
-	surplus := 0.0
-	for _, n := range free {
-		surplus += max(n-fairShare, 0)
-	}
-	deficit := max(fairShare-free[self], 0)
-	weights := make(map[string]float64, len(free))
-	for region, n := range free {
-		assigned := min(n, fairShare)
-		if region != self {
-			assigned = deficit * max(n-fairShare, 0) / max(surplus, 1)
-		}
-		weights[region] = max(assigned, minRegionWeight*n) / max(slots[region], 1)
-	}
-	return weights
+	b.markRegionsChanged()
 }
 
 // SetHomeRegionShares sets, by region, the fraction of all requests that only this
 // region may run.
 func (b *Balancer) SetHomeRegionShares(shares map[string]float64) {
 	b.homeRegionShares = shares
-	b.updateRegionWeights()
+	b.markRegionsChanged()
 }
 
 // SetColdStart sets how many requests per second a cold target of the service gets
@@ -280,7 +234,7 @@
 		}
 	}
 	b.closedZones = zones
-	b.updateRegionWeights()
+	b.markRegionsChanged()
 }
 
 // SetInstances sets the names of the live instances.
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -15,7 +15,7 @@
 // is acceptable, otherwise to one of the next targets that has the object cached, and
 // only while the service has spare capacity to one that has not.
 func (b *Balancer) Choose(r Request, now time.Duration) (Grant, bool) {
-	candidates := b.candidates(r)
+	candidates := b.candidates(r, now)
 	if len(candidates) == 0 {
 		return Grant{Reason: NoTarget}, false
 	}
@@ -143,20 +143,21 @@
 }
 
 // candidates returns the targets that may run the request, the highest score first.
-func (b *Balancer) candidates(r Request) []candidate {
+func (b *Balancer) candidates(r Request, now time.Duration) []candidate {
 	key := r.Object
 	if key == "" {
 		key = r.ID
 	}
 	h := xxhash.Sum64String(key)
+	weights := b.regionWeights(r, now)
 	list := make([]candidate, 0, len(b.services[r.Service]))
 	for _, s := range b.services[r.Service] {
 		if s.Leaving || b.closedZones[s.AvailabilityZone] || slices.Contains(r.Exclude, s.ID) || !r.HomeRegions.Has(s.Region) {
 			continue
 		}
 		w := score(h, s)
-		if r.Object != "" && !r.HomeRegions.Bound() {
-			w *= b.regionWeights[s.Service][s.Region]
+		if weights != nil {
+			w *= weights.of(s)
 		}
 		list = append(list, candidate{s, w})
 	}
--- a/internal/affinity/target.go
+++ b/internal/affinity/target.go
@@ -33,6 +33,10 @@
 	// Started identifies the target's process, by its start in Unix milliseconds. A
 	// different value means a restart.
 	Started int64
+	// Age is the time since the start of the target's process when it was passed to
+	// SetTargets. A balancer that has just started infers from it since when requests
+	// have been moving to the target.
+	Age time.Duration
 }
 
 // Parameters of the health checks by observed responses. A failure rate is an
@@ -108,6 +112,8 @@
 	coldTokens     float64
 	coldRefilledAt time.Duration
 
+	countedSlots float64 // slots counted in regionMix.slots; 0 if the target was not usable then
+
 	cachedObjects map[uint64]time.Duration // hash of object → time of the last response for it
 
 	recordEjection func(Ejection)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -89,6 +89,7 @@
 	RetryRatio         float64       // retries, which are sends to a further target, allowed per request
 	RetryExtra         float64       // further retries allowed per time window, for the whole fleet
 	MaxLookupTTL       time.Duration // how long callers may cache the result of a lookup
+	MaxShift           float64       // fraction of a region's requests that may move to other regions within two seconds without need
 	LogLevel           string
 }
 
@@ -170,7 +171,7 @@
 		targets: map[string]registration{}, decoded: map[string]registration{},
 		gateway: gateway.New(gateway.Options{
 			HeaderNames: adapter.HTTPHeaders(), Region: s.Region, RegionCount: s.regionCount(), MaxKeyStaleness: s.MaxRevocationDelay - revocationMargin,
-			RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, Metrics: set, Log: logs.Part("gateway"),
+			RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, MaxShift: s.MaxShift, Metrics: set, Log: logs.Part("gateway"),
 		}, s.Name),
 	}
 	set.Gauge("requests_in_flight", e.gateway.InFlight)
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -75,6 +75,7 @@
 		}
 		t := r.target
 		t.Revision = r.revision
+		t.Age = max(time.Since(time.UnixMilli(t.Started)), 0)
 		targets = append(targets, t)
 	})
 	changed = changed || len(seen) != len(e.targets)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,7 @@
 	// RetryExtra a number of retries in each window on top of it.
 	RetryRatio float64
 	RetryExtra float64
+	MaxShift   float64 // see affinity.Balancer.SetMaxShift
 	Metrics    *metrics.Set
 	Log        *log.Logger
 }
@@ -84,10 +85,12 @@
 // New returns a gateway for the instance named self. It refuses requests until
 // SetTable has been called.
 func New(options Options, self string) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		Options: options, balancer: affinity.New(self, options.Region, options.RegionCount), limiter: quota.New(self, uint64(time.Now().UnixNano()), options.MaxKeyStaleness), splitter: split.New(),
 		retries: newRetryBudget(options.RetryRatio, options.RetryExtra), pool: newPool(),
 	}
+	g.balancer.SetMaxShift(options.MaxShift)
+	return g
 }
 
 // SetTable makes t the configuration in force.
