--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -36,7 +36,7 @@
 	"deadline":         "too little of the caller's time was left",
 	"leaving":          "the instance was ending and could not have finished the request",
 	"timeout":          "the target had not answered at the route's timeout; the request may have run",
-	"broken-answer":    "the target's connection ended before a whole answer; the request may have run",
+	"broken-answer":    "the target's connection ended before a whole answer, or bytes came that are none; the request may have run",
 	"unproven-answer":  "the answer had no proof or belonged to another request; the request may have run",
 	"target-error":     "the target failed and no other try was allowed",
 	"caller-left":      "the caller closed its connection",
