gateway, edge: trust home regions only within the configuration's bound

Callers of an instance without a way to the store had requests run in the old home region up to 4.3 s after a version with another one was stored. Home regions were trusted for as long as keys (revokeS less a margin), while a new version must be in force within configApplyS, 2.5 to 3 s.

configApplyS is read from the settings, and home regions are trusted while the last evidence is younger than that and than the age for keys. It needs no margin: evidence as of E and a decision at d < E + configApplyS, for a request that was sent later than configApplyS after the confirmation, give E after the confirmation, so the version is in force here.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -85,11 +85,14 @@
 	LinkMbps           float64       // bandwidth of the instance's network link; 0 if unknown
 	MemoryBytes        int64         // memory limit of the process; 0 for none
 	MaxRevocationDelay time.Duration // a withdrawn API key is refused at the latest this long after its withdrawal
-	ShutdownTimeout    time.Duration // from SIGTERM to the end of the process
-	RetryRatio         float64       // retries, which are sends to a further target, allowed per request
-	RetryExtra         float64       // further retries allowed per time window, for the whole fleet
-	MaxLookupTTL       time.Duration // how long callers may cache the result of a lookup
-	LogLevel           string
+	// MaxConfigurationDelay bounds the time from the storing of a configuration to the
+	// last request that is routed by an older one.
+	MaxConfigurationDelay time.Duration
+	ShutdownTimeout       time.Duration // from SIGTERM to the end of the process
+	RetryRatio            float64       // retries, which are sends to a further target, allowed per request
+	RetryExtra            float64       // further retries allowed per time window, for the whole fleet
+	MaxLookupTTL          time.Duration // how long callers may cache the result of a lookup
+	LogLevel              string
 }
 
 // WatchWait returns how long the store may hold a watch call (a long poll) that has
@@ -98,6 +101,9 @@
 // another instance. The rest of MaxRevocationDelay is left for store outages.
 func (s Settings) WatchWait() time.Duration { return s.MaxRevocationDelay / 10 }
 
+// maxKeyStaleness returns for how long API keys are trusted without confirmation.
+func (s Settings) maxKeyStaleness() time.Duration { return s.MaxRevocationDelay - revocationMargin }
+
 // regionCount returns the number of distinct regions in the settings.
 func (s Settings) regionCount() int {
 	regions := map[string]bool{s.Region: true}
@@ -169,7 +175,8 @@
 		Settings: s, adapter: adapter, storeKeys: adapter.StoreKeys(), store: store, metrics: set, logs: logs, log: logs.Part("edge"), configured: make(chan struct{}),
 		targets: map[string]registration{}, decoded: map[string]registration{},
 		gateway: gateway.New(gateway.Options{
-			HeaderNames: adapter.HTTPHeaders(), Region: s.Region, RegionCount: s.regionCount(), MaxKeyStaleness: s.MaxRevocationDelay - revocationMargin,
+			HeaderNames: adapter.HTTPHeaders(), Region: s.Region, RegionCount: s.regionCount(),
+			MaxKeyStaleness: s.maxKeyStaleness(), MaxHomeStaleness: min(s.maxKeyStaleness(), s.MaxConfigurationDelay),
 			RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, Metrics: set, Log: logs.Part("gateway"),
 		}, s.Name),
 	}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -52,7 +52,7 @@
 	if !c.table.RequiresKey || c.route.Open {
 		return nil
 	}
-	if !c.configurationFresh() {
+	if !c.keysTrusted() {
 		return &refusal{http.StatusServiceUnavailable, "keys-stale", retryAfterStaleConfig}
 	}
 	keys := c.apiKeys()
@@ -75,7 +75,7 @@
 			c.homeRegions = c.homeRegions.Intersect(w.HomeRegions)
 		}
 	}
-	if c.homeRegions.Bound() && !c.configurationFresh() {
+	if c.homeRegions.Bound() && !c.homesTrusted() {
 		return &refusal{http.StatusServiceUnavailable, "homes-stale", retryAfterStaleConfig}
 	}
 	return nil
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -17,7 +17,7 @@
 func admittedCall(t *testing.T) *call {
 	t.Helper()
 	logs := logging.New(t.Output(), "error")
-	g := New(Options{HeaderNames: testHeaders, Region: "r", RegionCount: 1, MaxKeyStaleness: time.Hour, Metrics: metrics.New(), Log: logs.Part("gateway")}, "self")
+	g := New(Options{HeaderNames: testHeaders, Region: "r", RegionCount: 1, MaxKeyStaleness: 2 * time.Hour, MaxHomeStaleness: time.Hour, Metrics: metrics.New(), Log: logs.Part("gateway")}, "self")
 	g.SetTable(config.NewRoutingTable(config.RoutingTableSource{
 		Version: 1, Routes: []config.Route{{Name: "a", Host: "h", PathPrefix: "/a/", Service: "s", TimeoutMillis: 1000}}, Services: []config.Service{{Name: "s"}},
 	}))
@@ -57,7 +57,8 @@
 
 func TestRequestWithHomeRegionsIsNotSentOnceTheyMayBeOutdated(t *testing.T) {
 	c := admittedCall(t)
-	c.SetCurrentAsOf(clock.SinceBoot() - 2*c.MaxKeyStaleness)
+	c.SetCurrentAsOf(clock.SinceBoot() - c.MaxHomeStaleness)
+	c.workspace = &config.Workspace{Name: "w"}
 	if !c.stillAllowed() {
 		t.Error("a request without home regions may not be sent")
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -197,8 +197,7 @@
 // was chosen.
 func (c *call) stillAllowed() bool {
 	expired := clock.SinceBoot()-c.startSinceBoot > c.deadline.Sub(c.start)
-	if expired || c.Table() != c.table ||
-		(c.workspace != nil || c.homeRegions.Bound()) && !c.configurationFresh() {
+	if expired || c.Table() != c.table || c.workspace != nil && !c.keysTrusted() || c.homeRegions.Bound() && !c.homesTrusted() {
 		return false
 	}
 	c.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,10 +41,13 @@
 	Region      string // region of this instance
 	RegionCount int    // number of regions of the fleet
 	// MaxKeyStaleness bounds the time since the configuration was last known to
-	// be current. Beyond it, API keys and home regions are no longer trusted, and
-	// requests that are bound to either are refused. It is also the time after which the instance uses a
-	// larger share of the quotas when others have left.
+	// be current. Beyond it, API keys are no longer trusted, and requests that need one
+	// are refused. It is also the time after which the instance uses a larger share of
+	// the quotas when others have left.
 	MaxKeyStaleness time.Duration
+	// MaxHomeStaleness is the same bound for home regions: beyond it, requests that
+	// only some regions may run are refused.
+	MaxHomeStaleness time.Duration
 	// RetryRatio and RetryExtra bound the fleet's retries, which are sends of a
 	// request to a further target: RetryRatio is a share of the requests,
 	// RetryExtra a number of retries in each window on top of it.
@@ -153,14 +156,16 @@
 	}
 }
 
-// configurationFresh reports whether the table is current enough for its API keys and
-// home regions to be trusted.
-func (g *Gateway) configurationFresh() bool { return g.Staleness() < g.MaxKeyStaleness }
+// keysTrusted reports whether the table is current enough for its API keys.
+func (g *Gateway) keysTrusted() bool { return g.Staleness() < g.MaxKeyStaleness }
+
+// homesTrusted reports whether the table is current enough for its home regions.
+func (g *Gateway) homesTrusted() bool { return g.Staleness() < g.MaxHomeStaleness }
 
 // Ready reports whether the instance can serve callers: it has a current
 // configuration and is not draining.
 func (g *Gateway) Ready() bool {
-	return g.draining.Load() == nil && g.table.Load() != nil && g.configurationFresh()
+	return g.draining.Load() == nil && g.table.Load() != nil && g.keysTrusted()
 }
 
 // jitter returns a random duration between d and 4/3 of it, so that refused
