gateway: count suspensions in all decisions about the time left

After a suspension of its instance, a request whose caller had stopped waiting was still given to targets: four connections were made for it, and it was then refused as withdrawn instead of for its deadline. One with 0.3 s left handed 0.999 s to its target.

Only the check right before the send counted suspensions; the choice of a target, retries, the time handed on and the reasons of refusals used package time. They all ask call.remaining now, on the clock that counts them. The context's own deadline stays on package time and then only fires late.

Before: 'got 503 "withdrawn\n" after 4 attempts and 4 connections' and 'the target is given 999 ms, <nil>; want 300 at most', 'refused with "withdrawn"', 'the request is tried again'. After: all pass, with the tests of packages gateway and platform.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -1,7 +1,12 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
+	"net"
+	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -92,3 +97,45 @@
 		t.Error("the request is sent although its home regions may have moved")
 	}
 }
+
+func TestTargetIsGivenNoMoreTimeThanASuspensionLeft(t *testing.T) {
+	c := admittedCall(t)
+	c.startSinceBoot -= 700 * time.Millisecond // of 1 s
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(c.head())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if left, err := strconv.Atoi(r.Header.Get(testHeaders.Deadline)); err != nil || left > 300 {
+		t.Errorf("the target is given %d ms, %v; want 300 at most", left, err)
+	}
+}
+
+func TestRequestThatExpiredInASuspensionIsRefusedWithoutAnAttempt(t *testing.T) {
+	target := newRawTarget(t, func(c *net.TCPConn, r received) bool { return write(c, success(r.id, "ok")) })
+	w := httptest.NewRecorder()
+	c := &call{
+		Gateway: newCaller(t, target).gateway, writer: w, request: httptest.NewRequest("GET", "http://h/safe/1", nil),
+		ctx: t.Context(), start: time.Now(), startSinceBoot: clock.SinceBoot() - testTimeout, id: "1",
+	}
+	if refused := c.admit(); refused != nil {
+		t.Fatalf("refused: %+v", refused)
+	}
+	c.dispatch()
+	if w.Code != 503 || w.Body.String() != "deadline\n" || c.attempts != 0 || target.connections.Load() != 0 {
+		t.Errorf("got %d %q after %d attempts and %d connections", w.Code, w.Body, c.attempts, target.connections.Load())
+	}
+}
+
+func TestRequestThatExpiresInASuspensionBeforeItsSendIsNotRetried(t *testing.T) {
+	c := admittedCall(t)
+	if refused := c.classify(&exchange{}, errWithdrawn, &affinity.Report{}); refused.reason != "withdrawn" || !c.takeRetry(false) {
+		t.Errorf("with time left: %+v", refused)
+	}
+	c.startSinceBoot -= 2 * time.Second
+	if refused := c.classify(&exchange{}, errWithdrawn, &affinity.Report{}); refused.reason != "deadline" {
+		t.Errorf("refused with %q", refused.reason)
+	}
+	if c.takeRetry(false) {
+		t.Error("the request is tried again")
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -113,7 +113,7 @@
 	if g.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{Gateway: g, writer: w, request: r, start: time.Now(), startSinceBoot: clock.SinceBoot(), id: r.Header.Get(g.HeaderNames.RequestID)}
+	c := &call{Gateway: g, writer: w, request: r, startSinceBoot: clock.SinceBoot(), start: time.Now(), id: r.Header.Get(g.HeaderNames.RequestID)}
 	if refused := c.admit(); refused != nil {
 		c.writeRefusal(*refused)
 		return
@@ -153,7 +153,7 @@
 	case err == io.EOF:
 		c.bufferedBody = b.Bytes()
 		return nil
-	case err != nil && !time.Now().Before(c.deadline):
+	case err != nil && c.remaining() <= 0:
 		return &refusal{http.StatusRequestTimeout, "body-late", 0}
 	case err != nil:
 		return &refusal{http.StatusBadRequest, "body-incomplete", 0}
@@ -192,15 +192,20 @@
 	}
 }
 
+// remaining returns the time until the deadline. Unlike package time, it counts the
+// suspensions since the request's arrival.
+func (c *call) remaining() time.Duration {
+	return c.deadline.Sub(c.start) - (clock.SinceBoot() - c.startSinceBoot)
+}
+
 // stillAllowed reports whether the request may still be sent. It repeats the
 // checks whose result may have changed since the request was resolved and its target
 // was chosen.
 func (c *call) stillAllowed() bool {
-	expired := clock.SinceBoot()-c.startSinceBoot > c.deadline.Sub(c.start)
 	// Read before the tables are compared: if the proof is a newer table's, that one
 	// is in force by then.
 	keysTrusted, homesTrusted := c.keysTrusted(), c.homesTrusted()
-	if expired || c.Table() != c.table || c.workspace != nil && !keysTrusted || c.homeRegions.Bound() && !homesTrusted {
+	if c.remaining() <= 0 || c.Table() != c.table || c.workspace != nil && !keysTrusted || c.homeRegions.Bound() && !homesTrusted {
 		return false
 	}
 	c.mu.Lock()
@@ -269,7 +274,7 @@
 // its grant. The object makes requests for the same object prefer the same
 // target.
 func (c *call) chooseTarget(object string) *refusal {
-	if time.Until(c.deadline) < minTimeForTarget {
+	if c.remaining() < minTimeForTarget {
 		return &refusal{http.StatusServiceUnavailable, "deadline", retryAfterNoTarget}
 	}
 	c.mu.Lock()
@@ -302,7 +307,7 @@
 // If the failed one may have reached a target, the next one is taken from the
 // retry budget.
 func (c *call) takeRetry(mayHaveArrived bool) bool {
-	if c.possibleDeliveries >= max(c.route.MaxAttempts, 1) || c.attempts >= maxAttemptedTargets || time.Until(c.deadline) < minTimeForTarget {
+	if c.possibleDeliveries >= max(c.route.MaxAttempts, 1) || c.attempts >= maxAttemptedTargets || c.remaining() < minTimeForTarget {
 		return false
 	}
 	if !mayHaveArrived {
@@ -373,6 +378,9 @@
 	switch {
 	case errors.Is(err, errWithdrawn):
 		report.Outcome = affinity.Abandoned
+		if c.remaining() <= 0 {
+			return &refusal{http.StatusServiceUnavailable, "deadline", retryAfterNoTarget}
+		}
 		return &refusal{http.StatusServiceUnavailable, "withdrawn", retryAfterNoTarget}
 	case err != nil && !x.mayHaveArrived:
 		report.Outcome = affinity.Unreachable
@@ -418,7 +426,7 @@
 		return &refusal{http.StatusBadGateway, "unproven-answer", 0}
 	case status >= 500:
 		report.Outcome = affinity.Failed
-		if c.repeatable && c.possibleDeliveries+1 < c.route.MaxAttempts && time.Until(c.deadline) > c.route.LatencyObjective/2 && c.retryBudgetLeft() {
+		if c.repeatable && c.possibleDeliveries+1 < c.route.MaxAttempts && c.remaining() > c.route.LatencyObjective/2 && c.retryBudgetLeft() {
 			c.mayHaveRun = true
 			if x.bodyComplete {
 				x.finish(c.pool)
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -32,7 +32,7 @@
 			b.WriteString(name + ": " + v + "\r\n")
 		}
 	}
-	remainingMillis := max(time.Until(c.deadline).Milliseconds(), 1)
+	remainingMillis := max(c.remaining().Milliseconds(), 1)
 	b.WriteString(names.Deadline + ": " + strconv.FormatInt(remainingMillis, 10) + "\r\n")
 	b.WriteString(names.ExpectedInstance + ": " + c.grant.Target.ID + "\r\n")
 	if c.workspace != nil {
