--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -191,8 +191,11 @@
 }
 
 // SetTargets replaces the registered targets. The state of a target is kept unless
-// its process has restarted or its address has changed.
+// its process has restarted or its address has changed. If several have the same
+// address, the one that started last is the only one used: the others have ended, and
+// their registrations are yet to be removed.
 func (b *Balancer) SetTargets(targets []Target, now time.Duration) {
+	targets = withoutReplaced(targets)
 	old := b.targets
 	b.targets, b.services = make(map[string]*targetState, len(targets)), map[string][]*targetState{}
 	for _, t := range targets {
@@ -210,6 +213,26 @@
 	b.markRegionsChanged()
 }
 
+// withoutReplaced returns the targets whose address no later one has.
+func withoutReplaced(targets []Target) []Target {
+	last := make(map[string]Target, len(targets)) // by address
+	for _, t := range targets {
+		if known, ok := last[t.Address]; !ok || t.replaces(known) {
+			last[t.Address] = t
+		}
+	}
+	if len(last) == len(targets) {
+		return targets
+	}
+	kept := make([]Target, 0, len(last))
+	for _, t := range targets {
+		if last[t.Address].ID == t.ID {
+			kept = append(kept, t)
+		}
+	}
+	return kept
+}
+
 // SetHomeRegionShares sets, by region, the fraction of all requests that only this
 // region may run.
 func (b *Balancer) SetHomeRegionShares(shares map[string]float64) {
@@ -244,9 +267,9 @@
 
 // StillValid reports whether the granted target may still be sent to. It is for a
 // check right before sending, since the target may have left, restarted or moved, or
-// its zone been corrected or closed, after the choice.
+// its service or zone been corrected or its zone closed, after the choice.
 func (b *Balancer) StillValid(g Grant) bool {
 	s := b.targets[g.Target.ID]
-	return s != nil && !s.Leaving && s.Started == g.Target.Started && s.Address == g.Target.Address &&
+	return s != nil && !s.Leaving && s.Started == g.Target.Started && s.Address == g.Target.Address && s.Service == g.Target.Service &&
 		s.AvailabilityZone == g.Target.AvailabilityZone && !b.closedZones[s.AvailabilityZone]
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -134,7 +134,7 @@
 	// Target decodes a target's registration. The Region of the result is empty.
 	Target(id string, value []byte) (affinity.Target, error)
 	// LookupHandler serves callers that ask which instances to use.
-	LookupHandler(lookup func(region, zone string) LookupResult) http.Handler
+	LookupHandler(lookup func(host, region string) LookupResult) http.Handler
 	// ReadyHandler serves the platform's readiness checks.
 	ReadyHandler(ready func() bool) http.Handler
 }
@@ -156,6 +156,9 @@
 	logs       *logging.Log
 	log        *log.Logger
 	configured chan struct{} // closed when the first configuration is in force
+	// configurationApplied says that the configuration in force is the one in the copy
+	// of the store. The follower's lock guards it.
+	configurationApplied bool
 }
 
 // Provision builds an instance that logs to out. It does not listen or connect yet.
@@ -177,7 +180,7 @@
 	set.Gauge("requests_in_flight", e.gateway.InFlight)
 	e.hub = &hubServer{Edge: e, hub: quota.NewHub(), aggregator: quota.NewAggregator(zoneReporterPrefix+s.Name, uint64(time.Now().UnixNano()))}
 	e.follower = newFollower(e)
-	e.members = newMembers(s, func() bool { return e.gateway.Staleness() < maxSelfListingStaleness })
+	e.members = newMembers(s, func() bool { return e.gateway.Staleness() < maxSelfListingStaleness }, e.homeRegions)
 	return e
 }
 
@@ -260,6 +263,15 @@
 	return server
 }
 
+// homeRegions returns the home regions of each of the host's routes that has some, or
+// nil while no configuration is known.
+func (e *Edge) homeRegions(host string) []config.RegionSet {
+	if t := e.gateway.Table(); t != nil {
+		return t.HomeRegions(host)
+	}
+	return nil
+}
+
 // idleLimit returns how long a caller's connection may currently be idle.
 func (e *Edge) idleLimit() time.Duration {
 	if t := e.gateway.Table(); t != nil && t.Limits.IdleTimeout > 0 {
@@ -326,8 +338,8 @@
 	if zones {
 		e.applyClosedZones(m)
 	}
-	if targets {
-		e.applyTargets(m)
+	if targets || configuration {
+		e.applyTargets(m, configuration)
 	}
 	if own {
 		e.applyMembers(m)
@@ -335,10 +347,13 @@
 }
 
 // applyConfiguration brings the stored configuration into force unless it is
-// unreadable or has a lower version than the one in force.
+// unreadable or has a lower version than the one in force. The one in force then stays,
+// but is no longer known to be current.
 func (e *Edge) applyConfiguration(m *mirror.Mirror) {
+	e.configurationApplied = false
 	entry, ok := m.Get(e.storeKeys.Configuration)
 	if !ok {
+		e.log.Error().Uint64("revision", m.Revision()).Msg("configuration: removed from the store, the old one stays")
 		return
 	}
 	source, err := e.adapter.Configuration(entry.Value)
@@ -353,6 +368,7 @@
 	}
 	table := config.NewRoutingTable(source)
 	e.gateway.SetTable(table)
+	e.configurationApplied = true
 	e.log.Info().Uint64("version", table.Version).Uint64("revision", entry.Revision).
 		Int("routes", len(source.Routes)).Int("workspaces", len(source.Workspaces)).Msg("configuration: in force")
 	if old == nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +20,15 @@
 	// completely before any of it is returned to the caller, so that another
 	// target can be tried if it is cut off.
 	maxBufferedResponse = 128 << 10
+	// maxRefusalBody is the size in bytes up to which the body of a rejection is
+	// read, so that its connection can be reused.
+	maxRefusalBody = 4 << 10
+	// maxResponseHead bounds the head of a response in bytes, together with the
+	// informational responses before it.
+	maxResponseHead = 64 << 10
+	// maxMismatchedBody bounds the body, in bytes, of a response to another
+	// request that is skipped.
+	maxMismatchedBody = 1 << 20
 	// maxMismatchedResponses is how many responses to other requests are
 	// skipped on a connection before the one to this request.
 	maxMismatchedResponses = 2
@@ -30,7 +41,27 @@
 	abortBodyInterval = time.Millisecond
 )
 
-var errMismatchedResponses = errors.New("responses on the connection belong to other requests")
+var (
+	errTooManyBytes        = errors.New("response has too many bytes")
+	errMismatchedResponses = errors.New("responses on the connection belong to other requests")
+	// errSwitchedProtocols is returned for status 101: no request asks for
+	// another protocol, as Upgrade headers are not forwarded.
+	errSwitchedProtocols = errors.New("target switched to another protocol")
+)
+
+// evidence is what proves that a response answers the request that was sent.
+type evidence int
+
+const (
+	// unproven means that the response may belong to an earlier exchange.
+	unproven evidence = iota
+	// firstOnConn means that the response has no id, and that nothing was sent
+	// or received on the connection before the request and the response.
+	firstOnConn
+	// echoedID means that the response echoes the request's id, which the
+	// connection has not carried before.
+	echoedID
+)
 
 // exchange is one request to one target and its response.
 type exchange struct {
@@ -39,6 +70,8 @@
 	// target.
 	mayHaveArrived bool
 	response       *http.Response
+	// evidence tells by what the response is known to answer this request.
+	evidence evidence
 	// body is the response's body if bodyComplete is set, else the beginning of
 	// it.
 	body         []byte
@@ -59,7 +92,7 @@
 // send writes a request to a target and reads the head of the response and, if
 // it is short, its body. The exchange is not nil, also beside an error.
 func (g *Gateway) send(ctx context.Context, c *call, id, address string, head []byte) (*exchange, error) {
-	conn, err := g.pool.get(ctx, id, address, c.repeatable)
+	conn, err := g.pool.get(ctx, id, address, c.id, c.repeatable)
 	if err != nil {
 		return &exchange{}, err
 	}
@@ -79,7 +112,13 @@
 	if err := x.readHead(c.request, g.HeaderNames, c.id); err != nil {
 		return x, err
 	}
-	return x, x.readBody()
+	switch c.verdict(x) {
+	case answered:
+		return x, x.readBody(maxBufferedResponse)
+	case rejected:
+		return x, x.readBody(maxRefusalBody)
+	}
+	return x, nil
 }
 
 // write writes the request. A long body is written in the background.
@@ -106,22 +145,33 @@
 // readHead reads the head of the response. Responses to other requests that
 // precede it are skipped.
 func (x *exchange) readHead(r *http.Request, names HeaderNames, id string) error {
-	for range maxMismatchedResponses + 1 {
+	for skipped := range maxMismatchedResponses + 1 {
+		x.conn.limit(maxResponseHead)
 		response, err := readResponse(x.conn.reader, r)
 		if err != nil {
 			return errors.Wrap(err, "read response")
 		}
-		if got := response.Header.Get(names.RequestID); got != "" && got != id {
+		echoed := response.Header[textproto.CanonicalMIMEHeaderKey(names.RequestID)]
+		switch {
+		case len(echoed) == 0 && skipped == 0 && len(x.conn.carried) == 1:
+			x.evidence = firstOnConn
+		case len(echoed) == 1 && echoed[0] == id && id != "":
+			x.evidence = echoedID
+		case len(echoed) > 0:
 			x.notReusable = true
-			if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			// Read as a response to HEAD, it has no body, so that its body would
+			// be taken for the next head.
+			if r.Method == http.MethodHead || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 				return errMismatchedResponses
 			}
+			x.conn.limit(maxMismatchedBody)
 			if _, err := io.Copy(io.Discard, response.Body); err != nil {
 				return errors.Wrap(err, "read response to another request")
 			}
 			continue
 		}
 		x.response = response
+		x.conn.limit(math.MaxInt64) // the body is bounded by readBody or the deadline
 		return nil
 	}
 	return errMismatchedResponses
@@ -132,17 +182,22 @@
 func readResponse(reader *bufio.Reader, r *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(reader, r)
-		if err != nil || response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, err
+		switch {
+		case err != nil:
+			return nil, err
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitchedProtocols
+		case response.StatusCode >= 200:
+			return response, nil
 		}
 	}
 }
 
-// readBody reads a response body of up to maxBufferedResponse bytes completely.
-// Of a longer one it reads nothing if its length is known, else the beginning.
-func (x *exchange) readBody() error {
+// readBody reads a response body of up to limit bytes completely. Of a longer one
+// it reads nothing if its length is known, else the beginning.
+func (x *exchange) readBody(limit int64) error {
 	length := x.response.ContentLength
-	if length > maxBufferedResponse {
+	if length > limit {
 		return nil
 	}
 	if length >= 0 {
@@ -151,8 +206,8 @@
 		return errors.Wrap(err, "read response body")
 	}
 	var b bytes.Buffer
-	n, err := io.CopyN(&b, x.response.Body, maxBufferedResponse)
-	x.body, x.bodyComplete = b.Bytes(), n < maxBufferedResponse
+	n, err := io.CopyN(&b, x.response.Body, limit)
+	x.body, x.bodyComplete = b.Bytes(), n < limit
 	if err == io.EOF {
 		err = nil
 	}
