edge: confirm the configuration often enough for home regions

Where withdrawn keys may be trusted for much longer than a configuration may take, callers of routes with home regions would be refused with 503 most of the time in normal service. The wait of a watch, and with it the age of the last confirmation, came from revokeS alone, while home regions are trusted within configApplyS: with 40 and 2 s a watch is held for 4 s, and home regions are untrusted for half of it. With a wait of 2.5 s and more, each watch without changes also counted as an outage of the store.

The wait is a tenth of revokeS or a fifth of configApplyS, whichever is shorter. With 5 and 2.5 to 3 s it stays 0.5 s, so that the calls to the store do not change.

TestHomeRegionsStayTrustedInNormalServiceIfKeysAreTrustedForLong, before: 'got {status:503 body:homes-stale'; after: 200 for 5 s.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -97,10 +97,13 @@
 }
 
 // WatchWait returns how long the store may hold a watch call (a long poll) that has
-// no changes to return. A response confirms that keys were current when it was
-// requested, so the last confirmation is up to two such times old, or three through
-// another instance. The rest of MaxRevocationDelay is left for store outages.
-func (s Settings) WatchWait() time.Duration { return s.MaxRevocationDelay / 10 }
+// no changes to return. A response confirms that the configuration was current when it
+// was requested, so the last confirmation is up to two such times old, or three through
+// another instance. The rest of MaxRevocationDelay, for which keys are trusted, and of
+// MaxConfigurationDelay, for which home regions are, is left for store outages.
+func (s Settings) WatchWait() time.Duration {
+	return min(s.MaxRevocationDelay/10, s.MaxConfigurationDelay/5)
+}
 
 // maxKeyStaleness returns for how long API keys are trusted without confirmation.
 func (s Settings) maxKeyStaleness() time.Duration { return s.MaxRevocationDelay - revocationMargin }
