edge: test lookups of fleets of 1 to 300 instances

The tests of lookups had fixed lists of four instances. A property test draws the fleet, its regions, who has ended, the home regions of the host's routes, the caller's region, and whether the instance that answers has just started, is leaving or cannot prove its configuration. It found no fault.

It fails on each of six broken variants: callers' own region ignored, regions with fewer homes named, all named before the fleet is known, a leaving instance named, no bound on the number, ended instances kept.

--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"github.com/turmericfield/turmericfield/internal/config"
 )
 
@@ -108,3 +110,85 @@
 		}
 	}
 }
+
+// Fleets of 1 to 300 instances, of which some have ended, seen by one that may be leaving,
+// unable to prove its configuration or just started.
+func TestLookupNamesNoInstanceOutsideItsCallersRegionOrTheMostHomes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		regions := []string{"a", "b", "c", "d"}[:rapid.IntRange(1, 4).Draw(t, "regions")]
+		someRegions := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "none"}), 1, 3, rapid.ID[string])
+		var homes []config.RegionSet
+		for _, set := range rapid.SliceOfN(someRegions, 0, 5).Draw(t, "homes") {
+			homes = append(homes, config.RegionSet(set))
+		}
+		proven := rapid.Bool().Draw(t, "proven")
+		m := newMembers(Settings{Name: "i0", AvailabilityZone: "a1", Region: "a", Listen: "i0"}, func() bool { return proven }, func(string) []config.RegionSet { return homes })
+		var others []member
+		for i := range rapid.IntRange(1, 300).Draw(t, "instances") - 1 {
+			r := rapid.SampledFrom(regions).Draw(t, "region")
+			others = append(others, member{Name: fmt.Sprint("i", i+1), Address: fmt.Sprint("i", i+1), AvailabilityZone: r + "1", Region: r, Weight: 1})
+		}
+		known := rapid.Bool().Draw(t, "known")
+		if known {
+			m.replace(append(others, m.self))
+			others = slices.DeleteFunc(others, func(member) bool { return rapid.IntRange(0, 3).Draw(t, "ended") == 0 })
+			if rapid.Bool().Draw(t, "region empty") {
+				others = slices.DeleteFunc(others, func(o member) bool { return o.Region == "b" })
+			}
+			m.replace(append(others, m.self))
+		} else {
+			others = nil
+		}
+		leaving := rapid.Bool().Draw(t, "leaving")
+		if leaving {
+			m.stopListingSelf()
+		}
+		caller := rapid.SampledFrom([]string{"a", "b", "c", "d", "elsewhere"}).Draw(t, "caller")
+
+		usable := map[string]string{} // address → region
+		for _, o := range others {
+			usable[o.Address] = o.Region
+		}
+		if len(others) == 0 && (known || caller == "a") || len(others) > 0 && proven && !leaving {
+			usable["i0"] = "a"
+		}
+		homesIn := func(region string) (n int) {
+			for _, set := range homes {
+				if slices.Contains(set, region) {
+					n++
+				}
+			}
+			return n
+		}
+		inCallersRegion, most := 0, 0
+		for _, region := range usable {
+			most = max(most, homesIn(region))
+			if region == caller {
+				inCallersRegion++
+			}
+		}
+		want := 0
+		for _, region := range usable {
+			if region == caller || inCallersRegion == 0 && homesIn(region) == most {
+				want++
+			}
+		}
+		got := m.lookup("host", caller).Addresses
+		if len(got) != min(want, maxListed) {
+			t.Fatalf("%d instances are named, want %d of %d", len(got), want, len(usable))
+		}
+		named := map[string]bool{}
+		for _, address := range got {
+			region, ok := usable[address]
+			switch {
+			case !ok || named[address]:
+				t.Fatalf("%s has ended, cannot serve or is named twice", address)
+			case inCallersRegion > 0 && region != caller:
+				t.Fatalf("%s in %s is named to callers in %s, where there are instances", address, region, caller)
+			case inCallersRegion == 0 && homesIn(region) < most:
+				t.Fatalf("%s in %s is named, home to %d routes; others are home to %d", address, region, homesIn(region), most)
+			}
+			named[address] = true
+		}
+	})
+}
