gateway: test requests whose key changes hands while they wait

A waiting request whose key now belongs to another workspace, to none, or to one with home regions must not be sent as that of the workspace before. No test held that, nor the check of the home regions' age at admission: with the latter taken out, all tests of gateway, config, affinity, edge and platform passed, as the check at the send refuses the request too, with another reason. Both checks are right as they are.

TestRequestFollowsItsKeysWorkspaceWhileItWaits fails without the comparison of the workspaces, and without the part of it for a request that no longer has one; TestRequestWithOutdatedHomeRegionsIsNotAdmitted fails without the check at admission.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -139,3 +139,68 @@
 		t.Error("the request is tried again")
 	}
 }
+
+// The key of a request that waits for its body or for another attempt gets another
+// workspace, loses it, or its workspace gets home regions.
+func TestRequestFollowsItsKeysWorkspaceWhileItWaits(t *testing.T) {
+	quito, cuenca := config.Workspace{Name: "quito"}, config.Workspace{Name: "cuenca"}
+	elsewhere := config.Workspace{Name: "quito", HomeRegions: config.RegionSet{"elsewhere"}}
+	table := func(version uint64, owner string, workspaces ...config.Workspace) *config.RoutingTable {
+		return config.NewRoutingTable(config.RoutingTableSource{
+			Version: version, Routes: []config.Route{{Name: "a", Host: "h", PathPrefix: "/a/", Service: "s", TimeoutMillis: 1000}},
+			Services: []config.Service{{Name: "s"}}, Workspaces: workspaces, Keys: map[string]string{"k": owner},
+		})
+	}
+	for name, test := range map[string]struct {
+		next *config.RoutingTable
+		want string
+	}{
+		"unchanged":                {table(2, "quito", quito), ""},
+		"its key moves":            {table(2, "cuenca", quito, cuenca), "withdrawn"},
+		"its key goes":             {table(2, "", quito), "unknown-key"},
+		"its workspace goes":       {table(2, "quito", cuenca), "unknown-key"},
+		"all workspaces go":        {table(2, ""), "withdrawn"},
+		"same version, key moves":  {table(1, "cuenca", quito, cuenca), "withdrawn"},
+		"its workspace gets homes": {table(2, "quito", elsewhere), string(affinity.NoTarget)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := admittedCall(t)
+			c.SetTable(table(1, "quito", quito))
+			c.request.Header.Set(testHeaders.APIKey, "k")
+			if refused := c.admit(); refused != nil {
+				t.Fatalf("refused: %+v", refused)
+			}
+			c.SetTable(test.next)
+			if c.stillAllowed() {
+				t.Error("the request may be sent by the configuration before")
+			}
+			refused := c.followConfiguration("")
+			if refused == nil {
+				refused = c.chooseTarget("")
+			}
+			reason := ""
+			if refused != nil {
+				reason = refused.reason
+			}
+			if reason != test.want {
+				t.Errorf("refused with %q, want %q", reason, test.want)
+			}
+		})
+	}
+}
+
+// The proof of the configuration is required before a target is chosen, not only at the
+// send, so that a refusal tells its reason and takes no target's slot or quota.
+func TestRequestWithOutdatedHomeRegionsIsNotAdmitted(t *testing.T) {
+	c := admittedCall(t)
+	c.SetTable(config.NewRoutingTable(config.RoutingTableSource{
+		Version: 1, Routes: []config.Route{{Name: "a", Host: "h", PathPrefix: "/a/", Service: "s", TimeoutMillis: 1000, HomeRegions: config.RegionSet{"r"}}},
+	}))
+	if refused := c.admit(); refused != nil {
+		t.Fatalf("refused: %+v", refused)
+	}
+	c.SetCurrentAsOf(clock.SinceBoot() - c.MaxHomeStaleness)
+	if refused := c.admit(); refused == nil || refused.reason != "homes-stale" {
+		t.Errorf("got %+v, want homes-stale", refused)
+	}
+}
