gateway, logging: keep the trailer of a malformed answer out of the log

Where a long answer ended with a malformed trailer, the line of the decision quoted bytes of the answer, as the errors of parsing do. An answer to a request with home regions may be stored in those only, and the log is kept where the instance is. The same line of the other data path had been mended, this one not.

Both describe such errors by one function, which leaves the texts of parsing errors out.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -2,17 +2,14 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/turmericfield/turmericfield/internal/attempt"
 	"github.com/turmericfield/turmericfield/internal/invariant"
+	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/metrics"
 	"github.com/turmericfield/turmericfield/internal/placement"
 )
@@ -86,16 +83,6 @@
 	}
 	c.releaseGrant(c.grant, outcome)
 	c.Metrics.Add(metrics.Label("answers_cut_total", "by_caller", strconv.FormatBool(byCaller)), 1)
-	c.Log.Warn().Str("request", c.requestID).Str("target", c.grant.Target.Name).Str("error", describeCopyError(err)).Msg(message)
+	c.Log.Warn().Str("request", c.requestID).Str("target", c.grant.Target.Name).Str("error", logging.DescribeCopyError(err)).Msg(message)
 	return c.handleEvent(attempt.BodyCutShort, true)
 }
-
-// describeCopyError returns the text of an error of copying a response, for logs. The
-// texts of parsing errors quote the response and are left out.
-func describeCopyError(err error) string {
-	var networkErr net.Error
-	if errors.As(err, &networkErr) || errors.IsAny(err, io.ErrUnexpectedEOF, context.Canceled, net.ErrClosed) {
-		return err.Error()
-	}
-	return "malformed response"
-}
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -10,6 +10,7 @@
 
 	"github.com/turmericfield/turmericfield/internal/affinity"
 	"github.com/turmericfield/turmericfield/internal/hopbyhop"
+	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/metrics"
 )
 
@@ -99,7 +100,7 @@
 func (c *call) recordAnswered(status int, err error) {
 	outcome := ""
 	if err != nil {
-		outcome = err.Error()
+		outcome = logging.DescribeCopyError(err)
 		c.Metrics.Add("answers_cut_total", 1)
 	}
 	c.log("answered", status, outcome)
--- a/internal/logging/quoted.go
+++ b/internal/logging/quoted.go
@@ -2,7 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
+	"net"
+
+	"github.com/cockroachdb/errors"
 )
 
 // OmitQuoted returns a writer for the standard library's log that leaves out what
@@ -24,3 +28,13 @@
 	}
 	return len(line), nil
 }
+
+// DescribeCopyError returns the text of an error of copying a response to a caller. The
+// texts of parsing errors quote the response and are left out.
+func DescribeCopyError(err error) string {
+	var networkErr net.Error
+	if errors.As(err, &networkErr) || errors.IsAny(err, io.ErrUnexpectedEOF, context.Canceled, net.ErrClosed) {
+		return err.Error()
+	}
+	return "malformed response"
+}
