gateway: do not touch the caller's connection for a body that is in memory

Callers of requests with a body of 4 to 64 KiB had their connection closed without an answer when a target rejected, answered or broke off before it had read the body. Such a body is read whole before the send, and a goroutine writes it to the target. To end that goroutine, the read deadline of the caller's connection was set to now, which only a streamed body needs: the HTTP server, which watches the connection for the caller's leaving, took the timeout for that, so that the request was abandoned, or the caller's next request on the connection was never answered.

The caller's connection is now touched for streamed bodies only; otherwise the closed connection to the target ends the goroutine.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -85,7 +85,7 @@
 	// body has ended; it is nil if there is no such goroutine.
 	requestBodyDone chan struct{}
 	// callerController controls the caller's connection, from which a streamed
-	// request body is read.
+	// request body is read; nil if the body was read before.
 	callerController *http.ResponseController
 }
 
@@ -130,7 +130,10 @@
 	if _, err := x.conn.Write(head); err != nil {
 		return err
 	}
-	x.requestBodyDone, x.callerController = make(chan struct{}), http.NewResponseController(c.writer)
+	x.requestBodyDone = make(chan struct{})
+	if c.streamedBody != nil {
+		x.callerController = http.NewResponseController(c.writer)
+	}
 	go func() {
 		defer close(x.requestBodyDone)
 		if c.streamedBody == nil {
@@ -253,6 +256,10 @@
 		return
 	}
 	_ = x.conn.Close()
+	if x.callerController == nil {
+		<-x.requestBodyDone
+		return
+	}
 	for {
 		select {
 		case <-x.requestBodyDone:
