gateway: answer callers whose streamed body a target did not read whole

Callers of requests with a body of over 64 KiB had their connection closed without an answer when a target rejected the request, or broke off, before it had read the body: a full target does so by the head. They could not tell 'not run' from 'may have run'.

To end the goroutine that copies the body, its reading from the caller is interrupted by a read deadline. The HTTP server takes any error of that read for the caller's leaving and ends the request's context, which dispatch then took for the same, and aborted the connection. Whether the caller has left is now noted before the interruption.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -96,6 +96,7 @@
 	possibleDeliveries int // sends that may have reached a target
 	excluded           []string
 	mayHaveRun         bool         // whether a target may have run the request
+	callerLeft         bool         // whether the caller had left at the end of the last attempt
 	exceededQuota      quota.Status // state of the workspace's quota, if it refused the request; for the log
 	// errorResponse is a target's 5xx response that is kept while another
 	// target is tried. It is returned to the caller if no other target gives a
@@ -251,7 +252,7 @@
 			break
 		}
 	}
-	if c.request.Context().Err() != nil {
+	if c.callerHasLeft() {
 		c.log("abandoned", 0, "caller left")
 		panic(http.ErrAbortHandler)
 	}
@@ -270,6 +271,15 @@
 	c.writeRefusal(last)
 }
 
+// callerHasLeft reports whether the caller has closed its connection. The request's context
+// does not tell once the reading of a streamed body was interrupted, which ends it too.
+func (c *call) callerHasLeft() bool {
+	if c.streamedBody != nil && c.attempts > 0 {
+		return c.callerLeft
+	}
+	return c.request.Context().Err() != nil
+}
+
 // chooseTarget asks the balancer for the target of the next attempt, and stores
 // its grant. The object makes requests for the same object prefer the same
 // target.
@@ -324,6 +334,7 @@
 func (c *call) attempt() (*exchange, *refusal) {
 	sent := time.Now()
 	x, err := c.send(c.ctx, c, c.grant.Target.ID, c.grant.Target.Address, c.head())
+	c.callerLeft = c.request.Context().Err() != nil
 	report := affinity.Report{Elapsed: time.Since(sent)}
 	refused := c.classify(x, err, &report)
 	c.mu.Lock()
--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -23,9 +23,9 @@
 	}
 }
 
-// newHastyTarget returns a target that answers each request by its head and reads the body
-// later.
-func newHastyTarget(t *testing.T, answer func(id string) string) *rawTarget {
+// newHastyTarget returns a target that answers each request when it has read its head and
+// so many bytes of its body, and reads the rest later.
+func newHastyTarget(t *testing.T, bodyBytes int64, answer func(id string) string) *rawTarget {
 	config := net.ListenConfig{Control: smallBuffer(unix.SO_RCVBUF)}
 	l, err := config.Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -41,6 +41,9 @@
 				return
 			}
 			target.requests.Add(1)
+			if _, err := io.CopyN(io.Discard, r.Body, bodyBytes); err != nil {
+				return
+			}
 			if !write(c, answer(r.Header.Get(testHeaders.RequestID))) {
 				return
 			}
@@ -76,7 +79,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			hasty := newHastyTarget(t, test.answer)
+			hasty := newHastyTarget(t, 0, test.answer)
 			calm := newRawTarget(t, func(c *net.TCPConn, r received) bool { return write(c, success(r.id, "calm")) })
 			call := newCaller(t, hasty, calm)
 			call.gateway.pool.dialer.Control = smallBuffer(unix.SO_SNDBUF)
@@ -104,3 +107,69 @@
 		})
 	}
 }
+
+// The gateway has read the whole body from the caller, but has not written it all.
+func TestCallerIsAnsweredWhenATargetAnswersBeforeItReadsTheEndOfAStreamedBody(t *testing.T) {
+	t.Parallel()
+	const length = maxBufferedRequestBody + 16<<10
+	hasty := newHastyTarget(t, maxBufferedRequestBody+1<<10, rejection)
+	call := newCaller(t, hasty)
+	call.gateway.pool.dialer.Control = smallBuffer(unix.SO_SNDBUF)
+	for i := range 60 {
+		r, err := http.NewRequest(http.MethodPost, "http://"+call.address+"/once/1", strings.NewReader(strings.Repeat("x", length)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host = "h"
+		r.Header.Set(testHeaders.RequestID, fmt.Sprint(i))
+		response, err := call.client.Do(r)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != 503 {
+			t.Errorf("request %d: got %d", i, response.StatusCode)
+		}
+	}
+}
+
+// The caller is still sending the body, of which it sends the rest only after the answer.
+func TestCallerIsAnsweredWhenATargetAnswersWhileABodyArrives(t *testing.T) {
+	t.Parallel()
+	const length = 4 * maxBufferedRequestBody
+	part := strings.Repeat("x", length/2)
+	for name, test := range map[string]struct {
+		answer func(id string) string
+		want   int
+	}{
+		"rejection": {rejection, 503},
+		"answer":    {func(id string) string { return success(id, "early") }, 200},
+		"garbage":   {func(string) string { return "garbage\r\n\r\n" }, 502},
+	} {
+		for framing, body := range map[string]string{
+			fmt.Sprint("Content-Length: ", length): part,
+			"Transfer-Encoding: chunked":           fmt.Sprintf("%x\r\n%s", length, part),
+		} {
+			t.Run(name+"/"+framing, func(t *testing.T) {
+				t.Parallel()
+				call := newCaller(t, newHastyTarget(t, 0, test.answer))
+				c, err := net.Dial("tcp4", call.address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = c.Close() }()
+				if err := c.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+					t.Fatal(err)
+				}
+				go write(c, "POST /once/1 HTTP/1.1\r\nHost: h\r\nId: a\r\n"+framing+"\r\n\r\n"+body)
+				response, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if response.StatusCode != test.want {
+					t.Errorf("got %d, want %d", response.StatusCode, test.want)
+				}
+			})
+		}
+	}
+}
