gateway: test a refusal without an id behind another answer

An answer without an id is believed only as the first on its connection. No test failed when the first of the exchange was enough of a condition without "nothing skipped": behind an answer to another request, a refusal without an id would have been passed on as "not run". TestRefusalWithoutAnIDAfterAnotherAnswerIsNotBelieved fails on that variant with 'got 503'; the code itself was right.

--- a/internal/gateway/faulty_target_test.go
+++ b/internal/gateway/faulty_target_test.go
@@ -226,6 +226,17 @@
 	}
 }
 
+// Only the first answer on a connection is known to belong to the request without its id.
+func TestRefusalWithoutAnIDAfterAnotherAnswerIsNotBelieved(t *testing.T) {
+	t.Parallel()
+	call := newCaller(t, newRawTarget(t, func(c *net.TCPConn, _ received) bool {
+		return write(c, success("other", "x")+rejection(""))
+	}))
+	if status, _, err := call.do(http.MethodPost, "/once/1", "a"); status != 502 || err != nil {
+		t.Errorf("got %d, %v; want 502", status, err)
+	}
+}
+
 func TestProvenRefusalIsPassedOn(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct {
