--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -65,6 +65,22 @@
 	return target
 }
 
+// post sends a request with a body. The error is set if there was no complete response.
+func (c *caller) post(id string, length int) (status int, err error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+c.address+"/once/1", strings.NewReader(strings.Repeat("x", length)))
+	if err != nil {
+		c.tb.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set(testHeaders.RequestID, id)
+	response, err := c.client.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, errors.CombineErrors(err, response.Body.Close())
+}
+
 // The gateway is still writing a body that it has read whole when the target answers. The
 // caller's connection, on which its next request may come, must not be touched then.
 func TestCallerIsAnsweredWhenATargetAnswersBeforeItReadsTheBody(t *testing.T) {
@@ -84,21 +100,10 @@
 			call := newCaller(t, hasty, calm)
 			call.gateway.pool.dialer.Control = smallBuffer(unix.SO_SNDBUF)
 			for i := range 200 {
-				r, err := http.NewRequest(http.MethodPost, "http://"+call.address+"/once/1", strings.NewReader(strings.Repeat("x", maxBufferedRequestBody)))
-				if err != nil {
-					t.Fatal(err)
-				}
-				r.Host = "h"
-				r.Header.Set(testHeaders.RequestID, fmt.Sprint(i))
 				before := hasty.requests.Load()
-				response, err := call.client.Do(r)
-				if err != nil {
-					t.Fatalf("request %d, sent to the hasty target %d times: %v", i, hasty.requests.Load()-before, err)
-				}
-				body, err := io.ReadAll(response.Body)
-				_ = response.Body.Close()
-				if err != nil || response.StatusCode != 200 && (response.StatusCode != test.want || hasty.requests.Load() == before) {
-					t.Errorf("request %d: got %d %q, %v", i, response.StatusCode, body, err)
+				status, err := call.post(fmt.Sprint(i), maxBufferedRequestBody)
+				if err != nil || status != 200 && (status != test.want || hasty.requests.Load() == before) {
+					t.Fatalf("request %d, sent to the hasty target %d times: got %d, %v", i, hasty.requests.Load()-before, status, err)
 				}
 			}
 			if hasty.requests.Load() == 0 {
@@ -116,19 +121,8 @@
 	call := newCaller(t, hasty)
 	call.gateway.pool.dialer.Control = smallBuffer(unix.SO_SNDBUF)
 	for i := range 60 {
-		r, err := http.NewRequest(http.MethodPost, "http://"+call.address+"/once/1", strings.NewReader(strings.Repeat("x", length)))
-		if err != nil {
-			t.Fatal(err)
-		}
-		r.Host = "h"
-		r.Header.Set(testHeaders.RequestID, fmt.Sprint(i))
-		response, err := call.client.Do(r)
-		if err != nil {
-			t.Fatalf("request %d: %v", i, err)
-		}
-		_ = response.Body.Close()
-		if response.StatusCode != 503 {
-			t.Errorf("request %d: got %d", i, response.StatusCode)
+		if status, err := call.post(fmt.Sprint(i), length); status != 503 || err != nil {
+			t.Fatalf("request %d: got %d, %v; want 503", i, status, err)
 		}
 	}
 }
