gateway: connections to a target's earlier process are not reused

A target that restarts under its id and address closes its listener before its last connections. A connection now belongs to the process that was registered when it was opened.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -323,7 +323,7 @@
 // no further attempt is made.
 func (c *call) attempt() (*exchange, *refusal) {
 	sent := time.Now()
-	x, err := c.send(c.ctx, c, c.grant.Target.ID, c.grant.Target.Address, c.head())
+	x, err := c.send(c.ctx, c, c.head())
 	report := affinity.Report{Elapsed: time.Since(sent)}
 	refused := c.classify(x, err, &report)
 	c.mu.Lock()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -89,10 +89,10 @@
 	callerController *http.ResponseController
 }
 
-// send writes a request to a target and reads the head of the response and, if
+// send writes a request to its target and reads the head of the response and, if
 // it is short, its body. The exchange is not nil, also beside an error.
-func (g *Gateway) send(ctx context.Context, c *call, id, address string, head []byte) (*exchange, error) {
-	conn, err := g.pool.get(ctx, id, address, c.id, c.repeatable)
+func (g *Gateway) send(ctx context.Context, c *call, head []byte) (*exchange, error) {
+	conn, err := g.pool.get(ctx, c.grant.Target, c.id, c.repeatable)
 	if err != nil {
 		return &exchange{}, err
 	}
--- a/internal/gateway/faulty_target_test.go
+++ b/internal/gateway/faulty_target_test.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/affinity"
-	"github.com/turmericfield/turmericfield/internal/clock"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/metrics"
@@ -107,14 +106,7 @@
 		Version: 1, Services: []config.Service{{Name: "s"}},
 		Routes: []config.Route{route("once", false, testTimeout), route("safe", true, testTimeout), route("short", false, time.Second)},
 	}))
-	var list []affinity.Target
-	for i, target := range targets {
-		list = append(list, affinity.Target{
-			ID: fmt.Sprint("t", i), Service: "s", Address: target.listener.Addr().String(),
-			AvailabilityZone: "r-a", Region: "r", Slots: 6, Started: 1,
-		})
-	}
-	g.WithState(func(b *affinity.Balancer, _ *quota.Limiter, _ time.Duration) { b.SetTargets(list, clock.SinceBoot()) })
+	register(g, 1, targets)
 	server := httptest.NewServer(g)
 	transport := &http.Transport{DisableCompression: true}
 	tb.Cleanup(func() {
@@ -131,6 +123,18 @@
 	return &caller{tb, &http.Client{Transport: transport}, server.Listener.Addr().String(), g}
 }
 
+// register registers targets t0, t1 and so on, whose processes started at the given time.
+func register(g *Gateway, started int64, targets []*rawTarget) {
+	var list []affinity.Target
+	for i, target := range targets {
+		list = append(list, affinity.Target{
+			ID: fmt.Sprint("t", i), Service: "s", Address: target.listener.Addr().String(),
+			AvailabilityZone: "r-a", Region: "r", Slots: 6, Started: started,
+		})
+	}
+	g.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.SetTargets(list, now) })
+}
+
 // do sends a request; an empty id means none. The error is set if there was no
 // complete response.
 func (c *caller) do(method, path, id string) (status int, body string, err error) {
@@ -360,3 +364,22 @@
 		t.Errorf("got %d, %v; want 502", status, err)
 	}
 }
+
+// A kept connection may still lead to the earlier process when the next one has been
+// registered with the same id and address.
+func TestConnectionToATargetsEarlierProcessIsNotReused(t *testing.T) {
+	t.Parallel()
+	target := newRawTarget(t, func(c *net.TCPConn, r received) bool { return write(c, success(r.id, "ok")) })
+	call := newCaller(t, target)
+	for started := range int64(3) {
+		register(call.gateway, started, []*rawTarget{target})
+		for i := range 2 {
+			if status, _, err := call.do(http.MethodPost, "/once/1", fmt.Sprint(started, i)); status != 200 || err != nil {
+				t.Fatalf("got %d, %v", status, err)
+			}
+		}
+		if n := target.connections.Load(); n != int32(started)+1 {
+			t.Errorf("%d connections to %d processes", n, started+1)
+		}
+	}
+}
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/turmericfield/turmericfield/internal/affinity"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/metrics"
@@ -44,7 +45,7 @@
 	}
 	r := httptest.NewRequest(http.MethodGet, "/x", nil)
 	f.Fuzz(func(t *testing.T, answer []byte) {
-		conn := newTargetConn(bytesConn{Reader: bytes.NewReader(answer)}, "t")
+		conn := newTargetConn(bytesConn{Reader: bytes.NewReader(answer)}, affinity.Target{ID: "t"})
 		conn.carried = []uint64{1}
 		x := &exchange{conn: conn}
 		if x.readHead(r, testHeaders, "a") != nil {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/turmericfield/turmericfield/internal/affinity"
 )
 
 const (
@@ -46,6 +48,7 @@
 	reader   *bufio.Reader
 	unread   int64  // bytes that may still be read from the connection
 	targetID string // id of the target
+	started  int64  // identifies the target's process, see affinity.Target
 	// carried holds a hash of the id of each request that it has carried, so
 	// that it carries none twice: a response that echoes the request's id could
 	// not be told from one that belongs to the earlier exchange.
@@ -88,37 +91,37 @@
 // get returns a connection to a target for one request: of the idle ones that
 // have not carried a request with its id, the one that was used last, or a new
 // one. A request without an id always gets a new one, on which the first response
-// can only be its own. Connections that idled too long, lead to an earlier address
-// of the target or were closed by it are closed on the way.
-func (p *pool) get(ctx context.Context, id, address, requestID string, repeatable bool) (*targetConn, error) {
+// can only be its own. Connections that idled too long, lead to an earlier address or
+// process of the target or were closed by it are closed on the way.
+func (p *pool) get(ctx context.Context, target affinity.Target, requestID string, repeatable bool) (*targetConn, error) {
 	limit := maxIdle
 	if !repeatable {
 		limit = maxIdleUnsafe
 	}
 	request := maphash.String(p.seed, requestID)
 	for requestID != "" {
-		c := p.takeIdle(id, request)
+		c := p.takeIdle(target.ID, request)
 		if c == nil {
 			break
 		}
 		idle := time.Since(c.idleAt)
-		if idle < limit && (c.idleLimit == 0 || idle < c.idleLimit/2) && c.RemoteAddr().String() == address && c.openAndEmpty() {
+		if idle < limit && (c.idleLimit == 0 || idle < c.idleLimit/2) && c.started == target.Started && c.RemoteAddr().String() == target.Address && c.openAndEmpty() {
 			c.carried = append(c.carried, request)
 			return c, nil
 		}
 		_ = c.Close()
 	}
-	conn, err := p.dialer.DialContext(ctx, "tcp4", address)
+	conn, err := p.dialer.DialContext(ctx, "tcp4", target.Address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
-	c := newTargetConn(conn, id)
+	c := newTargetConn(conn, target)
 	c.carried = append(c.carried, request)
 	return c, nil
 }
 
-func newTargetConn(conn net.Conn, targetID string) *targetConn {
-	c := &targetConn{Conn: conn, targetID: targetID}
+func newTargetConn(conn net.Conn, target affinity.Target) *targetConn {
+	c := &targetConn{Conn: conn, targetID: target.ID, started: target.Started}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
