--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -77,14 +77,16 @@
 // Reason says why a target was chosen or why the request was refused.
 type Reason string
 
-// The first four say why a target was chosen, the last two why none was.
+// The first four say why a target was chosen, the others why none was.
 const (
 	Preferred Reason = "preferred" // the highest-ranked target, or the less loaded of two if there is no object
 	Spilled   Reason = "spilled"   // a higher-ranked target was full
-	Evaded    Reason = "evaded"    // a higher-ranked target was ejected or cold
+	Evaded    Reason = "evaded"    // a higher-ranked target was ejected, cold, or paused
 	Forced    Reason = "forced"    // every eligible target was ejected or over its cold rate
 	NoTarget  Reason = "no-target" // no target may run the request
 	Full      Reason = "full"      // the wait would be too long
+	// Unavailable means that every target that may run the request leaves or pauses.
+	Unavailable Reason = "unavailable"
 )
 
 // Grant permits sending one request to one target. It counts as in flight until it
@@ -97,7 +99,8 @@
 	Load float64
 	// Cold is true if the target was in its cold-start period when it was chosen.
 	Cold bool
-	// Wait is the expected time until a slot is free.
+	// Wait is the expected time until a slot is free. If the request is refused as
+	// Unavailable it is the time until the earliest pause ends, 0 if all targets leave.
 	Wait time.Duration
 	// At is when the target was chosen, on the clock of the caller's now arguments.
 	At time.Duration
@@ -145,6 +148,7 @@
 // clock.
 type Balancer struct {
 	self        string
+	selfHash    uint64
 	region      string
 	regionCount int
 	targets     map[string]*targetState
@@ -156,21 +160,13 @@
 	medianLatency map[string]float64 // route → estimated median latency, seconds
 	meanLatency   map[string]float64 // service → moving average of latency, seconds
 
+	processes map[string]*process // by target; see rememberUnregistered for those without a registration
+
 	homeRegionShares map[string]float64 // region → fraction of all requests that only it may run
 	maxShift         float64            // see SetMaxShift
 	regionMixes      map[string]*regionMix
 
-	ejections []Ejection // not yet returned by Ejections
-}
-
-// recordEjection keeps an ejection or recovery until Ejections returns it.
-func (b *Balancer) recordEjection(e Ejection) { b.ejections = append(b.ejections, e) }
-
-// Ejections returns the ejections and recoveries since the last call.
-func (b *Balancer) Ejections() []Ejection {
-	out := b.ejections
-	b.ejections = nil
-	return out
+	changes []AvailabilityChange // not yet returned by AvailabilityChanges
 }
 
 // coldLimit limits what the targets of one service get during a cold start.
@@ -187,29 +183,35 @@
 		medianLatency: map[string]float64{}, meanLatency: map[string]float64{},
 		regionMixes: map[string]*regionMix{}, targets: map[string]*targetState{}, services: map[string][]*targetState{},
 		closedZones: map[string]bool{}, coldLimits: map[string]coldLimit{}, instances: []string{self},
+		selfHash: xxhash.Sum64String(self), processes: map[string]*process{},
 	}
 }
 
 // SetTargets replaces the registered targets. The state of a target is kept unless
-// its process has restarted or its address has changed. If several have the same
-// address, the one that started last is the only one used: the others have ended, and
-// their registrations are yet to be removed.
+// its process has restarted or its address has changed; what its process said in
+// responses is kept as long as that runs. If several have the same address, the one that
+// started last is the only one used: the others have ended, and their registrations are
+// yet to be removed.
 func (b *Balancer) SetTargets(targets []Target, now time.Duration) {
 	targets = withoutReplaced(targets)
 	old := b.targets
 	b.targets, b.services = make(map[string]*targetState, len(targets)), map[string][]*targetState{}
 	for _, t := range targets {
-		s := old[t.ID]
+		s, p := old[t.ID], b.processOf(t)
 		switch {
 		case s == nil || s.Started != t.Started || s.Address != t.Address:
-			s = &targetState{Target: t, idHash: xxhash.Sum64String(t.ID), coldUntil: now + t.ColdFor, coldRefilledAt: now, recordEjection: b.recordEjection}
+			p.ForgetHealth(now)
+			s = &targetState{Target: t, idHash: xxhash.Sum64String(t.ID), process: p, coldUntil: now + t.ColdFor, coldRefilledAt: now}
 		case t.ColdFor > 0 && t.Revision != s.Revision:
 			s.coldUntil = max(s.coldUntil, now+t.ColdFor)
 		}
 		s.Target = t
+		p.service = t.Service
+		p.SetDraining(t.Leaving, now)
 		b.targets[t.ID] = s
 		b.services[t.Service] = append(b.services[t.Service], s)
 	}
+	b.rememberUnregistered(now)
 	b.markRegionsChanged()
 }
 
@@ -266,10 +268,11 @@
 }
 
 // StillValid reports whether the granted target may still be sent to. It is for a
-// check right before sending, since the target may have left, restarted or moved, or
-// its service or zone been corrected or its zone closed, after the choice.
+// check right before sending, since the target may have left, restarted, moved or asked
+// for a pause, or its service or zone been corrected or its zone closed, after the
+// choice.
 func (b *Balancer) StillValid(g Grant) bool {
 	s := b.targets[g.Target.ID]
-	return s != nil && !s.Leaving && s.Started == g.Target.Started && s.Address == g.Target.Address && s.Service == g.Target.Service &&
+	return s != nil && !s.process.Refuses() && s.Started == g.Target.Started && s.Address == g.Target.Address && s.Service == g.Target.Service &&
 		s.AvailabilityZone == g.Target.AvailabilityZone && !b.closedZones[s.AvailabilityZone]
 }
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -6,18 +6,20 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericfield/turmericfield/internal/availability"
 )
 
 // Choose returns a grant for the best target. The second result is false if the
-// request is refused; the grant's reason is then NoTarget or Full.
+// request is refused; the grant's reason is then NoTarget, Full or Unavailable.
 //
 // A request with an object goes to the highest-ranked usable target if the wait there
 // is acceptable, otherwise to one of the next targets that has the object cached, and
 // only while the service has spare capacity to one that has not.
 func (b *Balancer) Choose(r Request, now time.Duration) (Grant, bool) {
-	candidates := b.candidates(r, now)
+	candidates, refusing := b.candidates(r, now)
 	if len(candidates) == 0 {
-		return Grant{Reason: NoTarget}, false
+		return refusing.refusal(now), false
 	}
 	usable := b.usable(candidates, now)
 	if len(usable) == 0 {
@@ -28,7 +30,7 @@
 	}
 	first := usable[0]
 	reason := Preferred
-	if first != candidates[0].targetState {
+	if first != candidates[0].targetState || refusing.topScore > candidates[0].score {
 		reason = Evaded
 	}
 	if b.waitAcceptable(first, r, now) {
@@ -52,11 +54,12 @@
 }
 
 // usable returns the first candidates that are neither ejected nor over the rate of
-// a cold target, at most 1+maxSpillTargets.
+// a cold target, and get the request back if they return from a pause, at most
+// 1+maxSpillTargets.
 func (b *Balancer) usable(candidates []candidate, now time.Duration) []*targetState {
 	list := make([]*targetState, 0, 1+maxSpillTargets)
 	for _, c := range candidates {
-		if c.ejected(now) || c.cold(now) && !b.takeColdToken(c.targetState, now, false) {
+		if c.process.Ejected(now) || !c.returned || c.cold(now) && !b.takeColdToken(c.targetState, now, false) {
 			continue
 		}
 		if list = append(list, c.targetState); len(list) > maxSpillTargets {
@@ -66,8 +69,8 @@
 	return list
 }
 
-// chooseEjected grants the first candidate with an acceptable wait, ejected or not. It
-// is used if no candidate is usable.
+// chooseEjected grants the first candidate with an acceptable wait, ejected, returning
+// from a pause or neither. It is used if no candidate is usable.
 func (b *Balancer) chooseEjected(candidates []candidate, r Request, now time.Duration) (Grant, bool) {
 	g := Grant{Reason: Full}
 	for _, c := range candidates {
@@ -140,26 +143,64 @@
 type candidate struct {
 	*targetState
 	score float64
+	// returned is false if the target is returning from a pause and does not yet get
+	// the request back.
+	returned bool
+}
+
+// refusing sums up the targets that might run a request if they did not leave or pause.
+type refusing struct {
+	targets  int
+	until    time.Duration // earliest end of a pause; 0 if there is none
+	topScore float64       // highest score of a paused target
+}
+
+// add adds a target, with its score for the request if it is paused.
+func (l *refusing) add(s *targetState, score float64, now time.Duration) {
+	l.targets++
+	if s.process.State(now) != availability.Paused {
+		return
+	}
+	if until := s.process.PausedUntil(); l.until == 0 || until < l.until {
+		l.until = until
+	}
+	l.topScore = max(l.topScore, score)
+}
+
+// refusal returns the result of Choose if there is no other target.
+func (l *refusing) refusal(now time.Duration) Grant {
+	switch {
+	case l.targets == 0:
+		return Grant{Reason: NoTarget}
+	case l.until == 0:
+		return Grant{Reason: Unavailable}
+	}
+	return Grant{Reason: Unavailable, Wait: l.until - now}
 }
 
-// candidates returns the targets that may run the request, the highest score first.
-func (b *Balancer) candidates(r Request, now time.Duration) []candidate {
+// candidates returns the targets that may run the request, the highest score first, and
+// those that are left out because they leave or pause.
+func (b *Balancer) candidates(r Request, now time.Duration) ([]candidate, *refusing) {
 	key := r.Object
 	if key == "" {
 		key = r.ID
 	}
 	h := xxhash.Sum64String(key)
 	weights := b.regionWeights(r, now)
-	list := make([]candidate, 0, len(b.services[r.Service]))
+	list, left := make([]candidate, 0, len(b.services[r.Service])), &refusing{}
 	for _, s := range b.services[r.Service] {
-		if s.Leaving || b.closedZones[s.AvailabilityZone] || slices.Contains(r.Exclude, s.ID) || !r.HomeRegions.Has(s.Region) {
+		if b.closedZones[s.AvailabilityZone] || slices.Contains(r.Exclude, s.ID) || !r.HomeRegions.Has(s.Region) {
 			continue
 		}
 		w := score(h, s)
 		if weights != nil {
 			w *= weights.of(s)
 		}
-		list = append(list, candidate{s, w})
+		if state := s.process.State(now); state == availability.Paused || state == availability.Leaving {
+			left.add(s, w, now)
+			continue
+		}
+		list = append(list, candidate{s, w, b.hasReturned(s, h, now)})
 	}
 	slices.SortFunc(list, func(x, y candidate) int {
 		switch {
@@ -170,21 +211,33 @@
 		}
 		return 0
 	})
-	return list
+	return list, left
+}
+
+// hasReturned reports whether requests with the given hash go to the target again after
+// a pause. Each has its own moment during the return, by a hash of request, target and
+// instance: the load of an instance grows steadily, and the requests for an object that
+// many ask for do not return from all instances at once.
+func (b *Balancer) hasReturned(s *targetState, request uint64, now time.Duration) bool {
+	share := s.process.ReturnedShare(now)
+	return share >= 1 || uniform(request^s.idHash^b.selfHash) < share
 }
 
 // score returns the target's score for an object in weighted rendezvous hashing. The
-// weight is the number of slots. The hash of object and target is mixed by the
-// finalizer of MurmurHash3 and mapped to u, uniform between 0 and 1.
+// weight is the number of slots.
 func score(object uint64, s *targetState) float64 {
-	x := object ^ s.idHash
+	return -float64(max(s.Slots, 1)) / math.Log(uniform(object^s.idHash))
+}
+
+// uniform mixes a hash by the finalizer of MurmurHash3 and maps it to a number between
+// 0 and 1, neither of which it returns.
+func uniform(x uint64) float64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
 	x *= 0xc4ceb9fe1a85ec53
 	x ^= x >> 33
-	u := (float64(x>>11) + 0.5) / (1 << 53)
-	return -float64(max(s.Slots, 1)) / math.Log(u)
+	return (float64(x>>11) + 0.5) / (1 << 53)
 }
 
 // grant returns a grant for the target and counts its request as in flight.
@@ -198,9 +251,7 @@
 	if g.Cold {
 		b.takeColdToken(s, now, true)
 	}
-	if s.ejectionDuration > 0 && now >= s.ejectedUntil && s.consecutiveFailures > 0 {
-		s.trialInFlight = true
-	}
+	s.process.RecordGrant(now)
 	s.inFlight++
 	return g
 }
--- a/internal/affinity/learn.go
+++ b/internal/affinity/learn.go
@@ -1,6 +1,10 @@
 package affinity
 
-import "time"
+import (
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/availability"
+)
 
 // Done ends a grant and updates what is known of its target. It ignores a grant
 // whose target has since been removed, restarted or moved.
@@ -20,25 +24,25 @@
 	case Answered:
 		b.learnFromResponse(s, g, r.Elapsed, now)
 	case Rejected:
-		s.respondedAt, s.trialInFlight = now, false
+		s.process.RecordRejection(now)
 		if !atCapacity {
-			s.recordRejection(now, b.meanFailureRate(s.Service))
+			s.process.RecordNeedlessRejection(now, b.meanFailureRate(s.Service))
 		}
 	case Failed:
-		s.recordFailure(now, false, b.meanFailureRate(s.Service))
+		s.process.RecordFailure(now, false, b.meanFailureRate(s.Service))
 	case TimedOut:
-		s.trialInFlight = false
+		s.process.EndTrial()
 		// A target that has answered since this request was granted is slow, not down.
-		if s.respondedAt < g.At {
-			s.recordFailure(now, false, b.meanFailureRate(s.Service))
+		if s.process.RespondedAt() < g.At {
+			s.process.RecordFailure(now, false, b.meanFailureRate(s.Service))
 		}
 		if !atCapacity {
-			s.recordLatency(slowRelativeLatency*2, now)
+			s.process.RecordLatency(availability.TimeoutRelativeLatency, now)
 		}
 	case Unreachable, AddressReused:
-		s.recordFailure(now, true, 0)
+		s.process.RecordFailure(now, true, 0)
 	case Abandoned:
-		s.trialInFlight = false
+		s.process.EndTrial()
 	}
 }
 
@@ -47,8 +51,8 @@
 func (b *Balancer) meanFailureRate(service string) float64 {
 	sum, n := 0.0, 0.0
 	for _, s := range b.services[service] {
-		if s.respondedAt > 0 {
-			sum += s.failureRate
+		if s.process.RespondedAt() > 0 {
+			sum += s.process.FailureRate()
 			n++
 		}
 	}
@@ -58,7 +62,7 @@
 // learnFromResponse updates the target's state and the latency estimates after a good
 // response. Responses of cold targets do not count for latency.
 func (b *Balancer) learnFromResponse(s *targetState, g Grant, elapsed time.Duration, now time.Duration) {
-	s.recordSuccess(now)
+	s.process.RecordSuccess(now)
 	if g.object != 0 {
 		s.markCached(g.object, now)
 	}
@@ -70,7 +74,7 @@
 	if median == 0 {
 		median = took
 	}
-	s.recordLatency(took/median, now)
+	s.process.RecordLatency(took/median, now)
 	// The estimate moves by a fixed step up or down, so it converges to the median,
 	// and a slow target or an empty cache moves it little.
 	step := median * latencyWeight
--- a/internal/affinity/regions.go
+++ b/internal/affinity/regions.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/turmericfield/turmericfield/internal/availability"
 )
 
 const (
@@ -152,17 +154,18 @@
 }
 
 // usableTargets returns the targets of a service that get requests and are neither
-// ejected nor limited to a cold rate. If their slots are less than minUsableShare of
+// ejected, paused nor limited to a cold rate. If their slots are less than minUsableShare of
 // the slots of all that get requests, it returns all these.
 func (b *Balancer) usableTargets(service string, now time.Duration) []*targetState {
 	var open, usable []*targetState
 	openSlots, usableSlots := 0, 0
 	for _, s := range b.services[service] {
-		if s.Leaving || b.closedZones[s.AvailabilityZone] {
+		state := s.process.State(now)
+		if state == availability.Leaving || b.closedZones[s.AvailabilityZone] {
 			continue
 		}
 		open, openSlots = append(open, s), openSlots+s.Slots
-		if !s.ejected(now) && !(s.cold(now) && b.coldLimits[service].rate > 0) {
+		if state != availability.Paused && !s.process.Ejected(now) && !(s.cold(now) && b.coldLimits[service].rate > 0) {
 			usable, usableSlots = append(usable, s), usableSlots+s.Slots
 		}
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -328,9 +328,9 @@
 	refused := c.classify(x, err, &report)
 	c.mu.Lock()
 	c.balancer.Done(c.grant, report, clock.SinceBoot())
-	ejections := c.balancer.Ejections()
+	changes := c.balancer.AvailabilityChanges()
 	c.mu.Unlock()
-	c.logEjections(ejections)
+	c.logEjections(changes)
 	if refused != nil {
 		x.discard()
 		if report.Outcome == affinity.Unreachable || report.Outcome == affinity.AddressReused || report.Outcome == affinity.TimedOut {
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/affinity"
+	"github.com/turmericfield/turmericfield/internal/availability"
 	"github.com/turmericfield/turmericfield/internal/hopbyhop"
 	"github.com/turmericfield/turmericfield/internal/metrics"
 )
@@ -181,8 +182,11 @@
 
 // logEjections logs and counts the targets that the balancer has newly ejected
 // from or readmitted to selection.
-func (g *Gateway) logEjections(list []affinity.Ejection) {
+func (g *Gateway) logEjections(list []affinity.AvailabilityChange) {
 	for _, e := range list {
+		if e.Source != availability.Ejection {
+			continue
+		}
 		g.Metrics.Add(metrics.Label("ejections_total", "reason", string(e.Reason)), 1)
 		g.Log.Info().Str("target", e.Target).Str("service", e.Service).Str("reason", string(e.Reason)).
 			Int64("for_ms", e.For.Milliseconds()).Int("failures", e.Failures).Float64("bad", round(e.FailureRate)).Float64("pace", round(e.RelativeLatency)).
