gateway: targets that leave or pause by their responses get no further requests

A target may say in the head of any response that it shuts down, and with status 503 and Retry-After for how long it wants no requests. Until now only registrations counted, so requests went on to a target that had announced its end, and each one to a target that asked for a pause cost the fleet a retry.

parseNotice reads both from a final response; the balancer learns them as soon as the head is read and known to answer the request, so neither a slow body nor one that breaks off delays it.

- a request whose target is withdrawn between the choice and the send is placed anew; that counts neither as an attempt nor against the retry budget;
- idle connections to a leaving target are closed at once, and one whose request ends there is not kept; connections to a paused target stay;
- a request for which every target leaves or pauses is refused at once as 'unavailable'.
Its Retry-After is the earliest end of a pause, spread over the time in which the target takes its load back;
- the log has one line for each change of a target's availability ('target: changed', which replaces 'target: judged'), the decision's line has the service, and gauges count the targets of a service that leave and that pause.

Balancer.Leaving is new for the connections.

--- a/internal/affinity/availability.go
+++ b/internal/affinity/availability.go
@@ -137,3 +137,9 @@
 	}
 	return counts
 }
+
+// Leaving reports whether the registered target with the given ID is leaving.
+func (b *Balancer) Leaving(id string, now time.Duration) bool {
+	s := b.targets[id]
+	return s != nil && s.process.State(now) == availability.Leaving
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -36,6 +36,9 @@
 	// is read completely before it is sent, so that it can be sent again to
 	// another target. Longer bodies are streamed.
 	maxBufferedRequestBody = 64 << 10
+	// maxWithdrawnTargets bounds the targets that are withdrawn between the choice and
+	// the send of one request.
+	maxWithdrawnTargets = 8
 	// retryAfterNoTarget is the Retry-After of requests for which no target
 	// could be used in time: queues may be shorter by then.
 	retryAfterNoTarget = 300 * time.Millisecond
@@ -51,10 +54,16 @@
 	retryAfterDraining = 20 * time.Millisecond
 )
 
-// errWithdrawn is returned by send if, between the choice of a target and the
-// send, the deadline passed, another configuration came into force, API keys became
-// untrusted, or the target left, restarted or moved or its availability zone was closed.
-var errWithdrawn = errors.New("deadline passed, or configuration, API key or target withdrawn, before the request was sent")
+var (
+	// errWithdrawn is returned by send if, between the choice of a target and the send,
+	// the deadline passed, another configuration came into force or API keys became
+	// untrusted.
+	errWithdrawn = errors.New("deadline passed, or configuration or API key withdrawn, before the request was sent")
+	// errTargetWithdrawn is returned by send if, between the choice of a target and the
+	// send, the target left, paused, restarted or moved or its availability zone was
+	// closed.
+	errTargetWithdrawn = errors.New("target withdrawn before the request was sent")
+)
 
 // refusal is an error response that the gateway itself gives. The request was
 // not run by a target, unless the status is 502 or 504: then it may have been.
@@ -93,6 +102,7 @@
 
 	grant              affinity.Grant
 	attempts           int // targets tried, including unreachable ones
+	withdrawnTargets   int // targets chosen but not tried
 	possibleDeliveries int // sends that may have reached a target
 	excluded           []string
 	mayHaveRun         bool         // whether a target may have run the request
@@ -198,16 +208,17 @@
 	return c.deadline.Sub(c.start) - (clock.SinceBoot() - c.startSinceBoot)
 }
 
-// stillAllowed reports whether the request may still be sent. It repeats the
-// checks whose result may have changed since the request was resolved and its target
-// was chosen.
+// stillAllowed reports whether the request may still be sent to some target. It repeats
+// the checks whose result may have changed since the request was resolved.
 func (c *call) stillAllowed() bool {
 	// Read before the tables are compared: if the proof is a newer table's, that one
 	// is in force by then.
 	keysTrusted, homesTrusted := c.keysTrusted(), c.homesTrusted()
-	if c.remaining() <= 0 || c.Table() != c.table || c.workspace != nil && !keysTrusted || c.homeRegions.Bound() && !homesTrusted {
-		return false
-	}
+	return c.remaining() > 0 && c.Table() == c.table && (c.workspace == nil || keysTrusted) && (!c.homeRegions.Bound() || homesTrusted)
+}
+
+// targetStillValid reports whether the request may still be sent to its target.
+func (c *call) targetStillValid() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.balancer.StillValid(c.grant)
@@ -237,7 +248,6 @@
 			}
 			break
 		}
-		c.attempts++
 		x, refused := c.attempt()
 		if refused == nil {
 			c.writeResponse(x)
@@ -284,10 +294,13 @@
 		Route: c.route.Name, Objective: c.route.LatencyObjective, Urgent: c.priority() <= urgentPriority,
 	}, clock.SinceBoot())
 	c.grant = grant
-	if !ok {
-		return &refusal{http.StatusServiceUnavailable, string(grant.Reason), retryAfterNoTarget}
+	switch {
+	case ok:
+		return nil
+	case grant.Reason == affinity.Unavailable:
+		return &refusal{http.StatusServiceUnavailable, string(grant.Reason), retryAfterPause(grant.Wait, c.remaining())}
 	}
-	return nil
+	return &refusal{http.StatusServiceUnavailable, string(grant.Reason), retryAfterNoTarget}
 }
 
 // urgentPriority is the largest priority value, and so the lowest priority,
@@ -307,7 +320,8 @@
 // If the failed one may have reached a target, the next one is taken from the
 // retry budget.
 func (c *call) takeRetry(mayHaveArrived bool) bool {
-	if c.possibleDeliveries >= max(c.route.MaxAttempts, 1) || c.attempts >= maxAttemptedTargets || c.remaining() < minTimeForTarget {
+	if c.possibleDeliveries >= max(c.route.MaxAttempts, 1) || c.attempts >= maxAttemptedTargets ||
+		c.withdrawnTargets >= maxWithdrawnTargets || c.remaining() < minTimeForTarget {
 		return false
 	}
 	if !mayHaveArrived {
@@ -322,15 +336,12 @@
 // balancer. It returns the response for the caller, or the refusal to give if
 // no further attempt is made.
 func (c *call) attempt() (*exchange, *refusal) {
+	c.attempts++
 	sent := time.Now()
 	x, err := c.send(c.ctx, c, c.head())
 	report := affinity.Report{Elapsed: time.Since(sent)}
 	refused := c.classify(x, err, &report)
-	c.mu.Lock()
-	c.balancer.Done(c.grant, report, clock.SinceBoot())
-	changes := c.balancer.AvailabilityChanges()
-	c.mu.Unlock()
-	c.logEjections(changes)
+	c.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.Done(c.grant, report, now) })
 	if refused != nil {
 		x.discard()
 		if report.Outcome == affinity.Unreachable || report.Outcome == affinity.AddressReused || report.Outcome == affinity.TimedOut {
@@ -341,6 +352,10 @@
 		c.Metrics.Add(metrics.Label("sends_failed_total", "reason", refused.reason), 1)
 		c.log("send-failed", 0, refused.reason)
 	}
+	if errors.Is(err, errTargetWithdrawn) {
+		c.attempts--
+		c.withdrawnTargets++
+	}
 	return x, refused
 }
 
@@ -376,7 +391,7 @@
 // nil if the response is for the caller.
 func (c *call) classify(x *exchange, err error, report *affinity.Report) *refusal {
 	switch {
-	case errors.Is(err, errWithdrawn):
+	case errors.Is(err, errWithdrawn), errors.Is(err, errTargetWithdrawn):
 		report.Outcome = affinity.Abandoned
 		if c.remaining() <= 0 {
 			return &refusal{http.StatusServiceUnavailable, "deadline", retryAfterNoTarget}
@@ -412,7 +427,7 @@
 			report.Outcome = affinity.AddressReused
 		}
 		if x.bodyComplete {
-			x.finish(c.pool)
+			c.finish(x)
 			x.conn = nil
 		}
 		if report.Outcome == affinity.AddressReused {
@@ -429,7 +444,7 @@
 		if c.repeatable && c.possibleDeliveries+1 < c.route.MaxAttempts && c.remaining() > c.route.LatencyObjective/2 && c.retryBudgetLeft() {
 			c.mayHaveRun = true
 			if x.bodyComplete {
-				x.finish(c.pool)
+				c.finish(x)
 				x.conn, c.errorResponse = nil, x
 			}
 			return &refusal{http.StatusBadGateway, "target-error", 0}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -102,8 +102,11 @@
 	if err := ctx.Err(); err != nil {
 		return x, err
 	}
-	if !c.stillAllowed() {
+	switch {
+	case !c.stillAllowed():
 		return x, errWithdrawn
+	case !c.targetStillValid():
+		return x, errTargetWithdrawn
 	}
 	x.mayHaveArrived = true
 	if err := x.write(c, head); err != nil {
@@ -112,6 +115,7 @@
 	if err := x.readHead(c.request, g.HeaderNames, c.id); err != nil {
 		return x, err
 	}
+	c.observe(x)
 	switch c.verdict(x) {
 	case answered:
 		return x, x.readBody(maxBufferedResponse)
@@ -216,10 +220,20 @@
 
 // finish ends an exchange whose response was read to its end, and keeps the
 // connection for reuse if possible.
-func (x *exchange) finish(p *pool) {
+func (c *call) finish(x *exchange) {
 	if x.conn == nil {
 		return // finished before
 	}
+	x.release(c.pool)
+	// Asked only now, as the target may have begun to leave since its response.
+	if id := x.conn.targetID; c.targetLeaving(id) {
+		c.pool.closeTarget(id)
+	}
+}
+
+// release puts the connection into the pool if it can be reused and closes it
+// otherwise.
+func (x *exchange) release(p *pool) {
 	if x.requestBodyDone != nil {
 		select {
 		case <-x.requestBodyDone:
--- a/internal/gateway/faulty_target_test.go
+++ b/internal/gateway/faulty_target_test.go
@@ -27,6 +27,7 @@
 	n    int // number of the request on its connection, from 1
 	// seen holds how often the connection carried each id, this request included.
 	seen map[string]int
+	at   time.Time // when the target had read the request's head
 }
 
 // rawTarget is a target whose answers are arbitrary bytes.
@@ -68,13 +69,14 @@
 		if err != nil {
 			return
 		}
+		at := time.Now()
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
 		target.requests.Add(1)
 		id := r.Header.Get(testHeaders.RequestID)
 		seen[id]++
-		if !target.answer(c, received{id, r.URL.Path, n, seen}) {
+		if !target.answer(c, received{id, r.URL.Path, n, seen, at}) {
 			return
 		}
 	}
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -20,7 +20,7 @@
 
 var testHeaders = HeaderNames{
 	RequestID: "Id", Deadline: "Wait", Object: "Object", APIKey: "Key", Workspace: "Workspace",
-	ExpectedInstance: "Expected", Signature: "Proof", NotRun: "Not-Run", Load: "Load",
+	ExpectedInstance: "Expected", Signature: "Proof", NotRun: "Not-Run", Load: "Load", Leaving: "Leaving",
 }
 
 // bytesConn is a connection from which given bytes are read.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	Signature        string // the target's signature of its response
 	NotRun           string // set by a target that did not run the request
 	Load             string // the target's load as "running,waiting,slots", in requests
+	Leaving          string // set to 1 by a target that shuts down and wants no further requests
 }
 
 // Options holds the settings and dependencies of a gateway.
@@ -105,6 +106,7 @@
 	g.balancer.SetHomeRegionShares(t.HomeRegionShares())
 	g.mu.Unlock()
 	g.table.Store(t)
+	g.addAvailabilityGauges(t)
 }
 
 // Table returns the configuration in force, or nil.
@@ -121,11 +123,15 @@
 }
 
 // WithState calls f with the balancer, the quota limiter and the current time
-// since boot, while no request is being routed.
+// since boot, while no request is being routed. Changes of targets' availability to
+// which f leads take effect on the connections before it returns.
 func (g *Gateway) WithState(f func(b *affinity.Balancer, q *quota.Limiter, now time.Duration)) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	f(g.balancer, g.limiter, clock.SinceBoot())
+	g.applyAvailability(func() []affinity.AvailabilityChange {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		f(g.balancer, g.limiter, clock.SinceBoot())
+		return g.balancer.AvailabilityChanges()
+	}())
 }
 
 // SetInstances sets the names of the live instances of the fleet, by which
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -173,6 +173,16 @@
 	p.idle[c.targetID] = append(p.idle[c.targetID], c)
 }
 
+// closeTarget closes the idle connections to a target.
+func (p *pool) closeTarget(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[id] {
+		_ = c.Close()
+	}
+	delete(p.idle, id)
+}
+
 // closeExpired closes connections that were idle for too long.
 func (p *pool) closeExpired() {
 	p.mu.Lock()
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/affinity"
-	"github.com/turmericfield/turmericfield/internal/availability"
 	"github.com/turmericfield/turmericfield/internal/hopbyhop"
 	"github.com/turmericfield/turmericfield/internal/metrics"
 )
@@ -73,7 +72,7 @@
 	}
 	if x.bodyComplete {
 		h.Set("Content-Length", strconv.Itoa(len(x.body)))
-		x.finish(c.pool)
+		c.finish(x)
 		c.writer.WriteHeader(response.StatusCode)
 		_, err := c.writer.Write(x.body)
 		c.recordAnswered(response.StatusCode, err)
@@ -92,7 +91,7 @@
 		x.discard()
 		panic(http.ErrAbortHandler) // aborts the connection, so that the cut response does not look complete
 	}
-	x.finish(c.pool)
+	c.finish(x)
 }
 
 // recordAnswered logs and counts a response returned to the caller; err is set
@@ -154,6 +153,12 @@
 	if c.route != nil {
 		line = line.Str("route", c.route.Name).Uint64("version", c.table.Version).Int("priority", c.priority())
 	}
+	if c.service != "" {
+		line = line.Str("service", c.service)
+	}
+	if c.grant.Reason == affinity.Unavailable {
+		line = line.Int64("wait_ms", c.grant.Wait.Milliseconds())
+	}
 	if c.workspace != nil {
 		line = line.Str("workspace", c.workspace.Name)
 	}
@@ -180,19 +185,5 @@
 	line.Int64("elapsed_ms", time.Since(c.start).Milliseconds()).Msg("request: decided")
 }
 
-// logEjections logs and counts the targets that the balancer has newly ejected
-// from or readmitted to selection.
-func (g *Gateway) logEjections(list []affinity.AvailabilityChange) {
-	for _, e := range list {
-		if e.Source != availability.Ejection {
-			continue
-		}
-		g.Metrics.Add(metrics.Label("ejections_total", "reason", string(e.Reason)), 1)
-		g.Log.Info().Str("target", e.Target).Str("service", e.Service).Str("reason", string(e.Reason)).
-			Int64("for_ms", e.For.Milliseconds()).Int("failures", e.Failures).Float64("bad", round(e.FailureRate)).Float64("pace", round(e.RelativeLatency)).
-			Msg("target: judged")
-	}
-}
-
 // round rounds to two decimal places, for logs.
 func round(x float64) float64 { return math.Round(100*x) / 100 }
