--- a/internal/affinity/availability.go
+++ b/internal/affinity/availability.go
@@ -88,15 +88,20 @@
 	if !n.Leaving && n.Pause <= 0 {
 		return
 	}
-	if p := b.processes[g.Target.ID]; p != nil && p.started != g.Target.Started {
+	known, started := b.processes[g.Target.ID], g.Target.Started
+	if known != nil && known.started != started && (b.registered(known) || known.started > started) {
 		return
 	}
 	p := b.processOf(g.Target)
+	before := p.State(now)
 	p.Pause(n.Pause, now)
 	if n.Leaving {
 		p.Leave(now)
 	}
-	if !b.registered(p) {
+	if m := b.regionMixes[p.service]; m != nil && p.State(now) != before {
+		m.changed = true
+	}
+	if known != p {
 		b.rememberUnregistered(now)
 	}
 }
--- a/internal/affinity/availability_test.go
+++ b/internal/affinity/availability_test.go
@@ -230,3 +230,215 @@
 func fill(id string) func(b *Balancer) {
 	return func(b *Balancer) { b.targets[id].inFlight = 100 }
 }
+
+// assign returns the target of each of n objects, by the object's number.
+func assign(b *Balancer, n int, now time.Duration) []string {
+	targets := make([]string, n)
+	for i := range targets {
+		if g, ok := b.Choose(newRequest(fmt.Sprint("o", i)), now); ok {
+			b.Done(g, Report{Outcome: Abandoned}, now)
+			targets[i] = g.Target.ID
+		}
+	}
+	return targets
+}
+
+func TestObjectsOfATargetThatLeavesOrPausesMoveMoreThanOnce(t *testing.T) {
+	for name, notice := range notices {
+		for _, shift := range []float64{0, 0.15} {
+			b := New("a", "r0", 3)
+			b.SetMaxShift(shift)
+			b.SetTargets(newTargets(30, 6), 0)
+			before := assign(b, 400, 1)
+			gone := before[0]
+			b.Observe(Grant{Target: b.targets[gone].Target}, notice, 2)
+			last, moves := before, make([]int, len(before))
+			for now := 3 * time.Nanosecond; now < 30*time.Second; now += 500 * ms {
+				next := assign(b, 400, now)
+				for i := range next {
+					if next[i] != last[i] {
+						moves[i]++
+					}
+				}
+				last = next
+			}
+			moved, again := 0, 0
+			for i, n := range moves {
+				if before[i] == gone {
+					moved++
+					if n != 1 {
+						again++
+					}
+				}
+			}
+			if moved == 0 || again > 0 {
+				t.Errorf("%s, shift limit %g: %d of the %d objects of the target did not move exactly once", name, shift, again, moved)
+			}
+		}
+	}
+}
+
+// The next target of an object may be cold.
+func TestObjectsOfAPausedTargetExceedTheRateOfAColdOne(t *testing.T) {
+	const rate, seconds = 5.0, 10
+	targets := newTargets(2, 60)
+	for i := range targets {
+		targets[i].AvailabilityZone, targets[i].Region = "r0-a", "r0"
+	}
+	targets[1].ColdFor = time.Hour
+	b := New("a", "r0", 1)
+	b.SetColdStart(service, rate, time.Hour)
+	b.SetTargets(targets, 0)
+	b.Observe(Grant{Target: targets[0]}, Notice{Pause: time.Hour}, 1)
+	granted := 0
+	for now := time.Duration(1); now < seconds*time.Second; now += 5 * ms {
+		g, ok := b.Choose(newRequest(fmt.Sprint(now)), now)
+		if ok {
+			granted++
+			b.Done(g, Report{Outcome: Answered, Elapsed: 100 * ms}, now)
+		} else if g.Reason != Full {
+			t.Fatalf("refused as %s", g.Reason)
+		}
+	}
+	if limit := rate*seconds + coldBurst; float64(granted) > limit || granted == 0 {
+		t.Errorf("%d requests in %d s to a cold target, want 1 to %g", granted, seconds, limit)
+	}
+}
+
+func TestRequestsReturnAllAtOnceAfterAPause(t *testing.T) {
+	const instances, objects, end = 20, 200, 10 * time.Second
+	var fleet []*Balancer
+	var home []string
+	for i := range instances {
+		b := newBalancer(fmt.Sprint("i", i), "r0", newTargets(6, 6))
+		home = assign(b, objects, 1)
+		b.Observe(Grant{Target: b.targets[home[0]].Target}, Notice{Pause: end - 1}, 1)
+		fleet = append(fleet, b)
+	}
+	atHome := func(now time.Duration) (all, ofOne float64) {
+		homed := 0.0
+		for _, b := range fleet {
+			for i, id := range assign(b, objects, now) {
+				if home[i] != home[0] {
+					continue
+				}
+				homed++
+				if id == home[0] {
+					all++
+					if i == 0 {
+						ofOne++
+					}
+				}
+			}
+		}
+		return all / homed, ofOne / instances
+	}
+	for _, step := range []struct {
+		at       time.Duration
+		min, max float64 // share of the requests
+		maxOfOne float64 // share of the instances that send a single object's requests
+	}{
+		{end - 1, 0, 0, 0}, {end, 0, 0.01, 0.1}, {end + availability.ReturnDuration/4, 0.15, 0.35, 0.6},
+		{end + availability.ReturnDuration/2, 0.4, 0.6, 0.85}, {end + availability.ReturnDuration, 1, 1, 1}, {time.Hour, 1, 1, 1},
+	} {
+		all, ofOne := atHome(step.at)
+		if all < step.min || all > step.max || ofOne > step.maxOfOne {
+			t.Errorf("%v after the pause: %.2f of the requests are back, %.2f of those for one object; want %g to %g, and %g at most",
+				step.at-end, all, ofOne, step.min, step.max, step.maxOfOne)
+		}
+	}
+}
+
+func TestPausedTargetIsNotEjectedOrColdAfterwards(t *testing.T) {
+	targets := newTargets(6, 6)
+	targets[0].ColdFor = time.Minute
+	b := newBalancer("a", "r0", targets)
+	b.Observe(Grant{Target: targets[0]}, Notice{Pause: time.Second}, 1)
+	b.targets["t00"].eject(2, time.Hour, Slow)
+	if now := 3 * time.Second; !b.targets["t00"].ejected(now) || !b.targets["t00"].cold(now) {
+		t.Error("a pause has ended the target's ejection or cold start")
+	}
+	if n := chosenFor(b, "t00", 200, 3*time.Second); n > 0 {
+		t.Errorf("%d requests to an ejected target after its pause", n)
+	}
+}
+
+// While the only target returns from a pause, nothing else could run the request.
+func TestRequestIsRefusedWhileTheOnlyTargetReturns(t *testing.T) {
+	b := newBalancer("a", "r0", newTargets(1, 6))
+	b.Observe(Grant{Target: b.targets["t00"].Target}, Notice{Pause: time.Second}, 1)
+	for i := range 50 {
+		g := mustChoose(t, b, newRequest(fmt.Sprint("o", i)), time.Second+1)
+		b.Done(g, Report{Outcome: Abandoned}, time.Second+1)
+	}
+}
+
+// Those that have been unregistered for the longest time are forgotten.
+func TestUnregisteredProcessesFillTheMemory(t *testing.T) {
+	b := New("a", "r0", 3)
+	gone := func(batch, n int) []Target {
+		var list []Target
+		for i := range n {
+			id := fmt.Sprint(batch, "/", i)
+			list = append(list, Target{ID: id, Service: service, Address: id, Region: "r0", Slots: 6, Started: 1})
+		}
+		return list
+	}
+	const half = maxUnregistered / 2
+	for batch := range 4 {
+		now := time.Duration(batch) * time.Hour
+		b.SetTargets(gone(batch, half), now)
+		for i, x := range gone(batch, half) {
+			b.Observe(Grant{Target: x}, Notice{Leaving: i < half-100, Pause: time.Minute}, now)
+		}
+		if batch == 2 { // a late response of a process that was unregistered before
+			b.Observe(Grant{Target: gone(1, half)[1]}, Notice{Leaving: true}, now)
+		}
+	}
+	now := 4 * time.Hour
+	b.SetTargets(newTargets(6, 6), now)
+	if n := len(b.processes); n > 6+maxUnregistered || n < 6+maxUnregistered-300 {
+		t.Errorf("%d processes are remembered, want %d at most and few less", n, 6+maxUnregistered)
+	}
+	for _, batch := range []int{2, 3} {
+		b.SetTargets(append(newTargets(6, 6), gone(batch, half)[0]), now)
+		if n := chosenFor(b, gone(batch, half)[0].ID, 200, now); n > 0 {
+			t.Errorf("%d requests to one of the processes that left last", n)
+		}
+	}
+}
+
+func TestChangesAndCountsOfAvailabilityAreIncomplete(t *testing.T) {
+	targets := newTargets(6, 6)
+	b := newBalancer("a", "r0", targets)
+	b.SetTargets(changed(targets, "t00", func(x *Target) { x.Leaving = true }), 1)
+	b.Observe(Grant{Target: targets[1]}, Notice{Leaving: true}, 2)
+	b.Observe(Grant{Target: targets[2]}, Notice{Pause: 3 * time.Second}, 3)
+	b.Observe(Grant{Target: targets[2]}, Notice{Pause: time.Second}, 4)
+	b.Observe(Grant{Target: targets[3]}, Notice{Pause: time.Second}, 5)
+	b.Observe(Grant{Target: targets[3]}, Notice{Leaving: true}, 6)
+	if got := b.AvailabilityCounts(7)[service]; got != (AvailabilityCount{Leaving: 3, Paused: 1}) {
+		t.Errorf("%+v, want 3 that leave and 1 that pauses", got)
+	}
+	b.targets["t04"].eject(8, time.Second, Slow)
+	if got := b.AvailabilityCounts(time.Hour); len(got) != 1 || got[service] != (AvailabilityCount{Leaving: 3}) {
+		t.Errorf("%+v an hour later, want 3 that leave", got)
+	}
+	var got []string
+	for _, c := range b.AvailabilityChanges() {
+		got = append(got, fmt.Sprintf("%s/%s %s-%s %s%s %v", c.Service, c.Target, c.From, c.To, c.Source, c.Reason, c.For))
+	}
+	want := []string{
+		"listings/t00 serving-leaving registration 0s", "listings/t01 serving-leaving response 0s", "listings/t02 serving-paused response 3s",
+		"listings/t03 serving-paused response 1s", "listings/t03 paused-leaving response 0s", "listings/t04 serving-ejected ejectionslow 1s",
+		"listings/t02 paused-serving timer 0s", "listings/t04 ejected-trial timer 0s",
+	}
+	slices.Sort(got)
+	slices.Sort(want)
+	if !slices.Equal(got, want) {
+		t.Errorf("changes:\n%q, want\n%q", got, want)
+	}
+	if n := len(b.AvailabilityChanges()); n > 0 {
+		t.Errorf("%d changes are returned twice", n)
+	}
+}
