explain: name the targets of the request's service that leave, pause or are ejected

From a request's id an operator could not see why its first target got nothing: the last line of each message is shown, and one target's change hides another's. The output now has the last change of each target of the request's service that does not serve. Such a line no longer holds once the target's process is not registered any more, which the new line 'targets: ended' tells.

--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -81,6 +82,10 @@
 		targets = append(targets, t)
 	})
 	changed = changed || len(seen) != len(e.targets)
+	if ended := endedTargets(e.targets, seen); len(ended) > 0 {
+		// Before the lines about the next processes of these targets.
+		e.log.Info().Uint64("revision", m.Revision()).Strs("ended", ended).Msg("targets: ended")
+	}
 	e.targets, e.decoded = seen, maps.Clone(seen)
 	if !changed {
 		return
@@ -89,6 +94,19 @@
 	e.log.Info().Uint64("revision", m.Revision()).Int("targets", len(targets)).Int("leaving", leaving).Msg("targets: changed")
 }
 
+// endedTargets returns the sorted ids of the targets whose processes are in the old
+// registrations but not in the next.
+func endedTargets(old, next map[string]registration) []string {
+	var ids []string
+	for key, r := range old {
+		if n, ok := next[key]; r.err == nil && (!ok || n.target.Started != r.target.Started) {
+			ids = append(ids, r.target.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // applyMembers updates the view of the fleet from the instances' entries in the store,
 // and what depends on it: the quota shares and the choice of a source.
 func (e *Edge) applyMembers(m *mirror.Mirror) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -7,9 +7,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/turmericfield/turmericfield/internal/availability"
 )
 
 // maxLineBytes bounds a line of a log, in bytes.
@@ -29,6 +33,7 @@
 	"unknown-key":      "no workspace of the version in force holds the key: wrong, withdrawn, or not yet in force here",
 	"quota":            "the workspace's rate and burst in the whole fleet are used up; look for 'hub: lost' if they should not be",
 	"no-target":        "no registered target may run the request: look at 'targets: changed', 'zones: changed' and the route's homes",
+	"unavailable":      "every target that may run the request leaves or pauses: the lines 'target: changed' above tell which, by what source and for how long; wait_ms is the time to the first end of a pause, 0 if all leave",
 	"full":             "the target that knows the object had a queue too long for the objective, and the service had no room to teach another",
 	"rejected":         "the targets asked said that they did not run it",
 	"address-reused":   "another target had the address: the log names the one that was there before; look at 'targets: changed'",
@@ -52,6 +57,10 @@
 	"zones: changed", "instances: changed", "store: lost", "store: regained", "hub: lost", "hub: regained", "life: leaving",
 }
 
+// availabilityMessage is the log message that reports a change of one target's
+// availability.
+const availabilityMessage = "target: changed"
+
 // logLine is one line of a log.
 type logLine struct {
 	instance string // the word before the JSON, or "" if there is none
@@ -59,6 +68,51 @@
 	fields   map[string]any
 }
 
+// beliefs is the state of one instance up to a line of its log.
+type beliefs struct {
+	byMessage map[string]logLine // last line of each message
+	byTarget  map[string]logLine // last change of each registered target that is not serving
+}
+
+// add takes one more line into account.
+func (b *beliefs) add(l logLine) {
+	message, _ := l.fields["message"].(string)
+	if message != availabilityMessage {
+		b.byMessage[message] = l
+		ended, _ := l.fields["ended"].([]any)
+		for _, id := range ended {
+			if target, ok := id.(string); ok {
+				delete(b.byTarget, target)
+			}
+		}
+		return
+	}
+	target, _ := l.fields["target"].(string)
+	if l.fields["to"] == string(availability.Serving) {
+		delete(b.byTarget, target)
+	} else {
+		b.byTarget[target] = l
+	}
+}
+
+// lines returns the lines that show the state before a line of a request: the last one of
+// each state message and, if the request's service is known, the last change of each of
+// its targets that is not serving.
+func (b *beliefs) lines(request logLine) []logLine {
+	var lines []logLine
+	for _, message := range stateMessages {
+		if l, ok := b.byMessage[message]; ok {
+			lines = append(lines, l)
+		}
+	}
+	for _, target := range slices.Sorted(maps.Keys(b.byTarget)) {
+		if l := b.byTarget[target]; l.fields["service"] == request.fields["service"] {
+			lines = append(lines, l)
+		}
+	}
+	return lines
+}
+
 // Request writes what the log says about the request with the given id. For each
 // instance that logged the request these are the instance's state before, marked
 // "believed", the lines of the request, marked with their decision, and an explanation
@@ -66,7 +120,7 @@
 func Request(log io.Reader, id string, out io.Writer) error {
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
-	lastLines := map[string]map[string]logLine{} // instance → message → line
+	believed := map[string]*beliefs{} // by instance
 	stateWritten := map[string]bool{}
 	found := false
 	for scanner.Scan() {
@@ -74,21 +128,18 @@
 		if !ok {
 			continue
 		}
+		if believed[l.instance] == nil {
+			believed[l.instance] = &beliefs{map[string]logLine{}, map[string]logLine{}}
+		}
 		if l.fields["request"] != id {
-			message, _ := l.fields["message"].(string)
-			if lastLines[l.instance] == nil {
-				lastLines[l.instance] = map[string]logLine{}
-			}
-			lastLines[l.instance][message] = l
+			believed[l.instance].add(l)
 			continue
 		}
 		found = true
 		if !stateWritten[l.instance] {
 			stateWritten[l.instance] = true
-			for _, message := range stateMessages {
-				if stateLine, ok := lastLines[l.instance][message]; ok {
-					_, _ = fmt.Fprintf(out, "believed  %s%s\n", instancePrefix(l.instance), stateLine.text)
-				}
+			for _, state := range believed[l.instance].lines(l) {
+				_, _ = fmt.Fprintf(out, "believed  %s%s\n", instancePrefix(l.instance), state.text)
 			}
 		}
 		_, _ = fmt.Fprintf(out, "%-9s %s%s\n", l.fields["decision"], instancePrefix(l.instance), l.text)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -5,6 +5,8 @@
 	"regexp"
 	"strings"
 	"testing"
+
+	"github.com/turmericfield/turmericfield/internal/affinity"
 )
 
 // sampleLog is a log of two instances, which both handled request r1.
@@ -34,6 +36,33 @@
 	}
 }
 
+// TestExplanationNamesTargetsOfTheServiceThatAreNotServing checks that the output shows,
+// for each such target, the last change before the request.
+func TestExplanationNamesTargetsOfTheServiceThatAreNotServing(t *testing.T) {
+	const log = `
+  1.0 front-a {"message":"target: changed","target":"t1","service":"s","to":"paused","source":"response","for_ms":900}
+  1.1 front-a {"message":"target: changed","target":"t2","service":"s","to":"ejected","source":"response","for_ms":1000}
+  1.2 front-a {"message":"target: changed","target":"t2","service":"s","from":"ejected","to":"serving"}
+  1.2 front-a {"message":"target: changed","target":"t6","service":"s","to":"leaving","source":"registration"}
+  1.2 front-a {"message":"targets: ended","ended":["t6"]}
+  1.3 front-a {"message":"target: changed","target":"t3","service":"other","to":"leaving","source":"registration"}
+  1.4 front-b {"message":"target: changed","target":"t4","service":"s","to":"leaving","source":"registration"}
+  1.5 front-a {"message":"target: changed","target":"t1","service":"s","to":"leaving","source":"response"}
+  1.6 front-a {"request":"r1","decision":"refused","reason":"unavailable","service":"s"}
+  1.7 front-a {"message":"target: changed","target":"t5","service":"s","to":"leaving","source":"response"}
+`
+	var out strings.Builder
+	if err := Request(strings.NewReader(log), "r1", &out); err != nil {
+		t.Fatal(err)
+	}
+	want := `believed  front-a {"message":"target: changed","target":"t1","service":"s","to":"leaving","source":"response"}
+refused   front-a {"request":"r1","decision":"refused","reason":"unavailable","service":"s"}
+cause     ` + causes["unavailable"] + "\n"
+	if out.String() != want {
+		t.Errorf("got\n%s\nwant\n%s", out.String(), want)
+	}
+}
+
 // TestEachReasonHasACause fails if a reason with which the gateway refuses a request
 // has no explanation. It finds the reasons in the gateway's source.
 func TestEachReasonHasACause(t *testing.T) {
@@ -53,4 +82,9 @@
 			}
 		}
 	}
+	for _, r := range []affinity.Reason{affinity.NoTarget, affinity.Full, affinity.Unavailable} {
+		if causes[string(r)] == "" {
+			t.Errorf("reason %q has no cause", r)
+		}
+	}
 }
