--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/turmericfield/turmericfield/internal/affinity"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/metrics"
@@ -19,7 +20,7 @@
 
 var testHeaders = HeaderNames{
 	RequestID: "Id", Deadline: "Wait", Object: "Object", APIKey: "Key", Workspace: "Workspace",
-	ExpectedInstance: "Expected", Signature: "Proof", NotRun: "Not-Run", Load: "Load",
+	ExpectedInstance: "Expected", Signature: "Proof", NotRun: "Not-Run", Load: "Load", Leaving: "Leaving",
 }
 
 // bytesConn is a connection from which given bytes are read.
@@ -44,7 +45,7 @@
 	}
 	r := httptest.NewRequest(http.MethodGet, "/x", nil)
 	f.Fuzz(func(t *testing.T, answer []byte) {
-		conn := newTargetConn(bytesConn{Reader: bytes.NewReader(answer)}, "t")
+		conn := newTargetConn(bytesConn{Reader: bytes.NewReader(answer)}, affinity.Target{ID: "t"})
 		conn.carried = []uint64{1}
 		x := &exchange{conn: conn}
 		if x.readHead(r, testHeaders, "a") != nil {
