--- a/internal/affinity/availability_test.go
+++ b/internal/affinity/availability_test.go
@@ -442,3 +442,86 @@
 		t.Errorf("%d changes are returned twice", n)
 	}
 }
+
+// pauseFirst lets the first n targets of region r0 say something to all instances.
+func (f *shiftFleet) pauseFirst(n int, notice Notice) {
+	for _, b := range f.balancers {
+		left := n
+		for _, x := range f.targets {
+			if x.Region == "r0" && left > 0 {
+				left--
+				b.Observe(Grant{Target: x}, notice, f.now)
+			}
+		}
+	}
+}
+
+func TestPausedTargetsGetTheirRequestsBackFromOtherRegionsAtOnce(t *testing.T) {
+	forFleets(t, func(t *testing.T, instances int) {
+		f := newShiftFleet(instances, 31, 62, 74)
+		f.run(4 * time.Second)
+		f.pauseFirst(31, Notice{Pause: 4 * time.Second})
+		back := f.now + 2*time.Second
+		f.run(16 * time.Second)
+		f.checkShift(t, back)
+	})
+}
+
+// It takes seconds to shift a region's share back, so that of a short pause stays.
+func TestShortPauseKeepsObjectsInOtherRegionsAfterItsEnd(t *testing.T) {
+	targets := newTargets(32, 6)
+	for i := range targets {
+		targets[i].Region = fmt.Sprint("r", 1+i%2)
+		if i < 4 {
+			targets[i].Region = "r0"
+		}
+	}
+	b := New("a", "r0", 3)
+	b.SetMaxShift(maxShift)
+	b.SetTargets(targets, 0)
+	const end = minCountedPause - 1
+	before := assign(b, 400, 0)
+	for _, x := range targets[:2] {
+		b.Observe(Grant{Target: x}, Notice{Pause: end}, 0)
+	}
+	for now := time.Duration(0); now < end+availability.ReturnDuration; now += 50 * ms {
+		for i, id := range assign(b, 400, now) {
+			if before[i] != "t00" && before[i] != "t01" && id != before[i] {
+				t.Fatalf("at %v: object %d moved from %s to %s", now, i, before[i], id)
+			}
+		}
+	}
+	if after := assign(b, 400, end+availability.ReturnDuration); !slices.Equal(before, after) {
+		t.Error("not all objects went home after a short pause")
+	}
+}
+
+func TestOtherTargetsOfARegionTakeAllRequestsOfThoseThatLeaveOrPause(t *testing.T) {
+	for name, notice := range notices {
+		perTarget, total := map[string]int{}, 0
+		for _, region := range []string{"r0", "r1", "r2"} {
+			b := New("a", region, 3)
+			b.SetMaxShift(maxShift)
+			b.SetTargets(newTargets(30, 6), 0)
+			assign(b, 300, 0)
+			for i, x := range newTargets(30, 6) {
+				if i%3 == 0 && i < 18 { // six of the ten of r0
+					b.Observe(Grant{Target: x}, notice, 1)
+				}
+			}
+			for i := range 300 {
+				g := mustChoose(t, b, newRequest(fmt.Sprint(region, i)), 2)
+				b.Done(g, Report{Outcome: Abandoned}, 2)
+				perTarget[g.Target.ID]++
+				total++
+			}
+		}
+		inR0 := 0
+		for _, id := range []string{"t18", "t21", "t24", "t27"} {
+			inR0 += perTarget[id]
+		}
+		if mean := float64(total) / 24; float64(inR0)/4 > 1.5*mean {
+			t.Errorf("%s: the other targets of the region have %d objects, want %.0f at most", name, inR0, 4*1.5*mean)
+		}
+	}
+}
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -161,7 +161,7 @@
 	if s.process.State(now) != availability.Paused {
 		return
 	}
-	if until := s.process.PausedUntil(); l.until == 0 || until < l.until {
+	if _, until := s.process.LastPause(); l.until == 0 || until < l.until {
 		l.until = until
 	}
 	l.topScore = max(l.topScore, score)
--- a/internal/affinity/regions.go
+++ b/internal/affinity/regions.go
@@ -21,6 +21,9 @@
 	// others not to count. Otherwise the few that happen to be usable first, for example
 	// when all targets have just started, would determine where all requests go.
 	minUsableShare = 0.5
+	// minCountedPause is the length from which the slots of a paused target count as not
+	// usable. It takes longer to shift their requests back than a shorter pause lasts.
+	minCountedPause = shiftWindow
 )
 
 // regionMix is how the requests of this balancer's region for one service, other than
@@ -154,7 +157,7 @@
 }
 
 // usableTargets returns the targets of a service that get requests and are neither
-// ejected, paused nor limited to a cold rate. If their slots are less than minUsableShare of
+// ejected, limited to a cold rate, nor paused for at least minCountedPause. If their slots are less than minUsableShare of
 // the slots of all that get requests, it returns all these.
 func (b *Balancer) usableTargets(service string, now time.Duration) []*targetState {
 	var open, usable []*targetState
@@ -165,7 +168,9 @@
 			continue
 		}
 		open, openSlots = append(open, s), openSlots+s.Slots
-		if state != availability.Paused && !s.process.Ejected(now) && !(s.cold(now) && b.coldLimits[service].rate > 0) {
+		length, _ := s.process.LastPause()
+		paused := state == availability.Paused && length >= minCountedPause
+		if !paused && !s.process.Ejected(now) && !(s.cold(now) && b.coldLimits[service].rate > 0) {
 			usable, usableSlots = append(usable, s), usableSlots+s.Slots
 		}
 	}
--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -83,7 +83,8 @@
 
 	draining    bool          // the registration says so
 	saidLeaving bool          // a response said so, which holds for good
-	pausedUntil time.Duration // end of the latest pause; 0 if there was none
+	pausedSince time.Duration // begin of the latest pause
+	pausedUntil time.Duration // its end; 0 if there was none
 
 	health health
 
@@ -103,8 +104,11 @@
 // or leaving, as of the latest call with a time.
 func (p *Process) Refuses() bool { return p.state == Paused || p.state == Leaving }
 
-// PausedUntil returns the end of the latest pause, and 0 if there was none.
-func (p *Process) PausedUntil() time.Duration { return p.pausedUntil }
+// LastPause returns the length and the end of the latest pause, 0 and 0 if there was
+// none.
+func (p *Process) LastPause() (length, until time.Duration) {
+	return p.pausedUntil - p.pausedSince, p.pausedUntil
+}
 
 // SetDraining takes in whether the registration says that the process leaves.
 func (p *Process) SetDraining(draining bool, now time.Duration) {
@@ -133,6 +137,9 @@
 	if d < until-now {
 		until = now + d
 	}
+	if now >= p.pausedUntil {
+		p.pausedSince = now
+	}
 	p.pausedUntil = max(p.pausedUntil, until)
 	p.advance(now, Response)
 }
--- a/internal/availability/availability_test.go
+++ b/internal/availability/availability_test.go
@@ -142,8 +142,9 @@
 		for _, d := range test.pauses {
 			p.Pause(d, now)
 		}
-		if p.PausedUntil() != test.until || (p.State(now) == Paused) != (test.until > now) {
-			t.Errorf("%s: %s until %v, want until %v", name, p.State(now), p.PausedUntil(), test.until)
+		length, until := p.LastPause()
+		if until != test.until || length != max(until-now, 0) || (p.State(now) == Paused) != (until > now) {
+			t.Errorf("%s: %s for %v until %v, want until %v", name, p.State(now), length, until, test.until)
 		}
 		p.State(math.MaxInt64)
 		if share := p.ReturnedShare(math.MaxInt64); share < 0 || share > 1 {
