--- a/internal/affinity/availability_test.go
+++ b/internal/affinity/availability_test.go
@@ -443,6 +443,52 @@
 	}
 }
 
+// A target that asks for a pause turns all requests away that are on their way.
+func TestRejectionsAtTheBeginOfAPauseEjectTheTarget(t *testing.T) {
+	b := newBalancer("a", "r0", newTargets(6, 6))
+	now := time.Duration(1)
+	for range 5 {
+		var grants []Grant
+		for i := range 200 {
+			if g := mustChoose(t, b, newRequest(fmt.Sprint("o", i)), now); g.Target.ID == "t00" && len(grants) < 5 {
+				grants = append(grants, g)
+			} else {
+				b.Done(g, Report{Outcome: Answered}, now)
+			}
+		}
+		for _, g := range grants {
+			b.Observe(g, Notice{Pause: 500 * ms}, now)
+			b.Done(g, Report{Outcome: Rejected}, now)
+		}
+		now += 5 * time.Second
+	}
+	for _, c := range b.AvailabilityChanges() {
+		if c.Source == availability.Ejection {
+			t.Fatalf("%+v", c)
+		}
+	}
+}
+
+// One that asks for a pause whenever it gets a request takes the retries of others.
+func TestTargetThatPausesAgainAndAgainIsNotEjected(t *testing.T) {
+	b := newBalancer("a", "r0", newTargets(6, 6))
+	now, rejected := time.Duration(1), 0
+	for i := range 6000 {
+		g := mustChoose(t, b, newRequest(fmt.Sprint("o", i%40)), now)
+		if g.Target.ID == "t00" {
+			rejected++
+			b.Observe(g, Notice{Pause: ms}, now)
+			b.Done(g, Report{Outcome: Rejected}, now)
+		} else {
+			b.Done(g, Report{Outcome: Answered, Elapsed: 200 * ms}, now)
+		}
+		now += 5 * ms
+	}
+	if rejected == 0 || rejected > 20 {
+		t.Errorf("%d of 6,000 requests in 30 s went to a target that rejects all with a short pause, want 1 to 20", rejected)
+	}
+}
+
 // pauseFirst lets the first n targets of region r0 say something to all instances.
 func (f *shiftFleet) pauseFirst(n int, notice Notice) {
 	for _, b := range f.balancers {
--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -85,6 +85,8 @@
 	saidLeaving bool          // a response said so, which holds for good
 	pausedSince time.Duration // begin of the latest pause
 	pausedUntil time.Duration // its end; 0 if there was none
+	// rejectedInPause is true if a rejection in the latest pause has been counted.
+	rejectedInPause bool
 
 	health health
 
@@ -138,7 +140,7 @@
 		until = now + d
 	}
 	if now >= p.pausedUntil {
-		p.pausedSince = now
+		p.pausedSince, p.rejectedInPause = now, false
 	}
 	p.pausedUntil = max(p.pausedUntil, until)
 	p.advance(now, Response)
--- a/internal/availability/health.go
+++ b/internal/availability/health.go
@@ -137,8 +137,15 @@
 // RecordNeedlessRejection counts a request that the process rejected although it had
 // free slots. A retry costs the caller little, so consecutive rejections alone do not
 // eject the process. One that rejects far more often than the others does not serve its
-// objects and is ejected.
+// objects and is ejected. Of the rejections in a pause only one counts: the requests had
+// all been sent before the process asked for the pause.
 func (p *Process) RecordNeedlessRejection(now time.Duration, meanFailureRate float64) {
+	if p.State(now) == Paused {
+		if p.rejectedInPause {
+			return
+		}
+		p.rejectedInPause = true
+	}
 	p.health.failureRate += (1 - p.health.failureRate) * failureRateWeight
 	if p.health.failsOften(meanFailureRate) {
 		p.Eject(now, MinEjection, FailsOften)
