--- a/internal/affinity/availability_test.go
+++ b/internal/affinity/availability_test.go
@@ -571,3 +571,13 @@
 		}
 	}
 }
+
+func TestEjectedTargetGetsRequestsInsteadOfOneThatReturns(t *testing.T) {
+	const end = time.Second
+	b := newBalancer("a", "r0", newTargets(2, 6))
+	b.Observe(Grant{Target: b.targets["t00"].Target}, Notice{Pause: end}, 0)
+	b.targets["t01"].eject(0, time.Hour, Slow)
+	if n := chosenFor(b, "t00", 100, end); n != 100 {
+		t.Errorf("%d of 100 requests went to an ejected target while another returned from a pause", 100-n)
+	}
+}
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -21,7 +21,10 @@
 	if len(candidates) == 0 {
 		return refusing.refusal(now), false
 	}
-	usable := b.usable(candidates, now)
+	usable := b.usable(candidates, now, false)
+	if len(usable) == 0 {
+		usable = b.usable(candidates, now, true)
+	}
 	if len(usable) == 0 {
 		return b.chooseEjected(candidates, r, now)
 	}
@@ -54,12 +57,12 @@
 }
 
 // usable returns the first candidates that are neither ejected nor over the rate of
-// a cold target, and get the request back if they return from a pause, at most
-// 1+maxSpillTargets.
-func (b *Balancer) usable(candidates []candidate, now time.Duration) []*targetState {
+// a cold target, at most 1+maxSpillTargets. Those that return from a pause and do not
+// yet get the request back are among them only if returning is true.
+func (b *Balancer) usable(candidates []candidate, now time.Duration, returning bool) []*targetState {
 	list := make([]*targetState, 0, 1+maxSpillTargets)
 	for _, c := range candidates {
-		if c.process.Ejected(now) || !c.returned || c.cold(now) && !b.takeColdToken(c.targetState, now, false) {
+		if c.process.Ejected(now) || !c.returned && !returning || c.cold(now) && !b.takeColdToken(c.targetState, now, false) {
 			continue
 		}
 		if list = append(list, c.targetState); len(list) > maxSpillTargets {
@@ -69,8 +72,8 @@
 	return list
 }
 
-// chooseEjected grants the first candidate with an acceptable wait, ejected, returning
-// from a pause or neither. It is used if no candidate is usable.
+// chooseEjected grants the first candidate with an acceptable wait, ejected or not. It
+// is used if no candidate is usable.
 func (b *Balancer) chooseEjected(candidates []candidate, r Request, now time.Duration) (Grant, bool) {
 	g := Grant{Reason: Full}
 	for _, c := range candidates {
