--- a/charts/charts.go
+++ b/charts/charts.go
@@ -3,8 +3,9 @@
 // them.
 //
 // The program runs the charts instance and plan. The charts lease, plan and writer
-// have models in the folder spec, which a test compares with them. The others are a
-// description of states that are kept elsewhere in the program.
+// have models in the folder spec, which a test compares with them. Package availability
+// has the transitions of the chart availability, by a test. The others are a description
+// of states that are kept elsewhere in the program.
 package charts
 
 import "embed"
