--- a/internal/affinity/availability_test.go
+++ b/internal/affinity/availability_test.go
@@ -525,7 +525,7 @@
 	b := New("a", "r0", 3)
 	b.SetMaxShift(maxShift)
 	b.SetTargets(targets, 0)
-	const end = minCountedPause - 1
+	const end = shiftWindow - 1
 	before := assign(b, 400, 0)
 	for _, x := range targets[:2] {
 		b.Observe(Grant{Target: x}, Notice{Pause: end}, 0)
