--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -198,6 +198,7 @@
 	b.targets, b.services = make(map[string]*targetState, len(targets)), map[string][]*targetState{}
 	for _, t := range targets {
 		s, p := old[t.ID], b.processOf(t)
+		p.service = t.Service
 		switch {
 		case s == nil || s.Started != t.Started || s.Address != t.Address:
 			p.ForgetHealth(now)
@@ -206,7 +207,6 @@
 			s.coldUntil = max(s.coldUntil, now+t.ColdFor)
 		}
 		s.Target = t
-		p.service = t.Service
 		p.SetDraining(t.Leaving, now)
 		b.targets[t.ID] = s
 		b.services[t.Service] = append(b.services[t.Service], s)
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -17,13 +17,14 @@
 // is acceptable, otherwise to one of the next targets that has the object cached, and
 // only while the service has spare capacity to one that has not.
 func (b *Balancer) Choose(r Request, now time.Duration) (Grant, bool) {
-	candidates, refusing := b.candidates(r, now)
+	key := r.key()
+	candidates, refusing := b.candidates(r, key, now)
 	if len(candidates) == 0 {
 		return refusing.refusal(now), false
 	}
-	usable := b.usable(candidates, now, false)
+	usable := b.usable(candidates, key, now, false)
 	if len(usable) == 0 {
-		usable = b.usable(candidates, now, true)
+		usable = b.usable(candidates, key, now, true)
 	}
 	if len(usable) == 0 {
 		return b.chooseEjected(candidates, r, now)
@@ -39,10 +40,9 @@
 	if b.waitAcceptable(first, r, now) {
 		return b.grant(first, r, reason, now), true
 	}
-	object := xxhash.Sum64String(r.Object)
 	others := usable[1:min(len(usable), 1+maxSpillTargets)]
 	for _, s := range others {
-		if s.hasCached(object) && b.waitAcceptable(s, r, now) {
+		if s.hasCached(key) && b.waitAcceptable(s, r, now) {
 			return b.grant(s, r, Spilled, now), true
 		}
 	}
@@ -59,10 +59,10 @@
 // usable returns the first candidates that are neither ejected nor over the rate of
 // a cold target, at most 1+maxSpillTargets. Those that return from a pause and do not
 // yet get the request back are among them only if returning is true.
-func (b *Balancer) usable(candidates []candidate, now time.Duration, returning bool) []*targetState {
+func (b *Balancer) usable(candidates []candidate, key uint64, now time.Duration, returning bool) []*targetState {
 	list := make([]*targetState, 0, 1+maxSpillTargets)
 	for _, c := range candidates {
-		if c.process.Ejected(now) || !c.returned && !returning || c.cold(now) && !b.takeColdToken(c.targetState, now, false) {
+		if c.process.Ejected(now) || !returning && !b.hasReturned(c.targetState, key, now) || c.cold(now) && !b.takeColdToken(c.targetState, now, false) {
 			continue
 		}
 		if list = append(list, c.targetState); len(list) > maxSpillTargets {
@@ -142,24 +142,29 @@
 	return load / max(slots, 1)
 }
 
+// key returns the hash by which targets are ranked for the request.
+func (r Request) key() uint64 {
+	if r.Object == "" {
+		return xxhash.Sum64String(r.ID)
+	}
+	return xxhash.Sum64String(r.Object)
+}
+
 // candidate is an eligible target with its score for one request.
 type candidate struct {
 	*targetState
 	score float64
-	// returned is false if the target is returning from a pause and does not yet get
-	// the request back.
-	returned bool
 }
 
-// refusing sums up the targets that might run a request if they did not leave or pause.
-type refusing struct {
+// refusingTargets sums up the targets that might run a request if they did not leave or pause.
+type refusingTargets struct {
 	targets  int
 	until    time.Duration // earliest end of a pause; 0 if there is none
 	topScore float64       // highest score of a paused target
 }
 
 // add adds a target, with its score for the request if it is paused.
-func (l *refusing) add(s *targetState, score float64, now time.Duration) {
+func (l *refusingTargets) add(s *targetState, score float64, now time.Duration) {
 	l.targets++
 	if s.process.State(now) != availability.Paused {
 		return
@@ -171,7 +176,7 @@
 }
 
 // refusal returns the result of Choose if there is no other target.
-func (l *refusing) refusal(now time.Duration) Grant {
+func (l *refusingTargets) refusal(now time.Duration) Grant {
 	switch {
 	case l.targets == 0:
 		return Grant{Reason: NoTarget}
@@ -183,19 +188,14 @@
 
 // candidates returns the targets that may run the request, the highest score first, and
 // those that are left out because they leave or pause.
-func (b *Balancer) candidates(r Request, now time.Duration) ([]candidate, *refusing) {
-	key := r.Object
-	if key == "" {
-		key = r.ID
-	}
-	h := xxhash.Sum64String(key)
+func (b *Balancer) candidates(r Request, key uint64, now time.Duration) ([]candidate, refusingTargets) {
 	weights := b.regionWeights(r, now)
-	list, left := make([]candidate, 0, len(b.services[r.Service])), &refusing{}
+	list, left := make([]candidate, 0, len(b.services[r.Service])), refusingTargets{}
 	for _, s := range b.services[r.Service] {
 		if b.closedZones[s.AvailabilityZone] || slices.Contains(r.Exclude, s.ID) || !r.HomeRegions.Has(s.Region) {
 			continue
 		}
-		w := score(h, s)
+		w := score(key, s)
 		if weights != nil {
 			w *= weights.of(s)
 		}
@@ -203,7 +203,7 @@
 			left.add(s, w, now)
 			continue
 		}
-		list = append(list, candidate{s, w, b.hasReturned(s, h, now)})
+		list = append(list, candidate{s, w})
 	}
 	slices.SortFunc(list, func(x, y candidate) int {
 		switch {
@@ -217,13 +217,13 @@
 	return list, left
 }
 
-// hasReturned reports whether requests with the given hash go to the target again after
-// a pause. Each has its own moment during the return, by a hash of request, target and
+// hasReturned reports whether requests with the given key go to the target again after
+// a pause. Each key has its own moment during the return, by a hash of request, target and
 // instance: the load of an instance grows steadily, and the requests for an object that
 // many ask for do not return from all instances at once.
-func (b *Balancer) hasReturned(s *targetState, request uint64, now time.Duration) bool {
+func (b *Balancer) hasReturned(s *targetState, key uint64, now time.Duration) bool {
 	share := s.process.ReturnedShare(now)
-	return share >= 1 || uniform(request^s.idHash^b.selfHash) < share
+	return share >= 1 || uniform(key^s.idHash^b.selfHash) < share
 }
 
 // score returns the target's score for an object in weighted rendezvous hashing. The
--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -51,6 +51,9 @@
 // process, so that it does not get them all at once.
 const ReturnDuration = time.Second
 
+// never is a time that does not come.
+const never = time.Duration(math.MaxInt64)
+
 // event is an event of the chart availability.
 type event string
 
@@ -80,6 +83,7 @@
 // monotonic clock that counts suspensions.
 type Process struct {
 	state State
+	ends  time.Duration // when the state may change without another call; never if it does not
 
 	draining    bool          // the registration says so
 	saidLeaving bool          // a response said so, which holds for good
@@ -94,11 +98,13 @@
 }
 
 // New returns a process that is Serving. Changes of its state are passed to record.
-func New(record func(Change)) *Process { return &Process{state: Serving, record: record} }
+func New(record func(Change)) *Process { return &Process{state: Serving, ends: never, record: record} }
 
 // State returns the state at the given time.
 func (p *Process) State(now time.Duration) State {
-	p.advance(now, Timer)
+	if now >= p.ends {
+		p.advance(now, Timer)
+	}
 	return p.state
 }
 
@@ -114,7 +120,7 @@
 
 // SetDraining takes in whether the registration says that the process leaves.
 func (p *Process) SetDraining(draining bool, now time.Duration) {
-	p.advance(now, Timer)
+	p.State(now)
 	p.draining = draining
 	p.advance(now, Registration)
 }
@@ -122,7 +128,7 @@
 // Leave takes in a response that says that the process leaves. The process is Leaving
 // from then on, whatever its registration says.
 func (p *Process) Leave(now time.Duration) {
-	p.advance(now, Timer)
+	p.State(now)
 	p.saidLeaving = true
 	p.advance(now, Response)
 }
@@ -134,8 +140,8 @@
 	if d <= 0 {
 		return
 	}
-	p.advance(now, Timer)
-	until := time.Duration(math.MaxInt64)
+	p.State(now)
+	until := never
 	if d < until-now {
 		until = now + d
 	}
@@ -176,11 +182,15 @@
 	}
 }
 
-// fireDue fires the events that are due.
+// fireDue fires the events that are due and sets when the next may be.
 func (p *Process) fireDue(now time.Duration) {
 	for e := p.due(now); e != ""; e = p.due(now) {
 		p.state = transitions[p.state][e]
 	}
+	p.ends = never
+	if d := p.remaining(now); d > 0 {
+		p.ends = now + d
+	}
 }
 
 // due returns the event that leads from the present state towards the one that applies
--- a/internal/availability/health.go
+++ b/internal/availability/health.go
@@ -155,7 +155,7 @@
 // Eject starts an ejection twice as long as the last one since the process's recovery,
 // at least minDuration and at most maxEjection.
 func (p *Process) Eject(now, minDuration time.Duration, reason EjectionReason) {
-	p.advance(now, Timer)
+	p.State(now)
 	h := &p.health
 	h.trialInFlight = false
 	h.ejectionDuration = min(max(2*h.ejectionDuration, minDuration), maxEjection)
@@ -169,7 +169,7 @@
 // is under half of minEjectFailureRate and its relative latency under the square root
 // of slowRelativeLatency.
 func (p *Process) RecordSuccess(now time.Duration) {
-	p.advance(now, Timer)
+	p.State(now)
 	h := &p.health
 	h.consecutiveFailures, h.trialInFlight, h.respondedAt = 0, false, now
 	h.failureRate -= h.failureRate * failureRateWeight
@@ -196,7 +196,7 @@
 // ForgetHealth forgets what the outcomes of requests have shown, as for a process that
 // is reached at another address. What it said itself stays.
 func (p *Process) ForgetHealth(now time.Duration) {
-	p.advance(now, Timer)
+	p.State(now)
 	p.health = health{}
 	p.advance(now, Registration)
 }
