--- a/internal/availability/health.go
+++ b/internal/availability/health.go
@@ -137,8 +137,15 @@
 // RecordNeedlessRejection counts a request that the process rejected although it had
 // free slots. A retry costs the caller little, so consecutive rejections alone do not
 // eject the process. One that rejects far more often than the others does not serve its
-// objects and is ejected.
+// objects and is ejected. Of the rejections in a pause only one counts: the requests had
+// all been sent before the process asked for the pause.
 func (p *Process) RecordNeedlessRejection(now time.Duration, meanFailureRate float64) {
+	if p.State(now) == Paused {
+		if p.rejectedInPause {
+			return
+		}
+		p.rejectedInPause = true
+	}
 	p.health.failureRate += (1 - p.health.failureRate) * failureRateWeight
 	if p.health.failsOften(meanFailureRate) {
 		p.Eject(now, MinEjection, FailsOften)
@@ -148,7 +155,7 @@
 // Eject starts an ejection twice as long as the last one since the process's recovery,
 // at least minDuration and at most maxEjection.
 func (p *Process) Eject(now, minDuration time.Duration, reason EjectionReason) {
-	p.advance(now, Timer)
+	p.State(now)
 	h := &p.health
 	h.trialInFlight = false
 	h.ejectionDuration = min(max(2*h.ejectionDuration, minDuration), maxEjection)
@@ -162,7 +169,7 @@
 // is under half of minEjectFailureRate and its relative latency under the square root
 // of slowRelativeLatency.
 func (p *Process) RecordSuccess(now time.Duration) {
-	p.advance(now, Timer)
+	p.State(now)
 	h := &p.health
 	h.consecutiveFailures, h.trialInFlight, h.respondedAt = 0, false, now
 	h.failureRate -= h.failureRate * failureRateWeight
@@ -189,7 +196,7 @@
 // ForgetHealth forgets what the outcomes of requests have shown, as for a process that
 // is reached at another address. What it said itself stays.
 func (p *Process) ForgetHealth(now time.Duration) {
-	p.advance(now, Timer)
+	p.State(now)
 	p.health = health{}
 	p.advance(now, Registration)
 }
