--- a/internal/affinity/regions.go
+++ b/internal/affinity/regions.go
@@ -21,8 +21,8 @@
 	// others not to count. Otherwise the few that happen to be usable first, for example
 	// when all targets have just started, would determine where all requests go.
 	minUsableShare = 0.5
-	// minCountedPause is the length from which the slots of a paused target count as not
-	// usable. It takes longer to shift their requests back than a shorter pause lasts.
+	// minCountedPause is the length from which the slots of a paused target always count
+	// as not usable. See countsAsPaused.
 	minCountedPause = shiftWindow
 )
 
@@ -95,7 +95,7 @@
 
 // updateRegionMix moves the distributions of a service towards the desired ones.
 func (b *Balancer) updateRegionMix(m *regionMix, service string, now time.Duration) {
-	usable := b.usableTargets(service, now)
+	usable := b.usableTargets(m, service, now)
 	slots, kept := map[string]float64{}, map[string]float64{}
 	for _, s := range usable {
 		slots[s.Region] += float64(s.Slots)
@@ -157,9 +157,10 @@
 }
 
 // usableTargets returns the targets of a service that get requests and are neither
-// ejected, limited to a cold rate, nor paused for at least minCountedPause. If their slots are less than minUsableShare of
+// ejected nor limited to a cold rate, nor paused so that it counts. If their slots are less than minUsableShare of
 // the slots of all that get requests, it returns all these.
-func (b *Balancer) usableTargets(service string, now time.Duration) []*targetState {
+func (b *Balancer) usableTargets(m *regionMix, service string, now time.Duration) []*targetState {
+	uncounted := b.shiftLimit(shiftWindow)
 	var open, usable []*targetState
 	openSlots, usableSlots := 0, 0
 	for _, s := range b.services[service] {
@@ -168,9 +169,7 @@
 			continue
 		}
 		open, openSlots = append(open, s), openSlots+s.Slots
-		length, _ := s.process.LastPause()
-		paused := state == availability.Paused && length >= minCountedPause
-		if !paused && !s.process.Ejected(now) && !(s.cold(now) && b.coldLimits[service].rate > 0) {
+		if !m.countsAsPaused(s, state, &uncounted) && !s.process.Ejected(now) && !(s.cold(now) && b.coldLimits[service].rate > 0) {
 			usable, usableSlots = append(usable, s), usableSlots+s.Slots
 		}
 	}
@@ -180,6 +179,26 @@
 	return usable
 }
 
+// countsAsPaused reports whether a target in the given state counts as not usable since
+// it pauses. The requests of a short pause go to the next targets in rank and come back
+// with its end, whatever their regions; shifting them back would take longer than the
+// pause lasts. That goes as far as they are at most the fraction uncounted of all, from
+// which they are taken.
+func (m *regionMix) countsAsPaused(s *targetState, state availability.State, uncounted *float64) bool {
+	if state != availability.Paused {
+		s.pauseCounted = false
+		return false
+	}
+	length, _ := s.process.LastPause()
+	share := max(m.objects[s.Region], m.spread[s.Region]) * float64(s.Slots) / max(m.slots[s.Region], 1)
+	if s.pauseCounted || length >= minCountedPause || share > *uncounted {
+		s.pauseCounted = true
+		return true
+	}
+	*uncounted -= share
+	return false
+}
+
 // initialMix returns the distributions of a balancer that has just started, or of a
 // service that is new to it. Other instances of the region may still be moving their
 // requests to targets that started a short time ago. So it repeats what these do, as
--- a/internal/affinity/target.go
+++ b/internal/affinity/target.go
@@ -75,6 +75,7 @@
 	coldRefilledAt time.Duration
 
 	countedSlots float64 // slots counted in regionMix.slots; 0 if the target was not usable then
+	pauseCounted bool    // whether its present pause has counted; see regionMix.countsAsPaused
 
 	cachedObjects map[uint64]time.Duration // hash of object → time of the last response for it
 }
