--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,10 @@
 	// for which API keys are trusted without new confirmation. It covers the transit
 	// of a request and the time to decide on it.
 	revocationMargin = 700 * time.Millisecond
+	// homeMargin is subtracted from Settings.MaxConfigurationDelay to get the time for
+	// which home regions are trusted without new confirmation. It covers the transit of
+	// a request to its target, and a stall of the process before its send.
+	homeMargin = 200 * time.Millisecond
 	// registrationGrace is how long after the end of a store outage an entry whose
 	// lease expired is kept, so that its owner can register again.
 	registrationGrace = 2 * time.Second
@@ -97,14 +101,22 @@
 }
 
 // WatchWait returns how long the store may hold a watch call (a long poll) that has
-// no changes to return. A response confirms that keys were current when it was
-// requested, so the last confirmation is up to two such times old, or three through
-// another instance. The rest of MaxRevocationDelay is left for store outages.
-func (s Settings) WatchWait() time.Duration { return s.MaxRevocationDelay / 10 }
+// no changes to return. A response confirms that the configuration was current when it
+// was requested, so the last confirmation is up to two such times old, or three through
+// another instance. The rest of MaxRevocationDelay, for which keys are trusted, and of
+// MaxConfigurationDelay, for which home regions are, is left for store outages.
+func (s Settings) WatchWait() time.Duration {
+	return min(s.MaxRevocationDelay/10, s.MaxConfigurationDelay/5)
+}
 
 // maxKeyStaleness returns for how long API keys are trusted without confirmation.
 func (s Settings) maxKeyStaleness() time.Duration { return s.MaxRevocationDelay - revocationMargin }
 
+// maxHomeStaleness returns for how long home regions are trusted without confirmation.
+func (s Settings) maxHomeStaleness() time.Duration {
+	return min(s.maxKeyStaleness(), s.MaxConfigurationDelay-homeMargin)
+}
+
 // regionCount returns the number of distinct regions in the settings.
 func (s Settings) regionCount() int {
 	regions := map[string]bool{s.Region: true}
@@ -180,7 +192,7 @@
 		targets: map[string]registration{}, decoded: map[string]registration{},
 		gateway: gateway.New(gateway.Options{
 			HeaderNames: adapter.HTTPHeaders(), Region: s.Region, RegionCount: s.regionCount(),
-			MaxKeyStaleness: s.maxKeyStaleness(), MaxHomeStaleness: min(s.maxKeyStaleness(), s.MaxConfigurationDelay),
+			MaxKeyStaleness: s.maxKeyStaleness(), MaxHomeStaleness: s.maxHomeStaleness(),
 			RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, MaxShift: s.MaxShift, Metrics: set, Log: logs.Part("gateway"),
 		}, s.Name),
 	}
