gateway: a leaving target under load, and what fuzzed answers say of it

Callers on kept connections, one of them with a streamed body, go on while a target begins to announce that it leaves: none of their requests may reach it later.

--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -428,6 +428,81 @@
 	}
 }
 
+// All callers keep sending, one of them bodies that take long to come, when a target begins
+// to announce in its responses that it leaves.
+func TestLeavingTargetGetsNoRequestUnderLoad(t *testing.T) {
+	t.Parallel()
+	const callers, before, after, tolerance = 6, 300 * time.Millisecond, 900 * time.Millisecond, 300 * time.Millisecond
+	const serviceTime = 20 * time.Millisecond // long enough that neither target looks slow by chance
+	begin := time.Now()
+	var mu sync.Mutex
+	var announced time.Time // first
+	var arrivals []time.Time
+	leaving := newRawTarget(t, func(c *net.TCPConn, r received) bool {
+		time.Sleep(serviceTime)
+		mu.Lock()
+		defer mu.Unlock()
+		arrivals = append(arrivals, r.at)
+		if time.Since(begin) < before {
+			return write(c, success(r.id, "ok"))
+		}
+		if announced.IsZero() {
+			announced = time.Now()
+		}
+		return write(c, emptyHead(200, r.id, "Proof: p", "Leaving: 1"))
+	})
+	call := newCaller(t, leaving, newRawTarget(t, func(c *net.TCPConn, r received) bool {
+		time.Sleep(serviceTime)
+		return write(c, success(r.id, "ok"))
+	}))
+	var running sync.WaitGroup
+	for i := range callers {
+		running.Go(func() {
+			for n := 0; time.Since(begin) < before+after; n++ {
+				path, body := "/once/1", io.Reader(strings.NewReader("short"))
+				if i == 0 {
+					path = "/safe/1" // another route, with a usual time of its own
+					parts, writer := io.Pipe()
+					go func() {
+						for range 4 {
+							_, _ = writer.Write(make([]byte, maxBufferedRequestBody)) // ends with the request
+							time.Sleep(20 * time.Millisecond)
+						}
+						_ = writer.Close()
+					}()
+					body = parts
+				}
+				r, err := http.NewRequest(http.MethodPost, "http://"+call.address+path, body)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				r.Host = "h"
+				r.Header.Set(testHeaders.RequestID, fmt.Sprintf("%d-%d", i, n))
+				answer, err := call.client.Do(r)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if _, err := io.Copy(io.Discard, answer.Body); err != nil || answer.StatusCode != 200 {
+					t.Errorf("got %d, %v", answer.StatusCode, err)
+				}
+				_ = answer.Body.Close()
+			}
+		})
+	}
+	running.Wait()
+	late := 0
+	for _, at := range arrivals {
+		if at.After(announced.Add(tolerance)) {
+			late++
+		}
+	}
+	if late > 0 || announced.IsZero() || len(arrivals) < callers {
+		t.Errorf("%d of %d requests reached the target later than %v after its announcement", late, len(arrivals), tolerance)
+	}
+}
+
 // arrivals records when requests reach a target that turns some away.
 type arrivals struct {
 	mu       sync.Mutex
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -40,6 +40,7 @@
 		"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 900\r\n\r\nshort", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nId: b\r\n\r\nno length",
 		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: -1\r\n\r\n", "nonsense", "",
+		"HTTP/1.1 103 X\r\nLeaving: 1\r\n\r\n" + emptyHead(503, "a", "Leaving: 1", "Retry-After: 1.5", "Retry-After: "+laterDate, "Date: "+sentDate),
 	} {
 		f.Add([]byte(answer))
 	}
@@ -60,36 +61,43 @@
 		if load, ok := parseLoad(x.response.Header.Get(testHeaders.Load)); ok && load < 0 {
 			t.Errorf("negative load %d", load)
 		}
+		if n := parseNotice(x.response.StatusCode, x.response.Header, testHeaders.Leaving); n.Pause < 0 || n.Pause > maxPause {
+			t.Errorf("pause of %v", n.Pause)
+		}
 		keepAliveTimeout(x.response.Header)
 	})
 }
 
 // Whatever bytes a target sends on a kept connection for a request that it has run,
-// a success or a refusal must not be passed on, and the request not be sent again,
-// unless the bytes name the request.
+// a success or a refusal must not be passed on, the request not be sent again, and the
+// target not be taken to leave or pause, unless the bytes name the request.
 func FuzzAnswerOnAKeptConnection(f *testing.F) {
 	const id = "b7f3"
 	for _, answer := range []string{
 		success(id, "ok"), success("", "ok"), success("a", "ok") + success(id, "ok"), rejection(id), rejection(""), rejection("a") + rejection(""),
 		"HTTP/1.1 421 X\r\n\r\n", "HTTP/1.1 100 X\r\n\r\n" + rejection(""), "HTTP/1.1 200 OK\r\nId: " + id + "\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
 		"HTTP/1.1 200 OK\r\nId: " + id + "\r\nProof: p\r\nContent-Length: 20\r\n\r\nshort", "nonsense", "", strings.Repeat("x", 100),
+		emptyHead(503, id, "Not-Run: 1", "Leaving: 1", "Retry-After: 60"), emptyHead(503, "", "Not-Run: 1", "Leaving: 1", "Retry-After: 60"),
+		emptyHead(503, "a", "Leaving: 1", "Retry-After: 60") + success(id, "ok"),
 	} {
 		f.Add([]byte(answer))
 	}
 	var bytesToSend atomic.Pointer[[]byte]
 	var ran atomic.Int32
-	call := newCaller(f, newRawTarget(f, func(c *net.TCPConn, r received) bool {
+	target := newRawTarget(f, func(c *net.TCPConn, r received) bool {
 		if r.id != id {
 			return write(c, success(r.id, "ok"))
 		}
 		ran.Add(1)
 		_, _ = c.Write(*bytesToSend.Load()) // the gateway may have closed the connection
 		return false
-	}))
+	})
+	call := newCaller(f, target)
 	n := 0
 	f.Fuzz(func(t *testing.T, answer []byte) {
 		bytesToSend.Store(&answer)
 		n++
+		register(call.gateway, int64(n), []*rawTarget{target}) // as the target may have said that it leaves
 		// Repeatable, as the target may be closing the connection of the run before.
 		if status, _, err := call.do(http.MethodGet, "/safe/1", fmt.Sprint(n)); status != 200 || err != nil {
 			t.Fatalf("the request before got %d, %v", status, err)
@@ -99,6 +107,9 @@
 		if named := bytes.Contains(answer, []byte(id)); !named && (err != nil || status != 502 || ran.Load() != 1) {
 			t.Errorf("got %d %q, %v after %d runs; want 502 after one", status, body, err, ran.Load())
 		}
+		if count := call.counts(); !bytes.Contains(answer, []byte(id)) && count != (affinity.AvailabilityCount{}) {
+			t.Errorf("%+v by bytes that do not name the request", count)
+		}
 		if refused := impliesNotRun(status); refused && !bytes.Contains(answer, []byte("421")) && !bytes.Contains(bytes.ToLower(answer), []byte("not-run")) {
 			t.Errorf("got %d, which no target said", status)
 		}
