--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -16,16 +16,17 @@
 	// minRetryAfterPause is the least Retry-After of requests for which all targets
 	// pause.
 	minRetryAfterPause = 50 * time.Millisecond
-	// maxRetryAfterShare is the share of the time left that callers wait at most before
-	// they return, divided by the greatest factor of jitter.
+	// maxRetryAfterShare is the share of its remaining time that a caller waits at most,
+	// a third, divided by the greatest factor of jitter.
 	maxRetryAfterShare = 0.25
 )
 
 // retryAfterPause returns the Retry-After, before jitter, of a request that was refused
 // because all its targets leave or pause. wait is the time until the first pause ends,
 // 0 if all leave, and left is the time until the request's deadline. Callers return
-// after that pause, spread over the time in which the target takes its requests back or
-// the part of it that they wait for.
+// after that pause, spread over the time in which the target takes its requests back,
+// as far as they wait for it. A pause that is longer than they wait is told as it is:
+// they cannot be served sooner, as far as this instance knows.
 func retryAfterPause(wait, left time.Duration) time.Duration {
 	if wait <= 0 {
 		return retryAfterNoTarget
--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -472,22 +472,9 @@
 					}()
 					body = parts
 				}
-				r, err := http.NewRequest(http.MethodPost, "http://"+call.address+path, body)
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				r.Host = "h"
-				r.Header.Set(testHeaders.RequestID, fmt.Sprintf("%d-%d", i, n))
-				answer, err := call.client.Do(r)
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				if _, err := io.Copy(io.Discard, answer.Body); err != nil || answer.StatusCode != 200 {
-					t.Errorf("got %d, %v", answer.StatusCode, err)
+				if status, _, err := call.doBody(http.MethodPost, path, fmt.Sprintf("%d-%d", i, n), body); status != 200 || err != nil {
+					t.Errorf("got %d, %v", status, err)
 				}
-				_ = answer.Body.Close()
 			}
 		})
 	}
@@ -559,23 +546,13 @@
 				case 1: // streamed
 					method, path, body = http.MethodPost, "/safe/1", bytes.NewReader(make([]byte, 2*maxBufferedRequestBody))
 				}
-				r, err := http.NewRequest(method, "http://"+call.address+path, body)
-				if err != nil {
+				status, _, err := call.doBody(method, path, fmt.Sprintf("%d-%d", i, n), body)
+				switch {
+				case err != nil:
 					t.Error(err)
-					return
-				}
-				r.Host = "h"
-				r.Header.Set(testHeaders.RequestID, fmt.Sprintf("%d-%d", i, n))
-				answer, err := call.client.Do(r)
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				_, _ = io.Copy(io.Discard, answer.Body) // only the status matters
-				_ = answer.Body.Close()
-				if answer.StatusCode == 200 {
+				case status == 200:
 					answered.Add(1)
-				} else {
+				default:
 					refused.Add(1)
 				}
 			}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -353,7 +353,7 @@
 		c.log("send-failed", 0, refused.reason)
 	}
 	if errors.Is(err, errTargetWithdrawn) {
-		c.attempts--
+		c.attempts-- // the target was not tried
 		c.withdrawnTargets++
 	}
 	return x, refused
--- a/internal/gateway/faulty_target_test.go
+++ b/internal/gateway/faulty_target_test.go
@@ -140,7 +140,12 @@
 // do sends a request; an empty id means none. The error is set if there was no
 // complete response.
 func (c *caller) do(method, path, id string) (status int, body string, err error) {
-	r, err := http.NewRequest(method, "http://"+c.address+path, nil)
+	return c.doBody(method, path, id, nil)
+}
+
+// doBody is do with a body of the request.
+func (c *caller) doBody(method, path, id string, requestBody io.Reader) (status int, body string, err error) {
+	r, err := http.NewRequest(method, "http://"+c.address+path, requestBody)
 	if err != nil {
 		c.tb.Fatal(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,12 +126,11 @@
 // since boot, while no request is being routed. Changes of targets' availability to
 // which f leads take effect on the connections before it returns.
 func (g *Gateway) WithState(f func(b *affinity.Balancer, q *quota.Limiter, now time.Duration)) {
-	g.applyAvailability(func() []affinity.AvailabilityChange {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		f(g.balancer, g.limiter, clock.SinceBoot())
-		return g.balancer.AvailabilityChanges()
-	}())
+	g.mu.Lock()
+	f(g.balancer, g.limiter, clock.SinceBoot())
+	changes := g.balancer.AvailabilityChanges()
+	g.mu.Unlock()
+	g.applyAvailability(changes)
 }
 
 // SetInstances sets the names of the live instances of the fleet, by which
