--- a/internal/affinity/availability_test.go
+++ b/internal/affinity/availability_test.go
@@ -507,7 +507,7 @@
 }
 
 func TestPausedTargetsGetTheirRequestsBackFromOtherRegionsAtOnce(t *testing.T) {
-	for _, pause := range []time.Duration{minCountedPause * 2, minCountedPause - ms} {
+	for _, pause := range []time.Duration{2 * shiftWindow, shiftWindow - ms} {
 		forFleets(t, func(t *testing.T, instances int) {
 			f := newShiftFleet(instances, 31, 62, 74)
 			f.run(4 * time.Second)
@@ -591,11 +591,21 @@
 func TestPauseStopsToCountBeforeItsEnd(t *testing.T) {
 	f := newShiftFleet(3, 2, 6, 8)
 	f.run(time.Second)
-	f.pauseFirst(2, Notice{Pause: minCountedPause - ms})
-	for end := f.now + minCountedPause - 100*ms; f.now < end; {
+	f.pauseFirst(2, Notice{Pause: shiftWindow - ms})
+	for end := f.now + shiftWindow - 100*ms; f.now < end; {
 		f.run(50 * ms)
 		if n := f.balancers[0].regionMixes[service].slots["r0"]; n > 0 {
 			t.Fatalf("%g slots of a region that pauses count as usable", n)
 		}
 	}
 }
+
+func TestLongPauseOfOneTargetLeavesTheShareOfItsRegion(t *testing.T) {
+	f := newShiftFleet(3, 31, 62, 74)
+	f.run(100 * ms)
+	f.pauseFirst(1, Notice{Pause: 2 * shiftWindow})
+	f.run(100 * ms)
+	if n := f.balancers[0].regionMixes[service].slots["r0"]; n != 30*6 {
+		t.Errorf("%g slots of the region count as usable, want those of the 30 targets that do not pause", n)
+	}
+}
