--- a/internal/availability/availability_test.go
+++ b/internal/availability/availability_test.go
@@ -198,3 +198,12 @@
 		t.Errorf("%d changes, want %d", len(*list), len(want))
 	}
 }
+
+func TestPauseHidesTheEndOfTheFormerOne(t *testing.T) {
+	p, list := changes()
+	p.Pause(time.Second, time.Second)
+	p.Pause(time.Second, time.Minute)
+	if len(*list) != 3 || (*list)[1].To != Serving || (*list)[1].Source != Timer || (*list)[2].To != Paused {
+		t.Errorf("changes %+v, want a pause, its end and another pause", *list)
+	}
+}
