--- a/internal/affinity/availability_test.go
+++ b/internal/affinity/availability_test.go
@@ -609,3 +609,12 @@
 		t.Errorf("%g slots of the region count as usable, want those of the 30 targets that do not pause", n)
 	}
 }
+
+// Operators tell by the reason why a request did not go to its usual target.
+func TestRequestThatEvadesAPausedTargetIsCalledPreferred(t *testing.T) {
+	b := newBalancer("a", "r0", newTargets(6, 6))
+	b.Observe(mustChoose(t, b, newRequest("o"), 1), Notice{Pause: time.Minute}, 1)
+	if g := mustChoose(t, b, newRequest("o"), 2); g.Reason != Evaded {
+		t.Errorf("%s, want %s", g.Reason, Evaded)
+	}
+}
