--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -65,8 +65,8 @@
 	return target
 }
 
-// post sends a request with a body. The error is set if there was no complete response.
-func (c *caller) post(id string, length int) (status int, err error) {
+// postBody sends a request with a body. The error is set if there was no complete response.
+func (c *caller) postBody(id string, length int) (status int, err error) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+c.address+"/once/1", strings.NewReader(strings.Repeat("x", length)))
 	if err != nil {
 		c.tb.Fatal(err)
@@ -101,7 +101,7 @@
 			call.gateway.pool.dialer.Control = smallBuffer(unix.SO_SNDBUF)
 			for i := range 200 {
 				before := hasty.requests.Load()
-				status, err := call.post(fmt.Sprint(i), maxBufferedRequestBody)
+				status, err := call.postBody(fmt.Sprint(i), maxBufferedRequestBody)
 				if err != nil || status != 200 && (status != test.want || hasty.requests.Load() == before) {
 					t.Fatalf("request %d, sent to the hasty target %d times: got %d, %v", i, hasty.requests.Load()-before, status, err)
 				}
@@ -121,7 +121,7 @@
 	call := newCaller(t, hasty)
 	call.gateway.pool.dialer.Control = smallBuffer(unix.SO_SNDBUF)
 	for i := range 60 {
-		if status, err := call.post(fmt.Sprint(i), length); status != 503 || err != nil {
+		if status, err := call.postBody(fmt.Sprint(i), length); status != 503 || err != nil {
 			t.Fatalf("request %d: got %d, %v; want 503", i, status, err)
 		}
 	}
