--- a/internal/overloadsim/overloadsim.go
+++ b/internal/overloadsim/overloadsim.go
@@ -6,6 +6,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/affinity"
@@ -32,6 +33,8 @@
 	// retries, after a refusal by the instance or a rejection by the target.
 	refusalRetryDelay   = 350 * time.Millisecond
 	rejectionRetryDelay = 35 * time.Millisecond
+	// Window is the time over which requests are counted together.
+	Window = 2 * time.Second
 )
 
 // Scenario describes a deployment and the load on it.
@@ -57,6 +60,20 @@
 	Slowdown func(target int, at time.Duration) float64
 	// Homed is the fraction of requests, 0 to 1, that only the first region may run.
 	Homed float64
+	// Retries makes instances send a request that a target rejected, or that did not
+	// reach it, to another target, within a budget of retryRatio.
+	Retries bool
+	// PausedUntil returns the end of the pause in which a target is at a time, given by
+	// its index among all targets; 0 if it is in none. During a pause it rejects all
+	// requests and tells the instance when the pause ends. nil means never.
+	PausedUntil func(target int, at time.Duration) time.Duration
+	// LeavesAt returns when a target begins to leave, given by its index among all
+	// targets, or 0 if it stays; nil means that all stay. It says so in its responses,
+	// is registered until it is gone, and gone leavingTime later.
+	LeavesAt func(target int) time.Duration
+	// Missing reports whether a target does not exist at all, given by its index among
+	// all targets; nil means that all exist.
+	Missing func(target int) bool
 }
 
 // Region is the number of targets in a region, and of the objects that its callers ask
@@ -70,14 +87,36 @@
 	// Asked is the number of all requests. InTime were answered within the objective,
 	// Late after it, Refused were refused or rejected twice, and Failed timed out.
 	Asked, InTime, Late, Refused, Failed int
+	// Retries were sent by instances to a further target. Uncached were run by a target
+	// that did not have the object cached.
+	Retries, Uncached int
+	// MaxPerPause is the largest number of requests that one instance sent to one target
+	// between pauseSlack after it was told of a pause and the end of that pause.
+	MaxPerPause int
+	// SentToLeaving is the number of requests that callers sent later than leavingSlack
+	// after an instance had passed on a response of a leaving target, and that this
+	// instance sent to that target.
+	SentToLeaving int
 	// Windows is, for each two seconds, the fraction of the requests created then that
 	// were answered in time.
 	Windows []float64
+
+	asked, inTime []int // requests created in each window of two seconds, and those of them answered in time
 }
 
 // InTimeShare returns the fraction of requests answered within the objective.
 func (r Result) InTimeShare() float64 { return float64(r.InTime) / float64(max(r.Asked, 1)) }
 
+// InTimeShareFrom is InTimeShare of the requests created from a time on, in whole windows
+// of two seconds.
+func (r Result) InTimeShareFrom(at time.Duration) float64 {
+	asked, inTime := 0, 0
+	for i := int(at / Window); i < len(r.asked); i++ {
+		asked, inTime = asked+r.asked[i], inTime+r.inTime[i]
+	}
+	return float64(inTime) / float64(max(asked, 1))
+}
+
 // request is one request of a caller.
 type request struct {
 	createdAt time.Duration
@@ -86,6 +125,8 @@
 	object    string
 	homed     bool // only the first region may run it
 	retried   bool
+	sentOnAt  time.Duration // when the caller sent it last
+	excluded  []string      // targets that it did not reach
 
 	grant   affinity.Grant
 	sentAt  time.Duration
@@ -98,6 +139,7 @@
 type target struct {
 	affinity.Target
 	index         int // in its region
+	number        int // among all targets
 	running       int // requests that occupy a slot
 	queue         []*request
 	cachedObjects []string // the most recently used last
@@ -141,27 +183,33 @@
 	policies []Policy           // by instance; instance i is in region i modulo the number of regions
 	targets  map[string]*target // by ID
 	result   Result
-	asked    []int // requests created in each window of two seconds
-	inTime   []int // those of them answered in time
+	retries  []float64 // saved retries, by instance
+	notices  map[noticeKey]*noticeState
 }
 
 // Simulate runs a scenario with a policy. The same seed gives the same result.
 func Simulate(s Scenario, seed uint64, policy PolicyFactory) Result {
-	w := &simulation{Scenario: s, seed: seed, random: rand.New(rand.NewPCG(seed, 11)), targets: map[string]*target{}}
+	w := &simulation{Scenario: s, seed: seed, random: rand.New(rand.NewPCG(seed, 11)), targets: map[string]*target{}, notices: map[noticeKey]*noticeState{}}
 	var list []affinity.Target
+	number := -1
 	for r, region := range s.Regions {
 		for i := range region.Targets {
+			if number++; s.Missing != nil && s.Missing(number) {
+				continue
+			}
 			t := affinity.Target{
 				ID: fmt.Sprintf("r%d-t%d-%d", r, i, seed), Service: service, Address: fmt.Sprintf("10.%d.0.%d:80", r, i),
 				Region: regionName(r), AvailabilityZone: regionName(r), Slots: s.Slots, Started: 1,
 			}
 			list = append(list, t)
-			w.targets[t.ID] = &target{Target: t, index: i}
+			w.targets[t.ID] = &target{Target: t, index: i, number: number}
 		}
 	}
 	for i := range s.Instances * len(s.Regions) {
 		w.policies = append(w.policies, policy(fmt.Sprint("i", i), regionName(i%len(s.Regions)), list))
 	}
+	w.retries = make([]float64, len(w.policies))
+	w.scheduleDepartures(list)
 	for r := range s.Regions {
 		w.scheduleArrival(r)
 	}
@@ -170,8 +218,8 @@
 		w.now = e.at
 		e.do()
 	}
-	for i := range w.asked {
-		w.result.Windows = append(w.result.Windows, float64(w.inTime[i])/float64(max(w.asked[i], 1)))
+	for i, asked := range w.result.asked {
+		w.result.Windows = append(w.result.Windows, float64(w.result.inTime[i])/float64(max(asked, 1)))
 	}
 	return w.result
 }
@@ -206,22 +254,29 @@
 // count counts a new request, or one answered in time, in the window in which the
 // request was created.
 func (w *simulation) count(r *request, inTime bool) {
-	i := int(r.createdAt / (2 * time.Second))
-	for len(w.asked) <= i {
-		w.asked, w.inTime = append(w.asked, 0), append(w.inTime, 0)
+	i, result := int(r.createdAt/Window), &w.result
+	for len(result.asked) <= i {
+		result.asked, result.inTime = append(result.asked, 0), append(result.inTime, 0)
 	}
 	if inTime {
-		w.inTime[i]++
+		result.inTime[i]++
 		return
 	}
-	w.asked[i]++
-	w.result.Asked++
+	result.asked[i]++
+	result.Asked++
 }
 
-// send sends a request to a random instance of its region, which chooses a target.
+// send sends a request to a random instance of its region.
 func (w *simulation) send(r *request) {
 	r.instance = r.region + len(w.Regions)*w.random.IntN(w.Instances)
-	q := affinity.Request{Service: service, Object: r.object, Route: "route", Objective: w.Objective}
+	r.sentOnAt = w.now
+	w.retries[r.instance] = min(w.retries[r.instance]+retryRatio, maxSavedRetries)
+	w.place(r)
+}
+
+// place lets the request's instance choose a target and send it there.
+func (w *simulation) place(r *request) {
+	q := affinity.Request{Service: service, Object: r.object, Route: "route", Objective: w.Objective, Exclude: r.excluded}
 	if r.homed {
 		q.HomeRegions = []string{regionName(0)}
 	}
@@ -231,6 +286,7 @@
 		return
 	}
 	r.grant, r.sentAt, r.target, r.ended, r.running = grant, w.now, w.targets[grant.Target.ID], false, false
+	w.checkNotices(r)
 	w.after(w.oneWayDelay(r), func() { w.arriveAtTarget(r) })
 	w.after(w.Timeout, func() { w.giveUp(r) })
 }
@@ -251,7 +307,7 @@
 		return
 	}
 	next := *r
-	next.retried = true
+	next.retried, next.excluded = true, nil
 	w.after(after, func() { w.send(&next) })
 }
 
@@ -266,10 +322,20 @@
 // arriveAtTarget queues a request at its target, or lets the target reject it.
 func (w *simulation) arriveAtTarget(r *request) {
 	t := r.target
-	if len(t.queue) >= w.Queue || w.Rejects != nil && w.random.Float64() < w.Rejects(w.now) {
+	paused := w.pauseLeft(t)
+	switch {
+	case w.gone(t):
 		w.after(w.oneWayDelay(r), func() {
+			w.reportOutcome(r, affinity.Unreachable)
+			r.excluded = append(slices.Clone(r.excluded), t.ID)
+			w.retryElsewhere(r, true)
+		})
+		return
+	case paused > 0 || len(t.queue) >= w.Queue || w.Rejects != nil && w.random.Float64() < w.Rejects(w.now):
+		w.after(w.oneWayDelay(r), func() {
+			w.observe(r, paused)
 			w.reportOutcome(r, affinity.Rejected)
-			w.retryOnce(r, rejectionRetryDelay)
+			w.retryElsewhere(r, false)
 		})
 		return
 	}
@@ -288,6 +354,8 @@
 		took := w.ColdServiceTime
 		if t.accessCache(r.object, w.CacheSize) {
 			took = w.WarmServiceTime
+		} else {
+			w.result.Uncached++
 		}
 		took = time.Duration(float64(took) * (0.85 + 0.3*w.random.Float64()))
 		if w.Slowdown != nil {
@@ -324,6 +392,7 @@
 		if r.ended {
 			return
 		}
+		w.observe(r, 0)
 		w.reportOutcome(r, affinity.Answered)
 		if w.now-r.createdAt <= w.Objective {
 			w.result.InTime++
