--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -15,7 +15,7 @@
 // newExperiment returns the group of commands that measure the system.
 func newExperiment() *cobra.Command {
 	cmd := &cobra.Command{Use: "experiment", Short: "Measure the system on this machine"}
-	cmd.AddCommand(newExperimentCapacity(), newExperimentOverload())
+	cmd.AddCommand(newExperimentCapacity(), newExperimentOverload(), newExperimentAvailability())
 	return cmd
 }
 
@@ -36,7 +36,7 @@
 			slices.Sort(options.Sizes)
 			report := experiment.Run(options)
 			if plotFile != "" {
-				if err := writePlot(plotFile, report); err != nil {
+				if err := writePlot(plotFile, report.WritePlot); err != nil {
 					return err
 				}
 			}
@@ -68,11 +68,11 @@
 	return errors.Mark(p.Err(), errUsage)
 }
 
-// writePlot writes the report's plot into the named file, as SVG.
-func writePlot(name string, report experiment.Report) error {
+// writePlot writes a plot into the named file.
+func writePlot(name string, write func(io.Writer) error) error {
 	file, err := os.Create(name)
 	if err != nil {
 		return err
 	}
-	return errors.CombineErrors(report.WritePlot(file), file.Close())
+	return errors.CombineErrors(write(file), file.Close())
 }
