gateway: a retry that finds no target goes back to the budget

When the targets of a service pause together, each request that one of them turned away took a retry from the budget before it was refused as 'unavailable', so that none were left when targets came back. Retries count where they arrive; one that reached no target is now returned.

--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -428,6 +428,38 @@
 	}
 }
 
+// The second attempt finds that all other targets pause or cannot be reached, so that it is
+// not sent.
+func TestRetryThatNoTargetGetsTakesNothingFromTheBudget(t *testing.T) {
+	t.Parallel()
+	unreachable := &rawTarget{listener: closedListener(t)}
+	for name, others := range map[string][]*rawTarget{"paused": nil, "unreachable": {unreachable}} {
+		call := newCaller(t, append(others, newRawTarget(t, func(c *net.TCPConn, r received) bool {
+			return write(c, emptyHead(503, r.id, "Not-Run: 1", "Retry-After: 60"))
+		}))...)
+		call.gateway.retries = newRetryBudget(0, 20)
+		call.gateway.retries.setInstances(1)
+		if status, body, err := call.do(http.MethodPost, "/once/1", "a"); status != 503 || err != nil {
+			t.Errorf("%s: got %d %q, %v", name, status, body, err)
+		}
+		if saved := call.gateway.retries.savedByService["s"]; saved != call.gateway.retries.initialSaved {
+			t.Errorf("%s: %g retries are left of %g", name, saved, call.gateway.retries.initialSaved)
+		}
+	}
+}
+
+// closedListener returns a listener at whose address nothing listens any more.
+func closedListener(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 // All callers keep sending, one of them bodies that take long to come, when a target begins
 // to announce in its responses that it leaves.
 func TestLeavingTargetGetsNoRequestUnderLoad(t *testing.T) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -104,9 +104,12 @@
 	attempts           int // targets tried, including unreachable ones
 	withdrawnTargets   int // targets chosen but not tried
 	possibleDeliveries int // sends that may have reached a target
-	excluded           []string
-	mayHaveRun         bool         // whether a target may have run the request
-	exceededQuota      quota.Status // state of the workspace's quota, if it refused the request; for the log
+	// unsentRetry is the service from whose budget a retry was taken that has not been
+	// sent; empty if there is none.
+	unsentRetry   string
+	excluded      []string
+	mayHaveRun    bool         // whether a target may have run the request
+	exceededQuota quota.Status // state of the workspace's quota, if it refused the request; for the log
 	// errorResponse is a target's 5xx response that is kept while another
 	// target is tried. It is returned to the caller if no other target gives a
 	// response.
@@ -256,11 +259,17 @@
 		last = *refused
 		if x.mayHaveArrived {
 			c.possibleDeliveries++
+			c.unsentRetry = ""
 		}
 		if c.ctx.Err() != nil || c.streamedBody != nil && x.mayHaveArrived || c.mayHaveRun && !c.repeatable || !c.takeRetry(x.mayHaveArrived) {
 			break
 		}
 	}
+	if c.unsentRetry != "" {
+		c.mu.Lock()
+		c.retries.giveBack(c.unsentRetry)
+		c.mu.Unlock()
+	}
 	if c.request.Context().Err() != nil {
 		c.log("abandoned", 0, "caller left")
 		panic(http.ErrAbortHandler)
@@ -329,7 +338,11 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.retries.spend(c.service)
+	if !c.retries.spend(c.service) {
+		return false
+	}
+	c.unsentRetry = c.service
+	return true
 }
 
 // attempt sends the request to the chosen target and reports the outcome to the
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -57,3 +57,8 @@
 	b.savedByService[service]--
 	return true
 }
+
+// giveBack returns a retry that was taken but not sent.
+func (b *retryBudget) giveBack(service string) {
+	b.savedByService[service] = min(b.savedByService[service]+1, b.retryCap)
+}
