--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -104,10 +104,13 @@
 	attempts           int // targets tried, including unreachable ones
 	withdrawnTargets   int // targets chosen but not tried
 	possibleDeliveries int // sends that may have reached a target
-	excluded           []string
-	mayHaveRun         bool         // whether a target may have run the request
-	callerLeft         bool         // whether the caller had left at the end of the last attempt
-	exceededQuota      quota.Status // state of the workspace's quota, if it refused the request; for the log
+	// unsentRetry is the service from whose budget a retry was taken that has not been
+	// sent; empty if there is none.
+	unsentRetry   string
+	excluded      []string
+	mayHaveRun    bool         // whether a target may have run the request
+	callerLeft    bool         // whether the caller had left at the end of the last attempt
+	exceededQuota quota.Status // state of the workspace's quota, if it refused the request; for the log
 	// errorResponse is a target's 5xx response that is kept while another
 	// target is tried. It is returned to the caller if no other target gives a
 	// response.
@@ -257,11 +260,17 @@
 		last = *refused
 		if x.mayHaveArrived {
 			c.possibleDeliveries++
+			c.unsentRetry = ""
 		}
 		if c.ctx.Err() != nil || c.streamedBody != nil && x.mayHaveArrived || c.mayHaveRun && !c.repeatable || !c.takeRetry(x.mayHaveArrived) {
 			break
 		}
 	}
+	if c.unsentRetry != "" {
+		c.mu.Lock()
+		c.retries.giveBack(c.unsentRetry)
+		c.mu.Unlock()
+	}
 	if c.callerHasLeft() {
 		c.log("abandoned", 0, "caller left")
 		panic(http.ErrAbortHandler)
@@ -339,7 +348,11 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.retries.spend(c.service)
+	if !c.retries.spend(c.service) {
+		return false
+	}
+	c.unsentRetry = c.service
+	return true
 }
 
 // attempt sends the request to the chosen target and reports the outcome to the
