gateway: check the age of the configuration last before a send

The check of the target waits for the lock of the balancer. Since it came after the checks of keys, home regions and deadline, that wait lay between them and the send. The order is the only change. No test shows the wait; found by review.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -102,10 +102,11 @@
 	if err := ctx.Err(); err != nil {
 		return x, err
 	}
+	targetValid := c.targetStillValid() // first, as it waits for a lock
 	switch {
 	case !c.stillAllowed():
 		return x, errWithdrawn
-	case !c.targetStillValid():
+	case !targetValid:
 		return x, errTargetWithdrawn
 	}
 	x.mayHaveArrived = true
