gateway: let tests of faulty targets connect on a busy machine

TestAnswerCutAtAnyByteIsNoSuccess failed once on a machine with a load of 27: 503 'no-target' in place of 502. Traced with dial errors printed: in 12 runs side by side of six rounds each, 6 failed, with 14 dials that took longer than dialTimeout (300 ms) on loopback; the gateway then rightly says that the request did not run. What the tests of faulty targets check comes after the connection, so that theirs may take the whole timeout of the route. The checks are unchanged.

--- a/internal/gateway/faulty_target_test.go
+++ b/internal/gateway/faulty_target_test.go
@@ -97,6 +97,7 @@
 		HeaderNames: testHeaders, Region: "r", RegionCount: 1, MaxKeyStaleness: 1 << 62, RetryRatio: 1, RetryExtra: 1000,
 		Metrics: metrics.New(), Log: logging.New(io.Discard, "error").Part("gateway"),
 	}, "self")
+	g.pool.dialer.Timeout = testTimeout // a busy machine may take longer than dialTimeout to connect
 	g.SetInstances([]string{"self"})
 	route := func(name string, repeatable bool, timeout time.Duration) config.Route {
 		return config.Route{
