soak: home regions that move, closed zones, restarts of targets, earlier refusals

Three regions of two targets each; two routes and a workspace have home regions that move with a configuration of their own fault. The checker asserts at each arrival that a configuration that may be in force allows the target's region: one that was replaced is out of force for requests sent later than configApplyS after the store accepted its successor, for all instances, since one that cannot prove its configuration current must refuse. Further faults: closed zones, and targets whose processes are replaced under the same or another id. A failing target also writes an earlier refusal once more, before or instead of the answer to a request that it runs, with and without an id.

Each kind of fault is drawn once before any is drawn again, so that the short run has them all, and a client's random numbers no longer depend on the order in which the clients start. Runs with defects inject the faults that show their defect and end once it is caught. Two new ones: instances that keep the first home regions, and a proxy that takes any response on a connection for the one to its request. The checker reports "reached t3/1 in region sierra through i2, outside the home regions of route book and workspace w1" and "got status 503, which says that it was not run, but it ran".

The soak is split by its parts: fleet, targets, faults, checker, defects.

--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -2,40 +2,67 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
 
+// bounds are the times within which instances must follow a change.
+type bounds struct {
+	key   time.Duration // from a key's withdrawal to the last request sent with it that runs
+	homes time.Duration // from a configuration to the last request sent that runs by the one before
+}
+
 // request is a request as a client sent it.
 type request struct {
 	id, method, uri, body string // id is the Attempt-Id header
-	workspace, key        string
+	route, workspace, key string
+	instance              string // name of the instance to which it was sent
 	sent                  time.Time
 }
 
-// checker compares what clients sent and got with what targets ran, and records each
-// violated guarantee: a request runs unchanged and for its own workspace, one that is
-// not safe to repeat runs at most once, one that was refused does not run, an answer
-// belongs to its request, and a withdrawn key stops working.
+// configuration is the part of a configuration that says where requests may run.
+type configuration struct {
+	homes     map[string][]string // home regions of routes and workspaces that have some, by name
+	begun     time.Time           // when the operator began to write it
+	confirmed time.Time           // when the store had accepted it; zero before
+}
+
+// allows reports whether the configuration allows the request to run in a region.
+func (c configuration) allows(r request, region string) bool {
+	for _, name := range []string{r.route, r.workspace} {
+		if homes, ok := c.homes[name]; ok && !slices.Contains(homes, region) {
+			return false
+		}
+	}
+	return true
+}
+
+// checker compares what clients sent and got with what reached targets and what they
+// ran, and records each violated guarantee:
+//   - A request runs unchanged and for its own workspace, and at most once if it is not
+//     safe to repeat. One that was refused does not run.
+//   - An answer belongs to its request.
+//   - A withdrawn key stops working.
+//   - A request runs in the home regions of its route and its workspace, at all
+//     instances: one that cannot prove its configuration current must refuse it.
 type checker struct {
-	// keyBound is how long after a key's withdrawal a request may be sent with it and
-	// still run.
-	keyBound time.Duration
-
-	mu            sync.Mutex           // guards the fields below
-	sent          map[string]request   // by id
-	runs          map[string]int       // times that a target began a request, by id
-	refusedStatus map[string]int       // status of an answer that says the request was not run, by id
-	withdrawnAt   map[string]time.Time // by key
-	violations    []string
-	servedCount   int // whole successful answers since resetCounts
-	sentCount     int // requests since resetCounts
+	bounds
+
+	mu             sync.Mutex           // guards the fields below
+	sent           map[string]request   // by id
+	runs           map[string]int       // times that a target began a request, by id
+	refusedStatus  map[string]int       // status of an answer that says the request was not run, by id
+	withdrawnAt    map[string]time.Time // by key
+	configurations []configuration      // in the order of their versions
+	violations     []string
+	servedCount    int // whole successful answers since resetCounts
+	sentCount      int // requests since resetCounts
 }
 
-func newChecker(keyBound time.Duration) *checker {
+func newChecker(b bounds) *checker {
 	return &checker{
-		keyBound: keyBound, sent: map[string]request{}, runs: map[string]int{},
-		refusedStatus: map[string]int{}, withdrawnAt: map[string]time.Time{},
+		bounds: b, sent: map[string]request{}, runs: map[string]int{}, refusedStatus: map[string]int{}, withdrawnAt: map[string]time.Time{},
 	}
 }
 
@@ -60,6 +87,41 @@
 	c.withdrawnAt[key] = at
 }
 
+// recordConfiguration records that the operator writes a configuration, and runs write.
+func (c *checker) recordConfiguration(homes map[string][]string, write func()) {
+	c.mu.Lock()
+	c.configurations = append(c.configurations, configuration{homes: homes, begun: time.Now()})
+	n := len(c.configurations)
+	c.mu.Unlock()
+	write()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.configurations[n-1].confirmed = time.Now()
+}
+
+// recordArrival records that a request has reached a target, which may run it or turn
+// it away. The process is the target's.
+func (c *checker) recordArrival(id, process, region string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.sent[id]
+	if !c.mayRunIn(r, region, at) {
+		c.fail("%s reached %s in region %s through %s, outside the home regions of route %s and workspace %s", id, process, region, r.instance, r.route, r.workspace)
+	}
+}
+
+// mayRunIn reports whether a configuration that may be in force allows a request that
+// reaches a target now to run in a region. The caller holds the lock.
+func (c *checker) mayRunIn(r request, region string, now time.Time) bool {
+	for i, k := range c.configurations {
+		replaced := i+1 < len(c.configurations) && !c.configurations[i+1].confirmed.IsZero() && r.sent.Sub(c.configurations[i+1].confirmed) > c.homes
+		if !replaced && !now.Before(k.begun) && k.allows(r, region) {
+			return true
+		}
+	}
+	return len(c.configurations) == 0
+}
+
 // recordRun records that a target began a request, with the workspace name and the
 // caller's key that the target was sent. It must not be sent a key.
 func (c *checker) recordRun(id, method, uri, body, workspace, leakedKey string) {
@@ -83,7 +145,7 @@
 	if status, ok := c.refusedStatus[id]; ok {
 		c.fail("%s ran after an answer with status %d said that it was not run", id, status)
 	}
-	if at, ok := c.withdrawnAt[r.key]; ok && r.sent.Sub(at) > c.keyBound {
+	if at, ok := c.withdrawnAt[r.key]; ok && r.sent.Sub(at) > c.key {
 		c.fail("%s ran with a key that was withdrawn %v before it was sent", id, r.sent.Sub(at))
 	}
 }
--- a/test/soak/defects_test.go
+++ b/test/soak/defects_test.go
@@ -3,7 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httputil"
+	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -16,8 +23,8 @@
 // configuration, so that the instance violates a guarantee.
 type defectiveAdapter struct {
 	platform.Adapter
-	defect    string
-	firstKeys map[string]string // keys of the first configuration
+	defect string
+	first  config.RoutingTableSource // the first configuration
 }
 
 // Seeds of the runs with defects. A seed chooses the addresses of a run: the seeds of
@@ -28,12 +35,33 @@
 	defectSeedStride = 30
 )
 
-// defects are the names of the defects and a part of the message with which the
-// checker must report each.
-var defects = []struct{ defect, wantMessage string }{
-	{"repeats all requests", " times"},
-	{"keeps withdrawn keys", "withdrawn"},
-	{"swaps workspaces", "ran for workspace"},
+// defect is a defect of all instances of a run.
+type defect struct {
+	name        string  // "" for none
+	faults      []fault // that show it, in this order
+	wantMessage string  // a part of the message with which the checker must report it
+}
+
+// caught returns the violation by which the checker has reported the defect, or "".
+func (d defect) caught(c *checker) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, violation := range c.violations {
+		if d.name != "" && strings.Contains(violation, d.wantMessage) {
+			return violation
+		}
+	}
+	return ""
+}
+
+const believesEarlierRefusals = "believes earlier refusals"
+
+var defects = []defect{
+	{"repeats all requests", []fault{(*injector).failingTarget}, " times"},
+	{"keeps withdrawn keys", []fault{(*injector).keyWithdrawn}, "withdrawn"},
+	{"swaps workspaces", faults, "ran for workspace"},
+	{"keeps home regions", append([]fault{(*injector).homesMoved}, slices.Repeat([]fault{(*injector).historyLost}, 19)...), "outside the home regions"},
+	{believesEarlierRefusals, []fault{(*injector).failingTarget}, "which says that it was not run, but it ran"},
 }
 
 // Configuration implements edge.Adapter.
@@ -42,16 +70,18 @@
 	if err != nil {
 		return source, err
 	}
+	if a.first.Version == 0 {
+		a.first = source
+	}
 	switch a.defect {
 	case "repeats all requests":
 		for i := range source.Routes {
 			source.Routes[i].Repeatable = true
 		}
 	case "keeps withdrawn keys":
-		if a.firstKeys == nil {
-			a.firstKeys = source.Keys
-		}
-		source.Keys = a.firstKeys
+		source.Keys = a.first.Keys
+	case "keeps home regions":
+		source.Routes, source.Workspaces = a.first.Routes, a.first.Workspaces
 	case "swaps workspaces":
 		source.Keys["key-0"], source.Keys["key-1"] = source.Keys["key-1"], source.Keys["key-0"]
 	}
@@ -67,20 +97,40 @@
 	}
 	s.LogLevel = "info"
 	ctx := context.Background()
-	err = edge.Provision(s, &defectiveAdapter{defect: defect}, platform.NewStore(s.StoreAddress, s.WatchWait()), os.Stdout).Run(ctx, ctx, nil)
+	if defect == believesEarlierRefusals {
+		err = http.ListenAndServe(s.Listen, naiveProxy(s.Listen))
+	} else {
+		err = edge.Provision(s, &defectiveAdapter{defect: defect}, platform.NewStore(s.StoreAddress, s.WatchWait()), os.Stdout).Run(ctx, ctx, nil)
+	}
 	fmt.Println("turmericfield:", err)
 }
 
+// naiveProxy returns a proxy that takes the next response on a target's connection for
+// the one to its request. listen is the instance's IP:port, beside which the targets are.
+func naiveProxy(listen string) http.Handler {
+	address := netip.MustParseAddrPort(listen)
+	return &httputil.ReverseProxy{
+		ErrorLog: log.New(io.Discard, "", 0), // failing targets are expected
+		Rewrite: func(r *httputil.ProxyRequest) {
+			i, ip := rand.IntN(len(targetZones)), address.Addr().As4()
+			ip[3] = byte(firstTargetIP + i)
+			r.Out.URL.Scheme, r.Out.URL.Host = "http", netip.AddrPortFrom(netip.AddrFrom4(ip), address.Port()).String()
+			r.Out.Header.Set("Expected-Instance", targetID(i))
+		},
+	}
+}
+
 // A soak run whose instances have a defect must fail with the message for that defect.
 // Otherwise TestSoak could pass without checking anything.
 func TestDefectiveInstancesAreCaught(t *testing.T) {
 	for n, d := range defects {
-		t.Run(d.defect, func(t *testing.T) {
+		t.Run(d.name, func(t *testing.T) {
 			t.Parallel()
 			const tries = 3 // a seed may bring no fault by which the defect shows
 			for i := range uint64(tries) {
-				f := runFleet(t, firstDefectSeed+uint64(n)+defectSeedStride*i, t.TempDir(), d.defect)
-				if strings.Contains(strings.Join(f.checks.violations, "\n"), d.wantMessage) {
+				f := runFleet(t, firstDefectSeed+uint64(n)+defectSeedStride*i, t.TempDir(), d)
+				if violation := d.caught(f.checks); violation != "" {
+					t.Log(violation)
 					return
 				}
 			}
--- /dev/null
+++ b/test/soak/faults_test.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// injector begins random faults, which last for some time and overlap.
+type injector struct {
+	*fleet
+	pending sync.WaitGroup // faults that have not ended
+	list    []fault        // to be injected again and again
+	shuffle bool           // in another order each time
+	deck    []fault        // the rest of the list
+}
+
+// fault begins a fault that lasts for some time, and does not wait for its end.
+type fault func(j *injector, lasts time.Duration)
+
+// faults are all faults.
+var faults = []fault{
+	(*injector).storeConnection, (*injector).suspension, (*injector).termination, (*injector).kill, (*injector).reload,
+	(*injector).failingTarget, (*injector).silentDrain, (*injector).targetRestart,
+	(*injector).historyLost, (*injector).keyWithdrawn, (*injector).homesMoved, (*injector).zoneClosed,
+}
+
+// inject begins the next fault.
+func (j *injector) inject() {
+	if len(j.deck) == 0 {
+		j.deck = slices.Clone(j.list)
+		if j.shuffle {
+			j.random.Shuffle(len(j.deck), func(a, b int) { j.deck[a], j.deck[b] = j.deck[b], j.deck[a] })
+		}
+	}
+	next := j.deck[0]
+	j.deck = j.deck[1:]
+	next(j, time.Duration(200+j.random.IntN(2500))*time.Millisecond)
+}
+
+// after runs a function when the fault ends.
+func (j *injector) after(d time.Duration, f func()) {
+	j.pending.Add(1)
+	time.AfterFunc(d, func() { defer j.pending.Done(); f() })
+}
+
+func (j *injector) anyInstance() *instance { return j.instances[j.random.IntN(len(j.instances))] }
+func (j *injector) anyTarget() *target     { return j.targets[j.random.IntN(len(j.targets))] }
+
+func (j *injector) storeConnection(lasts time.Duration) {
+	in, mode := j.anyInstance(), []string{"silent", "reset", "deaf", "slow"}[j.random.IntN(4)]
+	j.note("%s: store connection %s for %v", in.name, mode, lasts)
+	in.proxy.mode.Store(mode)
+	j.after(lasts, func() { in.proxy.mode.Store("") })
+}
+
+func (j *injector) suspension(lasts time.Duration) {
+	in := j.anyInstance()
+	j.note("%s: suspended for %v", in.name, lasts)
+	if in.mu.TryLock() { // not while it is restarted
+		in.signal(syscall.SIGSTOP)
+		in.mu.Unlock()
+	}
+	j.after(lasts, func() {
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		in.signal(syscall.SIGCONT)
+	})
+}
+
+func (j *injector) termination(time.Duration) { j.end(syscall.SIGTERM) }
+func (j *injector) kill(time.Duration)        { j.end(syscall.SIGKILL) }
+
+func (j *injector) end(s syscall.Signal) {
+	in := j.anyInstance()
+	j.note("%s: %v", in.name, s)
+	j.pending.Go(func() { in.restart(j.fleet, s) })
+}
+
+func (j *injector) reload(time.Duration) {
+	in := j.anyInstance()
+	j.note("%s: SIGHUP", in.name)
+	if in.mu.TryLock() {
+		in.signal(syscall.SIGHUP)
+		in.mu.Unlock()
+	}
+}
+
+func (j *injector) failingTarget(lasts time.Duration) {
+	t := j.anyTarget()
+	j.note("%s: fails for %v", t.ID(), lasts)
+	t.setFailureShare(0.5)
+	j.after(lasts, func() { t.setFailureShare(0) })
+}
+
+// silentDrain registers a target as leaving that says nothing of it in its responses.
+func (j *injector) silentDrain(lasts time.Duration) {
+	t := j.anyTarget()
+	j.note("%s: registered as leaving for %v", t.ID(), lasts)
+	t.register("draining")
+	j.after(lasts, func() { t.register("ready") })
+}
+
+// targetRestart ends the process of a target and starts another, mostly under another id.
+func (j *injector) targetRestart(time.Duration) {
+	t, sameID := j.anyTarget(), j.random.IntN(4) == 0
+	j.note("%s: restarts, with the same id: %v", t.ID(), sameID)
+	t.restart(sameID)
+}
+
+func (j *injector) historyLost(time.Duration) {
+	j.note("the store drops its history of changes")
+	j.store.DropHistory()
+}
+
+func (j *injector) keyWithdrawn(time.Duration) {
+	i := j.random.IntN(len(j.keys))
+	old := j.keys[i]
+	j.keys[i] = "withdrawn-" + fmt.Sprint(j.version)
+	j.note("key %s is withdrawn", old)
+	j.writeConfiguration()
+	j.checks.recordWithdrawal(old, time.Now())
+}
+
+func (j *injector) homesMoved(time.Duration) {
+	j.homes++
+	j.note("home regions move")
+	j.writeConfiguration()
+}
+
+func (j *injector) zoneClosed(lasts time.Duration) {
+	zone := targetZones[j.random.IntN(len(targetZones))]
+	j.note("zone %s is closed for %v", zone, lasts)
+	j.store.Put("op/evacuate/"+zone, "{}")
+	j.after(lasts, func() { j.store.Remove("op/evacuate/" + zone) })
+}
