soak: check that targets that leave or pause get no requests

The soak's targets now do both, also falsely: they stay registered as ready, or their registration goes and comes back; they tell one instance only; they turn everything away or go on serving; they ask for a pause without the statement that the request was not run, run it all the same, or answer half of the requests meanwhile.

The checker asserts from what reaches targets that an instance that read such a response sends none of the requests that came later than drainS (1 s here) to a process that leaves, and at most two to one that pauses, from half a second after the response to the end of the pause. A client sends each id to one instance only, which tells the target's requests apart by instance. Restarts and suspensions of the instance excuse it; losing the store does not. A response counts as read if nothing on its connection before it could make the instance close that, and if it was written within half of the route's timeout. A target that was restarted under its id says nothing, as its responses cannot be told from the earlier process's while its registration is on its way.

Instances do not know these responses yet, and stand for the broken variants of both rules here, so that the faults are left out of TestSoak for now.

--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -7,10 +7,23 @@
 	"time"
 )
 
+const (
+	// pauseNoticeTime is how long after a target asked for a pause requests may still
+	// reach it from the instance that it asked.
+	pauseNoticeTime = 500 * time.Millisecond
+	// maxRequestsInPause is how many requests may reach a target from an instance after
+	// pauseNoticeTime and before the end of the pause.
+	maxRequestsInPause = 2
+	// maxNoticeAge is the age of a request up to which its instance certainly waits for
+	// the response; it is half of the routes' timeout.
+	maxNoticeAge = routeTimeout / 2
+)
+
 // bounds are the times within which instances must follow a change.
 type bounds struct {
 	key   time.Duration // from a key's withdrawal to the last request sent with it that runs
 	homes time.Duration // from a configuration to the last request sent that runs by the one before
+	drain time.Duration // from a target's word that it leaves to the last request sent that reaches it
 }
 
 // request is a request as a client sent it.
@@ -19,6 +32,26 @@
 	route, workspace, key string
 	instance              string // name of the instance to which it was sent
 	sent                  time.Time
+	disruptions           int // of the instance, when it was sent; set by recordSent
+}
+
+// link is what a target's process knows an instance by.
+type link struct {
+	process, instance string
+	disruptions       int // of the instance
+}
+
+// notice is what a target says in a response about the requests that it wants.
+type notice struct {
+	leaving        bool
+	pause          time.Duration // 0 if it asked for none
+	begun, written time.Time     // when the target began to write the response, and when it had
+}
+
+// pause is a time in which a target wants no requests from an instance.
+type pause struct {
+	from, to time.Time
+	requests int // that have reached the target between
 }
 
 // configuration is the part of a configuration that says where requests may run.
@@ -46,6 +79,9 @@
 //   - A withdrawn key stops working.
 //   - A request runs in the home regions of its route and its workspace, at all
 //     instances: one that cannot prove its configuration current must refuse it.
+//   - A target that said in a response that it leaves gets no further requests from that
+//     instance, and one that asked for a pause at most maxRequestsInPause. A restart or
+//     suspension of the instance excuses it.
 type checker struct {
 	bounds
 
@@ -55,6 +91,9 @@
 	refusedStatus  map[string]int       // status of an answer that says the request was not run, by id
 	withdrawnAt    map[string]time.Time // by key
 	configurations []configuration      // in the order of their versions
+	disruptions    map[string]int       // number of restarts and suspensions, by instance
+	leavingSince   map[link]time.Time   // when the target first told the instance
+	pauses         map[link][]*pause
 	violations     []string
 	servedCount    int // whole successful answers since resetCounts
 	sentCount      int // requests since resetCounts
@@ -63,6 +102,7 @@
 func newChecker(b bounds) *checker {
 	return &checker{
 		bounds: b, sent: map[string]request{}, runs: map[string]int{}, refusedStatus: map[string]int{}, withdrawnAt: map[string]time.Time{},
+		disruptions: map[string]int{}, leavingSince: map[link]time.Time{}, pauses: map[link][]*pause{},
 	}
 }
 
@@ -76,10 +116,18 @@
 func (c *checker) recordSent(r request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r.disruptions = c.disruptions[r.instance]
 	c.sent[r.id] = r
 	c.sentCount++
 }
 
+// instanceOf returns the name of the instance to which a request was sent.
+func (c *checker) instanceOf(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent[id].instance
+}
+
 // recordWithdrawal records when the store accepted the withdrawal of a key.
 func (c *checker) recordWithdrawal(key string, at time.Time) {
 	c.mu.Lock()
@@ -99,6 +147,22 @@
 	c.configurations[n-1].confirmed = time.Now()
 }
 
+// recordDisruption records that an instance is being ended, started, suspended or
+// continued. It is called before an end, start or suspension, and after a suspension.
+func (c *checker) recordDisruption(instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.disruptions[instance]++
+}
+
+// link returns what the target's process knows the sender of a request by. The result
+// is false if the instance was disrupted since the request was sent. The caller holds
+// the lock.
+func (c *checker) link(id, process string) (link, bool) {
+	r, ok := c.sent[id]
+	return link{process, r.instance, r.disruptions}, ok && r.disruptions == c.disruptions[r.instance]
+}
+
 // recordArrival records that a request has reached a target, which may run it or turn
 // it away. The process is the target's.
 func (c *checker) recordArrival(id, process, region string, at time.Time) {
@@ -108,6 +172,21 @@
 	if !c.mayRunIn(r, region, at) {
 		c.fail("%s reached %s in region %s through %s, outside the home regions of route %s and workspace %s", id, process, region, r.instance, r.route, r.workspace)
 	}
+	l, ok := c.link(id, process)
+	if !ok {
+		return
+	}
+	if since, ok := c.leavingSince[l]; ok && r.sent.Sub(since) > c.drain {
+		c.fail("%s reached %s through %s, sent %v after the target had told that instance that it leaves", id, process, l.instance, r.sent.Sub(since))
+	}
+	for _, p := range c.pauses[l] {
+		if at.Before(p.from) || at.After(p.to) {
+			continue
+		}
+		if p.requests++; p.requests == maxRequestsInPause+1 {
+			c.fail("%s is request %d that reached %s through %s in a pause that the target had asked for, %v before its end", id, p.requests, process, l.instance, p.to.Sub(at))
+		}
+	}
 }
 
 // mayRunIn reports whether a configuration that may be in force allows a request that
@@ -122,6 +201,24 @@
 	return len(c.configurations) == 0
 }
 
+// recordNotice records what a target has said in its response to a request. The response
+// must be one that the instance reads: whole, and the first on its connection after the
+// request.
+func (c *checker) recordNotice(id, process string, n notice) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.link(id, process)
+	if !ok || n.written.Sub(c.sent[id].sent) > maxNoticeAge {
+		return
+	}
+	if _, ok := c.leavingSince[l]; n.leaving && !ok {
+		c.leavingSince[l] = n.written
+	}
+	if n.pause > 0 {
+		c.pauses[l] = append(c.pauses[l], &pause{from: n.written.Add(pauseNoticeTime), to: n.begun.Add(n.pause)})
+	}
+}
+
 // recordRun records that a target began a request, with the workspace name and the
 // caller's key that the target was sent. It must not be sent a key.
 func (c *checker) recordRun(id, method, uri, body, workspace, leakedKey string) {
--- a/test/soak/defects_test.go
+++ b/test/soak/defects_test.go
@@ -62,6 +62,8 @@
 	{"swaps workspaces", faults, "ran for workspace"},
 	{"keeps home regions", append([]fault{(*injector).homesMoved}, slices.Repeat([]fault{(*injector).historyLost}, 19)...), "outside the home regions"},
 	{believesEarlierRefusals, []fault{(*injector).failingTarget}, "which says that it was not run, but it ran"},
+	{"ignores that targets leave", []fault{(*injector).targetLeaves}, "that it leaves"},
+	{"ignores pauses", []fault{(*injector).targetPauses}, "in a pause that the target had asked for"},
 }
 
 // Configuration implements edge.Adapter.
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -60,6 +60,7 @@
 	in := j.anyInstance()
 	j.note("%s: suspended for %v", in.name, lasts)
 	if in.mu.TryLock() { // not while it is restarted
+		j.checks.recordDisruption(in.name)
 		in.signal(syscall.SIGSTOP)
 		in.mu.Unlock()
 	}
@@ -67,6 +68,7 @@
 		in.mu.Lock()
 		defer in.mu.Unlock()
 		in.signal(syscall.SIGCONT)
+		j.checks.recordDisruption(in.name)
 	})
 }
 
@@ -103,6 +105,59 @@
 	j.after(lasts, func() { t.register("ready") })
 }
 
+// targetLeaves makes a target announce that it leaves, until its process ends. Its
+// registration tells that, or not, or goes and comes back, and it tells one instance or
+// all.
+func (j *injector) targetLeaves(lasts time.Duration) {
+	only, form := "", j.random.IntN(4)
+	turnsAway, sameID := j.random.IntN(4) == 0, j.random.IntN(4) == 0
+	if form == 1 {
+		only = j.anyInstance().name
+	}
+	lasts += j.checks.drain
+	var t *target
+	for _, i := range j.random.Perm(len(j.targets)) {
+		if j.targets[i].leave(only) {
+			t = j.targets[i]
+			break
+		}
+	}
+	if t == nil {
+		return
+	}
+	j.note("%s: announces that it leaves, form %d, for %v; to %q; turns requests away: %v", t.ID(), form, lasts, only, turnsAway)
+	if turnsAway {
+		t.setRefusals(refusals{share: 1, instance: only, notRun: true})
+	}
+	switch form {
+	case 2:
+		t.register("draining")
+	case 3:
+		j.store.Remove("servers/" + t.ID())
+		j.after(lasts/4, func() { t.register("ready") })
+	}
+	j.after(lasts, func() {
+		j.note("%s: its process ends", t.ID())
+		t.restart(sameID)
+	})
+}
+
+// targetPauses makes a target turn requests away that asks for pauses, of all instances or
+// of one, all requests or a part, and not always with the statement that they did not run.
+func (j *injector) targetPauses(lasts time.Duration) {
+	r := refusals{
+		share: []float64{1, 1, 0.5}[j.random.IntN(3)], pause: time.Duration(2+j.random.IntN(4)) * 500 * time.Millisecond,
+		notRun: j.random.IntN(3) > 0, runPercent: 50,
+	}
+	if j.random.IntN(3) == 0 {
+		r.instance = j.anyInstance().name
+	}
+	t := j.anyTarget()
+	j.note("%s: asks for pauses for %v: %+v", t.ID(), lasts, r)
+	t.setRefusals(r)
+	j.after(lasts, func() { t.setRefusals(refusals{}) })
+}
+
 // targetRestart ends the process of a target and starts another, mostly under another id.
 func (j *injector) targetRestart(time.Duration) {
 	t, sameID := j.anyTarget(), j.random.IntN(4) == 0
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -133,7 +133,7 @@
 // the faults.
 func newFleet(t *testing.T, seed uint64, dir, defect string) *fleet {
 	f := &fleet{
-		t: t, defect: defect, random: rand.New(rand.NewPCG(seed, 7)), checks: newChecker(bounds{keyBound, configurationBound}), store: standin.NewStore(),
+		t: t, defect: defect, random: rand.New(rand.NewPCG(seed, 7)), checks: newChecker(bounds{keyBound, configurationBound, drainBound}), store: standin.NewStore(),
 		stop: make(chan struct{}), ipPrefix: fmt.Sprintf("127.92.%d.", seed%250), keys: []string{"key-0", "key-1", "key-2"},
 	}
 	l, err := net.Listen("tcp4", f.ipPrefix+"1:17000")
@@ -229,6 +229,7 @@
 // start starts a process of the instance. The caller holds the lock, unless nothing
 // else uses the instance yet.
 func (in *instance) start(f *fleet) {
+	f.checks.recordDisruption(in.name)
 	in.cmd = exec.Command(os.Args[0], "edge")
 	in.cmd.Env = append(os.Environ(), processEnv+"=1", defectEnv+"="+in.defect, "TURMERICFIELD_NODE_FILE="+in.settingsFile)
 	in.cmd.Stdout, in.cmd.Stderr = in.logFile, in.logFile
@@ -248,6 +249,7 @@
 func (in *instance) restart(f *fleet, s syscall.Signal) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	f.checks.recordDisruption(in.name)
 	in.signal(syscall.SIGCONT)
 	in.terminate(s)
 	in.start(f)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -24,6 +24,7 @@
 	defectEnv          = "SOAK_BROKEN"           // environment variable with the name of the instance's defect
 	keyBound           = 3 * time.Second         // the instances' setting revokeS
 	configurationBound = 2500 * time.Millisecond // the instances' setting configApplyS
+	drainBound         = time.Second             // the platform's drainS
 	routeTimeout       = 2 * time.Second
 	firstInstanceIP    = 10             // last number of the first instance's IP
 	firstTargetIP      = 100            // last number of the first target's IP
@@ -164,6 +165,15 @@
 			sendRequest(c, "2", epoch.Add(configurationBound+time.Millisecond))
 			c.recordArrival("2", "t0/1", "sierra", epoch.Add(configurationBound+time.Millisecond))
 		},
+		"target leaves": func(c *checker) {
+			c.recordNotice("1", "t0/1", notice{leaving: true, written: epoch})
+			sendRequest(c, "2", epoch.Add(drainBound+time.Millisecond))
+			c.recordArrival("2", "t0/1", "sierra", epoch.Add(drainBound+time.Millisecond))
+		},
+		"target pauses": func(c *checker) {
+			c.recordNotice("1", "t0/1", notice{pause: time.Second, begun: epoch, written: epoch})
+			arrivals(c, "t0/1", 3, epoch.Add(600*time.Millisecond))
+		},
 	} {
 		c := newRequestChecker()
 		violate(c)
@@ -175,6 +185,10 @@
 
 // A checker that reports what is allowed would make runs fail at random.
 func TestCheckerAllowsWhatTheRulesAllow(t *testing.T) {
+	leaves := func(c *checker) { c.recordNotice("1", "t0/1", notice{leaving: true, written: epoch}) }
+	pauses := func(c *checker) {
+		c.recordNotice("1", "t0/1", notice{pause: time.Second, begun: epoch, written: epoch})
+	}
 	for name, run := range map[string]func(c *checker){
 		"one run, one answer": func(c *checker) { runRequest(c); c.recordAnswer("1", 200, answerBody("1"), "s", true) },
 		"the home region":     func(c *checker) { c.recordArrival("1", "t0/1", "sierra", epoch) },
@@ -188,6 +202,36 @@
 			c.recordArrival("1", "t0/1", "oriente", epoch)
 			c.recordArrival("1", "t0/1", "sierra", epoch)
 		},
+		"sent soon after the target left": func(c *checker) {
+			leaves(c)
+			sendRequest(c, "2", epoch.Add(drainBound))
+			c.recordArrival("2", "t0/1", "sierra", epoch.Add(2*drainBound))
+		},
+		"the next process of the target": func(c *checker) { leaves(c); pauses(c); arrivals(c, "t0/2", 3, epoch.Add(2*drainBound)) },
+		"through an instance that was restarted": func(c *checker) {
+			leaves(c)
+			pauses(c)
+			c.recordDisruption("i0")
+			arrivals(c, "t0/1", 3, epoch.Add(2*drainBound))
+		},
+		"sent before the instance was restarted": func(c *checker) {
+			leaves(c)
+			sendRequest(c, "2", epoch.Add(2*drainBound))
+			c.recordDisruption("i0")
+			c.recordArrival("2", "t0/1", "sierra", epoch.Add(2*drainBound))
+		},
+		"told to the instance before its restart": func(c *checker) {
+			c.recordDisruption("i0")
+			leaves(c)
+			arrivals(c, "t0/1", 1, epoch.Add(2*drainBound))
+		},
+		"told too late to be read": func(c *checker) {
+			c.recordNotice("1", "t0/1", notice{leaving: true, written: epoch.Add(2 * maxNoticeAge)})
+			arrivals(c, "t0/1", 1, epoch.Add(2*maxNoticeAge+2*drainBound))
+		},
+		"two in a pause":              func(c *checker) { pauses(c); arrivals(c, "t0/1", 2, epoch.Add(600*time.Millisecond)) },
+		"at the beginning of a pause": func(c *checker) { pauses(c); arrivals(c, "t0/1", 3, epoch.Add(400*time.Millisecond)) },
+		"after a pause":               func(c *checker) { pauses(c); arrivals(c, "t0/1", 3, epoch.Add(1001*time.Millisecond)) },
 	} {
 		c := newRequestChecker()
 		run(c)
@@ -202,7 +246,7 @@
 
 // newRequestChecker returns a checker of a fleet with a configuration and one request.
 func newRequestChecker() *checker {
-	c := newChecker(bounds{keyBound, configurationBound})
+	c := newChecker(bounds{keyBound, configurationBound, drainBound})
 	before := epoch.Add(-time.Minute)
 	c.configurations = []configuration{{begun: before, confirmed: before, homes: map[string][]string{"reserve": {"sierra", "costa"}, "w0": {"sierra", "oriente"}}}}
 	sendRequest(c, "1", epoch)
@@ -215,3 +259,12 @@
 
 // runRequest records that the request of newRequestChecker ran.
 func runRequest(c *checker) { c.recordRun("1", "POST", "/reserve/1", "b", "w0", "") }
+
+// arrivals sends n requests, which reach a target's process at once.
+func arrivals(c *checker, process string, n int, at time.Time) {
+	for i := range n {
+		id := fmt.Sprint("arrival-", i)
+		sendRequest(c, id, at)
+		c.recordArrival(id, process, "sierra", at)
+	}
+}
