--- a/test/soak/defects_test.go
+++ b/test/soak/defects_test.go
@@ -7,24 +7,28 @@
 	"log"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httputil"
 	"net/netip"
+	"net/url"
 	"os"
 	"slices"
 	"strings"
 	"testing"
 
+	"github.com/turmericfield/turmericfield/internal/affinity"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/edge"
 	"github.com/turmericfield/turmericfield/platform"
 )
 
-// defectiveAdapter is the platform's adapter with one defect in how it translates the
-// configuration, so that the instance violates a guarantee.
+// defectiveAdapter is the platform's adapter with one defect in what it translates, so
+// that the instance violates a guarantee.
 type defectiveAdapter struct {
 	platform.Adapter
-	defect string
-	first  config.RoutingTableSource // the first configuration
+	defect  string
+	first   config.RoutingTableSource // the first configuration
+	proxies map[string]string         // IP:port of the proxies before targets, by the target's
 }
 
 // Seeds of the runs with defects. A seed chooses the addresses of a run: the seeds of
@@ -54,7 +58,10 @@
 	return ""
 }
 
-const believesEarlierRefusals = "believes earlier refusals"
+const (
+	believesEarlierRefusals = "believes earlier refusals"
+	ignoresPauses           = "ignores pauses"
+)
 
 var defects = []defect{
 	{"repeats all requests", []fault{(*injector).failingTarget}, " times"},
@@ -63,7 +70,27 @@
 	{"keeps home regions", append([]fault{(*injector).homesMoved}, slices.Repeat([]fault{(*injector).historyLost}, 19)...), "outside the home regions"},
 	{believesEarlierRefusals, []fault{(*injector).failingTarget}, "which says that it was not run, but it ran"},
 	{"ignores that targets leave", []fault{(*injector).targetLeaves}, "that it leaves"},
-	{"ignores pauses", []fault{(*injector).targetPauses}, "in a pause that the target had asked for"},
+	{ignoresPauses, []fault{(*injector).targetPauses}, "in a pause that the target had asked for"},
+}
+
+// Target implements edge.Adapter. An instance that ignores pauses reaches targets through
+// proxies that drop the header.
+func (a *defectiveAdapter) Target(id string, value []byte) (affinity.Target, error) {
+	t, err := a.Adapter.Target(id, value)
+	if err != nil || a.defect != ignoresPauses {
+		return t, err
+	}
+	if a.proxies[t.Address] == "" {
+		target := &url.URL{Scheme: "http", Host: t.Address}
+		proxy := httptest.NewServer(&httputil.ReverseProxy{
+			ErrorLog:       log.New(io.Discard, "", 0), // failing targets are expected
+			Rewrite:        func(r *httputil.ProxyRequest) { r.SetURL(target); r.Out.Host = r.In.Host },
+			ModifyResponse: func(r *http.Response) error { r.Header.Del("Retry-After"); return nil },
+		})
+		a.proxies[t.Address] = proxy.Listener.Addr().String()
+	}
+	t.Address = a.proxies[t.Address]
+	return t, nil
 }
 
 // Configuration implements edge.Adapter.
@@ -102,7 +129,7 @@
 	if defect == believesEarlierRefusals {
 		err = http.ListenAndServe(s.Listen, naiveProxy(s.Listen))
 	} else {
-		err = edge.Provision(s, &defectiveAdapter{defect: defect}, platform.NewStore(s.StoreAddress, s.WatchWait()), os.Stdout).Run(ctx, ctx, nil)
+		err = edge.Provision(s, &defectiveAdapter{defect: defect, proxies: map[string]string{}}, platform.NewStore(s.StoreAddress, s.WatchWait()), os.Stdout).Run(ctx, ctx, nil)
 	}
 	fmt.Println("turmericfield:", err)
 }
