soak: targets that leave or pause are among the faults of every run

The product follows what targets say about the requests that they want, so that both faults can be part of TestSoak.

--- a/test/soak/defects_test.go
+++ b/test/soak/defects_test.go
@@ -19,6 +19,7 @@
 	"github.com/turmericfield/turmericfield/internal/affinity"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/edge"
+	"github.com/turmericfield/turmericfield/internal/gateway"
 	"github.com/turmericfield/turmericfield/platform"
 )
 
@@ -60,6 +61,7 @@
 
 const (
 	believesEarlierRefusals = "believes earlier refusals"
+	ignoresLeaving          = "ignores that targets leave"
 	ignoresPauses           = "ignores pauses"
 )
 
@@ -69,10 +71,19 @@
 	{"swaps workspaces", faults, "ran for workspace"},
 	{"keeps home regions", append([]fault{(*injector).homesMoved}, slices.Repeat([]fault{(*injector).historyLost}, 19)...), "outside the home regions"},
 	{believesEarlierRefusals, []fault{(*injector).failingTarget}, "which says that it was not run, but it ran"},
-	{"ignores that targets leave", []fault{(*injector).targetLeaves}, "that it leaves"},
+	{ignoresLeaving, []fault{(*injector).targetLeaves}, "that it leaves"},
 	{ignoresPauses, []fault{(*injector).targetPauses}, "in a pause that the target had asked for"},
 }
 
+// HTTPHeaders implements edge.Adapter.
+func (a *defectiveAdapter) HTTPHeaders() gateway.HeaderNames {
+	names := a.Adapter.HTTPHeaders()
+	if a.defect == ignoresLeaving {
+		names.Leaving = ""
+	}
+	return names
+}
+
 // Target implements edge.Adapter. An instance that ignores pauses reaches targets through
 // proxies that drop the header.
 func (a *defectiveAdapter) Target(id string, value []byte) (affinity.Target, error) {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -20,10 +20,11 @@
 // fault begins a fault that lasts for some time, and does not wait for its end.
 type fault func(j *injector, lasts time.Duration)
 
-// faults are all faults.
+// faults are all faults. Those that few requests notice come twice.
 var faults = []fault{
 	(*injector).storeConnection, (*injector).suspension, (*injector).termination, (*injector).kill, (*injector).reload,
 	(*injector).failingTarget, (*injector).silentDrain, (*injector).targetRestart,
+	(*injector).targetLeaves, (*injector).targetLeaves, (*injector).targetPauses, (*injector).targetPauses,
 	(*injector).historyLost, (*injector).keyWithdrawn, (*injector).homesMoved, (*injector).zoneClosed,
 }
 
