--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -115,7 +115,7 @@
 	if form == 1 {
 		only = j.anyInstance().name
 	}
-	lasts += j.checks.drain
+	lasts += 2 * j.checks.drain
 	var t *target
 	for _, i := range j.random.Perm(len(j.targets)) {
 		if j.targets[i].leave(only) {
