--- a/internal/affinity/availability_test.go
+++ b/internal/affinity/availability_test.go
@@ -442,3 +442,142 @@
 		t.Errorf("%d changes are returned twice", n)
 	}
 }
+
+// A target that asks for a pause turns all requests away that are on their way.
+func TestRejectionsAtTheBeginOfAPauseEjectTheTarget(t *testing.T) {
+	b := newBalancer("a", "r0", newTargets(6, 6))
+	now := time.Duration(1)
+	for range 5 {
+		var grants []Grant
+		for i := range 200 {
+			if g := mustChoose(t, b, newRequest(fmt.Sprint("o", i)), now); g.Target.ID == "t00" && len(grants) < 5 {
+				grants = append(grants, g)
+			} else {
+				b.Done(g, Report{Outcome: Answered}, now)
+			}
+		}
+		for _, g := range grants {
+			b.Observe(g, Notice{Pause: 500 * ms}, now)
+			b.Done(g, Report{Outcome: Rejected}, now)
+		}
+		now += 5 * time.Second
+	}
+	for _, c := range b.AvailabilityChanges() {
+		if c.Source == availability.Ejection {
+			t.Fatalf("%+v", c)
+		}
+	}
+}
+
+// One that asks for a pause whenever it gets a request takes the retries of others.
+func TestTargetThatPausesAgainAndAgainIsNotEjected(t *testing.T) {
+	b := newBalancer("a", "r0", newTargets(6, 6))
+	now, rejected := time.Duration(1), 0
+	for i := range 6000 {
+		g := mustChoose(t, b, newRequest(fmt.Sprint("o", i%40)), now)
+		if g.Target.ID == "t00" {
+			rejected++
+			b.Observe(g, Notice{Pause: ms}, now)
+			b.Done(g, Report{Outcome: Rejected}, now)
+		} else {
+			b.Done(g, Report{Outcome: Answered, Elapsed: 200 * ms}, now)
+		}
+		now += 5 * ms
+	}
+	if rejected == 0 || rejected > 20 {
+		t.Errorf("%d of 6,000 requests in 30 s went to a target that rejects all with a short pause, want 1 to 20", rejected)
+	}
+}
+
+// pauseFirst lets the first n targets of region r0 say something to all instances.
+func (f *shiftFleet) pauseFirst(n int, notice Notice) {
+	for _, b := range f.balancers {
+		left := n
+		for _, x := range f.targets {
+			if x.Region == "r0" && left > 0 {
+				left--
+				b.Observe(Grant{Target: x}, notice, f.now)
+			}
+		}
+	}
+}
+
+func TestPausedTargetsGetTheirRequestsBackFromOtherRegionsAtOnce(t *testing.T) {
+	forFleets(t, func(t *testing.T, instances int) {
+		f := newShiftFleet(instances, 31, 62, 74)
+		f.run(4 * time.Second)
+		f.pauseFirst(31, Notice{Pause: 4 * time.Second})
+		back := f.now + 2*time.Second
+		f.run(16 * time.Second)
+		f.checkShift(t, back)
+	})
+}
+
+// It takes seconds to shift a region's share back, so that of a short pause stays.
+func TestShortPauseKeepsObjectsInOtherRegionsAfterItsEnd(t *testing.T) {
+	targets := newTargets(32, 6)
+	for i := range targets {
+		targets[i].Region = fmt.Sprint("r", 1+i%2)
+		if i < 4 {
+			targets[i].Region = "r0"
+		}
+	}
+	b := New("a", "r0", 3)
+	b.SetMaxShift(maxShift)
+	b.SetTargets(targets, 0)
+	const end = shiftWindow - 1
+	before := assign(b, 400, 0)
+	for _, x := range targets[:2] {
+		b.Observe(Grant{Target: x}, Notice{Pause: end}, 0)
+	}
+	for now := time.Duration(0); now < end+availability.ReturnDuration; now += 50 * ms {
+		for i, id := range assign(b, 400, now) {
+			if before[i] != "t00" && before[i] != "t01" && id != before[i] {
+				t.Fatalf("at %v: object %d moved from %s to %s", now, i, before[i], id)
+			}
+		}
+	}
+	if after := assign(b, 400, end+availability.ReturnDuration); !slices.Equal(before, after) {
+		t.Error("not all objects went home after a short pause")
+	}
+}
+
+func TestOtherTargetsOfARegionTakeAllRequestsOfThoseThatLeaveOrPause(t *testing.T) {
+	for name, notice := range notices {
+		perTarget, total := map[string]int{}, 0
+		for _, region := range []string{"r0", "r1", "r2"} {
+			b := New("a", region, 3)
+			b.SetMaxShift(maxShift)
+			b.SetTargets(newTargets(30, 6), 0)
+			assign(b, 300, 0)
+			for i, x := range newTargets(30, 6) {
+				if i%3 == 0 && i < 18 { // six of the ten of r0
+					b.Observe(Grant{Target: x}, notice, 1)
+				}
+			}
+			for i := range 300 {
+				g := mustChoose(t, b, newRequest(fmt.Sprint(region, i)), 2)
+				b.Done(g, Report{Outcome: Abandoned}, 2)
+				perTarget[g.Target.ID]++
+				total++
+			}
+		}
+		inR0 := 0
+		for _, id := range []string{"t18", "t21", "t24", "t27"} {
+			inR0 += perTarget[id]
+		}
+		if mean := float64(total) / 24; float64(inR0)/4 > 1.5*mean {
+			t.Errorf("%s: the other targets of the region have %d objects, want %.0f at most", name, inR0, 4*1.5*mean)
+		}
+	}
+}
+
+func TestEjectedTargetGetsRequestsInsteadOfOneThatReturns(t *testing.T) {
+	const end = time.Second
+	b := newBalancer("a", "r0", newTargets(2, 6))
+	b.Observe(Grant{Target: b.targets["t00"].Target}, Notice{Pause: end}, 0)
+	b.targets["t01"].eject(0, time.Hour, Slow)
+	if n := chosenFor(b, "t00", 100, end); n != 100 {
+		t.Errorf("%d of 100 requests went to an ejected target while another returned from a pause", 100-n)
+	}
+}
