soak: defective instances survive SIGHUP, and targets tell instances that use them

SIGHUP ended the instances with defects, which do not read their settings again, so that runs of all faults had few of them left. A target that tells one instance only told any, mostly one of another region that sends it nothing. And instances whose processes report a data race fail the run.

--- a/test/soak/defects_test.go
+++ b/test/soak/defects_test.go
@@ -12,8 +12,10 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"os/signal"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/turmericfield/turmericfield/internal/affinity"
@@ -136,6 +138,7 @@
 		os.Exit(1)
 	}
 	s.LogLevel = "info"
+	signal.Ignore(syscall.SIGHUP) // the product reads its settings again
 	ctx := context.Background()
 	if defect == believesEarlierRefusals {
 		err = http.ListenAndServe(s.Listen, naiveProxy(s.Listen))
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -50,6 +50,18 @@
 func (j *injector) anyInstance() *instance { return j.instances[j.random.IntN(len(j.instances))] }
 func (j *injector) anyTarget() *target     { return j.targets[j.random.IntN(len(j.targets))] }
 
+// caller returns the name of an instance that sends requests to a target: one of its
+// region, if there is one.
+func (j *injector) caller(t *target) string {
+	list := j.random.Perm(len(j.instances))
+	for _, i := range list {
+		if regions[i%len(regions)] == t.region {
+			return j.instances[i].name
+		}
+	}
+	return j.instances[list[0]].name
+}
+
 func (j *injector) storeConnection(lasts time.Duration) {
 	in, mode := j.anyInstance(), []string{"silent", "reset", "deaf", "slow"}[j.random.IntN(4)]
 	j.note("%s: store connection %s for %v", in.name, mode, lasts)
@@ -112,12 +124,12 @@
 func (j *injector) targetLeaves(lasts time.Duration) {
 	only, form := "", j.random.IntN(4)
 	turnsAway, sameID := j.random.IntN(4) == 0, j.random.IntN(4) == 0
-	if form == 1 {
-		only = j.anyInstance().name
-	}
 	lasts += 2 * j.checks.drain
 	var t *target
 	for _, i := range j.random.Perm(len(j.targets)) {
+		if form == 1 {
+			only = j.caller(j.targets[i])
+		}
 		if j.targets[i].leave(only) {
 			t = j.targets[i]
 			break
@@ -150,10 +162,10 @@
 		share: []float64{1, 1, 0.5}[j.random.IntN(3)], pause: time.Duration(2+j.random.IntN(4)) * 500 * time.Millisecond,
 		notRun: j.random.IntN(3) > 0, runPercent: 50,
 	}
+	t := j.anyTarget()
 	if j.random.IntN(3) == 0 {
-		r.instance = j.anyInstance().name
+		r.instance = j.caller(t)
 	}
-	t := j.anyTarget()
 	j.note("%s: asks for pauses for %v: %+v", t.ID(), lasts, r)
 	t.setRefusals(r)
 	j.after(lasts, func() { t.setRefusals(refusals{}) })
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -108,7 +108,8 @@
 	close(f.stop)
 	sending.Wait()
 	for _, in := range f.instances {
-		if err := in.cmd.Process.Signal(syscall.Signal(0)); err != nil || strings.Contains(in.logText(), "turmericfield: ") {
+		text := in.logText()
+		if err := in.cmd.Process.Signal(syscall.Signal(0)); err != nil || strings.Contains(text, "turmericfield: ") || strings.Contains(text, "DATA RACE") {
 			f.checks.fail("%s ended without a signal, or reported an error", in.name)
 		}
 		in.terminate(syscall.SIGKILL)
