--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -118,16 +118,25 @@
 	j.after(lasts, func() { t.register("ready") })
 }
 
-// targetLeaves makes a target announce that it leaves, until its process ends. Its
-// registration tells that, or not, or goes and comes back, and it tells one instance or
-// all.
+// leavingForm is how a target that leaves goes about it.
+type leavingForm int
+
+const (
+	staysReady        leavingForm = iota // its registration says that it is ready
+	tellsOneInstance                     // the same, and it announces nothing to the others
+	registersDraining                    // its registration says that it leaves, too
+	lapses                               // its registration goes and comes back as ready
+	leavingFormCount
+)
+
+// targetLeaves makes a target announce that it leaves, until its process ends.
 func (j *injector) targetLeaves(lasts time.Duration) {
-	only, form := "", j.random.IntN(4)
+	only, form := "", leavingForm(j.random.IntN(int(leavingFormCount)))
 	turnsAway, sameID := j.random.IntN(4) == 0, j.random.IntN(4) == 0
 	lasts += 2 * j.checks.drain
 	var t *target
 	for _, i := range j.random.Perm(len(j.targets)) {
-		if form == 1 {
+		if form == tellsOneInstance {
 			only = j.caller(j.targets[i])
 		}
 		if j.targets[i].leave(only) {
@@ -143,9 +152,9 @@
 		t.setRefusals(refusals{share: 1, instance: only, notRun: true})
 	}
 	switch form {
-	case 2:
+	case registersDraining:
 		t.register("draining")
-	case 3:
+	case lapses:
 		j.store.Remove("servers/" + t.ID())
 		j.after(lasts/4, func() { t.register("ready") })
 	}
