affinity: estimate the load of targets that have not answered lately

Callers whose workspace is bound to a region with few targets waited up to 3 s for a 504 instead of being refused at once.

Cause: a reported load fades to 0 within 2 s. With many instances and few targets each instance hears of a target less than once in that time, and a congested target answers after more than that. Besides, the wait was computed with the mean latency of the service, though targets that get objects of all regions answer more slowly.

Now the targets of a service in a region form a group. As a target's report ages, the mean of what other targets of the group reported takes its place, until the group is silent for 2 s. The mean latency is that of the group.

TestFullRegionIsKnownBeforeEachOfItsTargetsHasAnswered failed with a grant at an assumed load of 0, and TestWaitIsEstimatedByTheLatencyOfTheRegion with equal waits.

The simulation counts the requests bound to a region apart.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -16,11 +16,11 @@
 	// coldBurst is the token bucket size, in requests, of one instance for one cold
 	// target.
 	coldBurst = 2.0
-	// defaultLatency is the assumed mean latency of a service that has not answered
-	// yet.
+	// defaultLatency is the assumed mean latency of a group of targets that has not
+	// answered yet.
 	defaultLatency = 300 * time.Millisecond
 	// latencyWeight is the weight, from 0 to 1, of the newest response in the moving
-	// average of a service's latency. The estimate of a route's median latency uses
+	// average of a group's latency. The estimate of a route's median latency uses
 	// it too: each answer moves that estimate up or down by this fraction of itself.
 	latencyWeight = 0.05
 	// maxWaitShare is the fraction of the latency objective that a request may wait
@@ -153,8 +153,8 @@
 	coldLimits  map[string]coldLimit
 	instances   []string // names of the live instances, which share the cold rates
 
+	groups        map[groupKey]*targetGroup
 	medianLatency map[string]float64 // route → estimated median latency, seconds
-	meanLatency   map[string]float64 // service → moving average of latency, seconds
 
 	homeRegionShares map[string]float64 // region → fraction of all requests that only it may run
 	maxShift         float64            // see SetMaxShift
@@ -184,7 +184,7 @@
 func New(self, region string, regionCount int) *Balancer {
 	return &Balancer{
 		self: self, region: region, regionCount: regionCount,
-		medianLatency: map[string]float64{}, meanLatency: map[string]float64{},
+		groups: map[groupKey]*targetGroup{}, medianLatency: map[string]float64{},
 		regionMixes: map[string]*regionMix{}, targets: map[string]*targetState{}, services: map[string][]*targetState{},
 		closedZones: map[string]bool{}, coldLimits: map[string]coldLimit{}, instances: []string{self},
 	}
@@ -206,7 +206,7 @@
 		case t.ColdFor > 0 && t.Revision != s.Revision:
 			s.coldUntil = max(s.coldUntil, now+t.ColdFor)
 		}
-		s.Target = t
+		s.Target, s.group = t, b.group(t)
 		b.targets[t.ID] = s
 		b.services[t.Service] = append(b.services[t.Service], s)
 	}
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -105,7 +105,7 @@
 	if excess <= 0 {
 		return 0
 	}
-	meanLatency := b.meanLatency[s.Service]
+	meanLatency := s.group.meanLatency
 	if meanLatency == 0 {
 		meanLatency = defaultLatency.Seconds()
 	}
--- /dev/null
+++ b/internal/affinity/group_test.go
@@ -0,0 +1,80 @@
+package affinity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// report lets a target answer a request with its load.
+func report(t *testing.T, b *Balancer, g Grant, load int, now time.Duration) {
+	t.Helper()
+	b.Done(g, Report{Outcome: Answered, HasLoad: true, Load: load, Elapsed: 300 * ms}, now)
+}
+
+// homeRequest returns a request for an object that only r0 may run.
+func homeRequest(object string) Request {
+	r := newRequest(object)
+	r.HomeRegions = []string{"r0"}
+	return r
+}
+
+// objectOf returns an object that prefers the target.
+func objectOf(t *testing.T, b *Balancer, id string, now time.Duration) string {
+	t.Helper()
+	for i := range 1000 {
+		object := fmt.Sprint("o", i)
+		if list := b.candidates(homeRequest(object), now); list[0].ID == id {
+			return object
+		}
+	}
+	t.Fatalf("no object prefers %s", id)
+	return ""
+}
+
+// A target that has not answered this instance lately is as full as the others of its
+// region if these all report full queues.
+func TestFullRegionIsKnownBeforeEachOfItsTargetsHasAnswered(t *testing.T) {
+	b := newBalancer("a", "r1", newTargets(12, 6)) // four in each region
+	now := time.Minute
+	var grants []Grant
+	for _, id := range []string{"t00", "t03", "t06"} {
+		grants = append(grants, mustChoose(t, b, homeRequest(objectOf(t, b, id, now)), now))
+	}
+	unknown := homeRequest(objectOf(t, b, "t09", now))
+	for _, g := range grants {
+		report(t, b, g, 24, now)
+	}
+	if g, ok := b.Choose(unknown, now); ok {
+		t.Errorf("granted %s with an assumed load of %.1f although all targets of the region that have answered are full", g.Target.ID, g.Load)
+	}
+	if g := mustChoose(t, b, newRequest("o"), now); g.Target.Region != "r0" && g.Load > 0 {
+		t.Errorf("load of a target in %s %.1f, want 0: only r0 is full", g.Target.Region, g.Load)
+	}
+	if _, ok := b.Choose(unknown, now+reportedLoadTTL); !ok {
+		t.Error("refused although no target has reported a load lately")
+	}
+}
+
+// A region whose targets get objects that they have not cached answers more slowly than
+// the mean of the service.
+func TestWaitIsEstimatedByTheLatencyOfTheRegion(t *testing.T) {
+	b := newBalancer("a", "r1", newTargets(12, 6))
+	now := time.Minute
+	for i := range 400 {
+		r, elapsed := homeRequest(fmt.Sprint("o", i)), 900*ms
+		if i%2 == 0 {
+			r, elapsed = newRequest(fmt.Sprint("o", i)), 300*ms
+			r.HomeRegions = []string{"r1"}
+		}
+		now += 10 * ms
+		b.Done(mustChoose(t, b, r, now), Report{Outcome: Answered, HasLoad: true, Load: 4, Elapsed: elapsed}, now)
+	}
+	for _, id := range []string{"t00", "t01"} {
+		b.targets[id].reportedLoad = 12
+	}
+	slow, fast := b.expectedWait(b.targets["t00"], now), b.expectedWait(b.targets["t01"], now)
+	if slow < 2*fast {
+		t.Errorf("expected wait %v where answers take 900 ms and %v where they take 300 ms, want at least twice as long", slow, fast)
+	}
+}
--- a/internal/affinity/learn.go
+++ b/internal/affinity/learn.go
@@ -12,6 +12,7 @@
 	s.inFlight = max(s.inFlight-1, 0)
 	if r.HasLoad {
 		s.reportedLoad, s.reportedAt, s.inFlightAtReport = r.Load, now, s.inFlight
+		s.group.recordLoad(s.reportedOthers()/float64(max(s.Slots, 1)), now)
 	}
 	// A target with more requests than slots rejects and delays requests although it
 	// is healthy, so that does not count against it.
@@ -78,9 +79,5 @@
 		step = -step
 	}
 	b.medianLatency[g.route] = median + step
-	meanLatency := b.meanLatency[s.Service]
-	if meanLatency == 0 {
-		meanLatency = took
-	}
-	b.meanLatency[s.Service] = meanLatency + (took-meanLatency)*latencyWeight
+	s.group.recordLatency(took)
 }
--- a/internal/affinity/target.go
+++ b/internal/affinity/target.go
@@ -76,7 +76,7 @@
 	// failures or a failed trial show that a target is down. Above it they happen by
 	// chance.
 	lowFailureRate = 0.2
-	// reportedLoadTTL is the time over which a load reported by a target fades to 0.
+	// reportedLoadTTL is the time over which a reported load ceases to count.
 	reportedLoadTTL = 2 * time.Second
 	// relativeLatencyWeight is the weight of the newest response in the moving
 	// average of a target's relative latency.
@@ -98,6 +98,7 @@
 type targetState struct {
 	Target
 	idHash uint64 // hash of Target.ID
+	group  *targetGroup
 
 	inFlight int // requests sent by this instance and not done
 	// The load that the last response reported, when it came, and how many of these
@@ -155,15 +156,16 @@
 }
 
 // load estimates the number of requests at the target, running and queued: those of
-// this instance, and those of others by the last report, which count less as it ages.
+// this instance, and those of others by the last report. As it ages, the mean of the
+// target's group takes its place.
 func (s *targetState) load(now time.Duration) float64 {
-	own := float64(s.inFlight)
-	age := now - s.reportedAt
-	if s.reportedAt == 0 || age >= reportedLoadTTL {
-		return own
-	}
-	others := max(float64(s.reportedLoad-s.inFlightAtReport), 0)
-	return own + others*(1-float64(age)/float64(reportedLoadTTL))
+	weight := reportWeight(s.reportedAt, now)
+	return float64(s.inFlight) + weight*s.reportedOthers() + (1-weight)*s.group.othersPerSlot(now)*float64(s.Slots)
+}
+
+// reportedOthers returns the number of other instances' requests by the last report.
+func (s *targetState) reportedOthers() float64 {
+	return max(float64(s.reportedLoad-s.inFlightAtReport), 0)
 }
 
 // ejected reports whether the target gets no requests: during an ejection, and after
--- a/internal/overloadsim/overloadsim.go
+++ b/internal/overloadsim/overloadsim.go
@@ -65,18 +65,25 @@
 	Targets, Objects int
 }
 
+// Counts are numbers of requests by how they ended. Asked is the number of all requests.
+// InTime were answered within the objective, Late after it, Refused were refused or
+// rejected twice, and Failed timed out.
+type Counts struct {
+	Asked, InTime, Late, Refused, Failed int
+}
+
 // Result counts the requests of a simulation by how they ended.
 type Result struct {
-	// Asked is the number of all requests. InTime were answered within the objective,
-	// Late after it, Refused were refused or rejected twice, and Failed timed out.
-	Asked, InTime, Late, Refused, Failed int
+	Counts
+	// Homed counts the requests that only the first region may run.
+	Homed Counts
 	// Windows is, for each two seconds, the fraction of the requests created then that
 	// were answered in time.
 	Windows []float64
 }
 
 // InTimeShare returns the fraction of requests answered within the objective.
-func (r Result) InTimeShare() float64 { return float64(r.InTime) / float64(max(r.Asked, 1)) }
+func (c Counts) InTimeShare() float64 { return float64(c.InTime) / float64(max(c.Asked, 1)) }
 
 // request is one request of a caller.
 type request struct {
@@ -197,25 +204,30 @@
 			createdAt: w.now, region: region, homed: w.random.Float64() < w.Homed,
 			object: fmt.Sprintf("%d/%d/%d", w.seed, region, int(float64(objects)*w.random.Float64())),
 		}
-		w.count(r, false)
+		w.countAsked(r)
 		w.send(r)
 		w.scheduleArrival(region)
 	})
 }
 
-// count counts a new request, or one answered in time, in the window in which the
-// request was created.
-func (w *simulation) count(r *request, inTime bool) {
-	i := int(r.createdAt / (2 * time.Second))
-	for len(w.asked) <= i {
+// window returns the index of the window in which the request was created.
+func (r *request) window() int { return int(r.createdAt / (2 * time.Second)) }
+
+// countAsked counts a new request.
+func (w *simulation) countAsked(r *request) {
+	for len(w.asked) <= r.window() {
 		w.asked, w.inTime = append(w.asked, 0), append(w.inTime, 0)
 	}
-	if inTime {
-		w.inTime[i]++
-		return
+	w.asked[r.window()]++
+	w.count(r, func(c *Counts) { c.Asked++ })
+}
+
+// count applies add to the counts that the request belongs to.
+func (w *simulation) count(r *request, add func(*Counts)) {
+	add(&w.result.Counts)
+	if r.homed {
+		add(&w.result.Homed)
 	}
-	w.asked[i]++
-	w.result.Asked++
 }
 
 // send sends a request to a random instance of its region, which chooses a target.
@@ -247,7 +259,7 @@
 // not done so yet.
 func (w *simulation) retryOnce(r *request, after time.Duration) {
 	if r.retried {
-		w.result.Refused++
+		w.count(r, func(c *Counts) { c.Refused++ })
 		return
 	}
 	next := *r
@@ -326,10 +338,10 @@
 		}
 		w.reportOutcome(r, affinity.Answered)
 		if w.now-r.createdAt <= w.Objective {
-			w.result.InTime++
-			w.count(r, true)
+			w.inTime[r.window()]++
+			w.count(r, func(c *Counts) { c.InTime++ })
 		} else {
-			w.result.Late++
+			w.count(r, func(c *Counts) { c.Late++ })
 		}
 	})
 	w.startQueued(r.target)
@@ -351,6 +363,6 @@
 		}
 	}
 	w.reportOutcome(r, affinity.TimedOut)
-	w.result.Failed++
+	w.count(r, func(c *Counts) { c.Failed++ })
 	w.startQueued(t)
 }
--- a/internal/overloadsim/overloadsim_test.go
+++ b/internal/overloadsim/overloadsim_test.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// Instances must refuse at once what a region with too few targets cannot serve in time.
+// Only requests sent before the first response can have been accepted in ignorance.
+func TestRequestsBoundToAFullRegionDoNotTimeOut(t *testing.T) {
+	s := scenario(t, "one home with too few targets")
+	rate := s.Homed * s.Rate(0) * float64(len(s.Regions))
+	limit := int(rate * s.ColdServiceTime.Seconds())
+	for seed := range uint64(4) {
+		if homed := Simulate(s, seed, Affinity(s)).Homed; homed.Failed > limit {
+			t.Errorf("seed %d: %d requests timed out, want at most %d, of %+v", seed, homed.Failed, limit, homed)
+		}
+	}
+}
+
 func TestSameSeedGivesTheSameResult(t *testing.T) {
 	s := scenario(t, "circuit")
 	a, b := Simulate(s, 3, Affinity(s)), Simulate(s, 3, Affinity(s))
--- a/internal/overloadsim/scenario.go
+++ b/internal/overloadsim/scenario.go
@@ -30,6 +30,8 @@
 		return 0
 	}
 	homed.Homed = 0.06
+	homedOverloaded := cooperativeGrown
+	homedOverloaded.Homed = 0.2
 	slow, circuitOverloaded := cooperative, circuit
 	slow.Slowdown = func(target int, at time.Duration) float64 {
 		if target%7 == 0 && at > 8*time.Second && at < 16*time.Second {
@@ -52,11 +54,11 @@
 	}
 	named := map[string]Scenario{
 		"cooperative": cooperative, "circuit": circuit, "cooperative, grown": cooperativeGrown, "burst": burst,
-		"all targets reject half": rejecting, "one home with few targets": homed,
+		"all targets reject half": rejecting, "one home with few targets": homed, "one home with too few targets": homedOverloaded,
 		"some targets slow": slow, "some targets stay slow": staysSlow, "circuit, overloaded": circuitOverloaded,
 	}
 	var list []Scenario
-	for _, name := range []string{"cooperative", "circuit", "cooperative, grown", "burst", "all targets reject half", "one home with few targets", "some targets slow", "some targets stay slow", "circuit, overloaded"} {
+	for _, name := range []string{"cooperative", "circuit", "cooperative, grown", "burst", "all targets reject half", "one home with few targets", "one home with too few targets", "some targets slow", "some targets stay slow", "circuit, overloaded"} {
 		s := named[name]
 		s.Name = name
 		list = append(list, s)
