affinity: let a request spill only where its own targets have room

Requests bound to a congested region spilled to targets there that did not have the object cached, which takes up to three times as long and delays the requests there.

Cause: an object spills to such a target only while the service uses less than 0.6 of its slots, but the slots of regions counted that may not run the request. Now those of the targets that may run it count.

TestBoundRequestsDoNotSpillWithinAFullRegion failed with a request that spilled in a region with more requests than slots, and passes.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -31,10 +31,10 @@
 	// maxSpillTargetUtilization is the load per slot below which a target may take
 	// over requests for an object that it has not cached.
 	maxSpillTargetUtilization = 0.5
-	// maxSpillServiceUtilization is the load per slot of the whole service from which
-	// requests no longer spill to targets that have not cached the object, because
+	// maxSpillUtilization is the load per slot of all targets that may run a request from
+	// which it no longer spills to targets that have not cached the object, because
 	// running them without a cache would add to the overload.
-	maxSpillServiceUtilization = 0.6
+	maxSpillUtilization = 0.6
 	// maxSpillTargets is the number of targets, after the preferred one, that an
 	// object's requests may spill to.
 	maxSpillTargets = 2
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -13,7 +13,7 @@
 //
 // A request with an object goes to the highest-ranked usable target if the wait there
 // is acceptable, otherwise to one of the next targets that has the object cached, and
-// only while the service has spare capacity to one that has not.
+// only while those that may run it have spare capacity to one that has not.
 func (b *Balancer) Choose(r Request, now time.Duration) (Grant, bool) {
 	candidates := b.candidates(r, now)
 	if len(candidates) == 0 {
@@ -41,7 +41,7 @@
 			return b.grant(s, r, Spilled, now), true
 		}
 	}
-	if b.utilization(r.Service, now) < maxSpillServiceUtilization {
+	if utilization(candidates, now) < maxSpillUtilization {
 		for _, s := range others {
 			if s.load(now) < maxSpillTargetUtilization*float64(s.Slots) {
 				return b.grant(s, r, Spilled, now), true
@@ -126,10 +126,10 @@
 	return b.expectedWait(s, now) <= time.Duration(share*float64(objective))
 }
 
-// utilization returns the load of a service per slot.
-func (b *Balancer) utilization(service string, now time.Duration) float64 {
+// utilization returns the load per slot of the targets that may run a request.
+func utilization(candidates []candidate, now time.Duration) float64 {
 	load, slots := 0.0, 0.0
-	for _, s := range b.services[service] {
+	for _, s := range candidates {
 		load += s.load(now)
 		slots += float64(s.Slots)
 	}
--- a/internal/affinity/group_test.go
+++ b/internal/affinity/group_test.go
@@ -56,6 +56,26 @@
 	}
 }
 
+// The free slots of regions that may not run the request do not count.
+func TestBoundRequestsDoNotSpillWithinAFullRegion(t *testing.T) {
+	b := newBalancer("a", "r1", newTargets(60, 6))
+	now := time.Minute
+	for i := range 20 {
+		id := fmt.Sprintf("t%02d", 3*i)
+		g := mustChoose(t, b, homeRequest(objectOf(t, b, id, now)), now)
+		load := 14
+		if i%2 == 0 {
+			load = 2
+		}
+		report(t, b, g, load, now)
+	}
+	for i := range 200 {
+		if g, ok := b.Choose(homeRequest(fmt.Sprint("p", i)), now); ok && g.Reason == Spilled {
+			t.Fatalf("request %d spilled to %s, which has not cached its object, in a region with more requests than slots", i, g.Target.ID)
+		}
+	}
+}
+
 // A region whose targets get objects that they have not cached answers more slowly than
 // the mean of the service.
 func TestWaitIsEstimatedByTheLatencyOfTheRegion(t *testing.T) {
