affinity: refuse by the load of a group only beyond the whole objective

Cause: the mean of a group is a rough estimate for one of its targets. It took the place of the target's report as this aged, in all decisions.

Now the load that a target is known to have decides as before. The group's estimate is a second limit: a request is refused if by it the wait alone would be longer than the objective. A spilled request too must meet both.

--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -43,7 +43,7 @@
 	}
 	if utilization(candidates, now) < maxSpillUtilization {
 		for _, s := range others {
-			if s.load(now) < maxSpillTargetUtilization*float64(s.Slots) {
+			if s.load(now) < maxSpillTargetUtilization*float64(s.Slots) && b.waitAcceptable(s, r, now) {
 				return b.grant(s, r, Spilled, now), true
 			}
 		}
@@ -100,8 +100,14 @@
 
 // expectedWait returns the expected time until the target has a free slot.
 func (b *Balancer) expectedWait(s *targetState, now time.Duration) time.Duration {
+	return s.waitAt(s.load(now))
+}
+
+// waitAt returns the expected time until the target has a free slot if it has the given
+// number of requests.
+func (s *targetState) waitAt(load float64) time.Duration {
 	slots := float64(max(s.Slots, 1))
-	excess := s.load(now) + 1 - slots
+	excess := load + 1 - slots
 	if excess <= 0 {
 		return 0
 	}
@@ -113,7 +119,9 @@
 }
 
 // waitAcceptable reports whether the expected wait at the target leaves the request
-// enough of its latency objective.
+// enough of its latency objective. What the target's group lets expect of it is less
+// certain, so by that the request is refused only if it would wait longer than the whole
+// objective.
 func (b *Balancer) waitAcceptable(s *targetState, r Request, now time.Duration) bool {
 	share := maxWaitShare
 	if r.Urgent {
@@ -123,7 +131,7 @@
 	if objective <= 0 {
 		objective = 2 * defaultLatency
 	}
-	return b.expectedWait(s, now) <= time.Duration(share*float64(objective))
+	return b.expectedWait(s, now) <= time.Duration(share*float64(objective)) && s.waitAt(s.loadInGroup(now)) <= objective
 }
 
 // utilization returns the load per slot of the targets that may run a request.
--- a/internal/affinity/group.go
+++ b/internal/affinity/group.go
@@ -44,6 +44,13 @@
 	return g.load * reportWeight(g.reportedAt, now)
 }
 
+// loadInGroup estimates the number of requests at the target like load, but as the last
+// report ages, the mean of the target's group takes its place.
+func (s *targetState) loadInGroup(now time.Duration) float64 {
+	unknown := 1 - reportWeight(s.reportedAt, now)
+	return s.load(now) + unknown*s.group.othersPerSlot(now)*float64(s.Slots)
+}
+
 // recordLatency adds the time that a response took, without the expected wait.
 func (g *targetGroup) recordLatency(seconds float64) {
 	if g.meanLatency == 0 {
--- a/internal/affinity/target.go
+++ b/internal/affinity/target.go
@@ -76,7 +76,7 @@
 	// failures or a failed trial show that a target is down. Above it they happen by
 	// chance.
 	lowFailureRate = 0.2
-	// reportedLoadTTL is the time over which a reported load ceases to count.
+	// reportedLoadTTL is the time over which a load reported by a target fades to 0.
 	reportedLoadTTL = 2 * time.Second
 	// relativeLatencyWeight is the weight of the newest response in the moving
 	// average of a target's relative latency.
@@ -156,11 +156,9 @@
 }
 
 // load estimates the number of requests at the target, running and queued: those of
-// this instance, and those of others by the last report. As it ages, the mean of the
-// target's group takes its place.
+// this instance, and those of others by the last report, which count less as it ages.
 func (s *targetState) load(now time.Duration) float64 {
-	weight := reportWeight(s.reportedAt, now)
-	return float64(s.inFlight) + weight*s.reportedOthers() + (1-weight)*s.group.othersPerSlot(now)*float64(s.Slots)
+	return float64(s.inFlight) + reportWeight(s.reportedAt, now)*s.reportedOthers()
 }
 
 // reportedOthers returns the number of other instances' requests by the last report.
