affinity: test the limit on shifts on the remaining paths

The limit of SetMaxShift had tests for killed instances and for targets that come back, leave or are readmitted. Missing were the other ways by which a region's requests change their region: a configuration with other home regions, an availability zone that is opened again, and the targets of a region that are full for a time.

--- a/internal/affinity/regions_test.go
+++ b/internal/affinity/regions_test.go
@@ -24,6 +24,7 @@
 	targets   []Target
 	startedAt map[string]time.Duration // by target
 	random    *rand.Rand
+	loads     map[string]int // by region: what its targets report; nil if they report none
 	// sent is, for each region and each tenth of a second, the number of requests that
 	// ran in each region.
 	sent []map[string][]int
@@ -133,7 +134,7 @@
 			if !ok {
 				continue
 			}
-			b.Done(g, Report{Outcome: Answered, Elapsed: 200 * ms}, f.now)
+			b.Done(g, Report{Outcome: Answered, HasLoad: f.loads != nil, Load: f.loads[g.Target.Region], Elapsed: 200 * ms}, f.now)
 			f.count(region, g.Target.Region)
 		}
 	}
@@ -260,6 +261,47 @@
 	})
 }
 
+func TestRequestsKeepTheirRegionsWhenTheTargetsOfOneAreFullForATime(t *testing.T) {
+	forFleets(t, func(t *testing.T, instances int) {
+		f := newShiftFleet(instances, 16, 62, 74)
+		f.run(4 * time.Second)
+		f.loads = map[string]int{"r0": 24}
+		f.run(6 * time.Second)
+		f.loads = map[string]int{}
+		f.run(6 * time.Second)
+		f.checkShift(t, 0)
+	})
+}
+
+func TestRequestsShiftGraduallyWhenHomeRegionsChange(t *testing.T) {
+	forFleets(t, func(t *testing.T, instances int) {
+		f := newShiftFleet(instances, 50, 50, 50)
+		f.run(4 * time.Second)
+		for _, b := range f.balancers {
+			b.SetHomeRegionShares(map[string]float64{"r0": 0.25})
+		}
+		f.run(16 * time.Second)
+		f.checkShift(t, 0)
+	})
+}
+
+func TestRequestsComeBackGraduallyToAZoneThatIsOpenedAgain(t *testing.T) {
+	forFleets(t, func(t *testing.T, instances int) {
+		f := newShiftFleet(instances, 50, 50, 50)
+		closeZones := func(zones map[string]bool) {
+			for _, b := range f.balancers {
+				b.SetClosedZones(zones, f.now)
+			}
+		}
+		closeZones(map[string]bool{"r0-a": true})
+		f.run(4 * time.Second)
+		opened := f.now
+		closeZones(nil)
+		f.run(16 * time.Second)
+		f.checkShift(t, opened)
+	})
+}
+
 func TestReadmittedTargetsGetTheirRequestsBackGradually(t *testing.T) {
 	forFleets(t, func(t *testing.T, instances int) {
 		f := newShiftFleet(instances, 31, 62, 74)
