affinity: count the load of a group in full for bound requests

Cause: for these requests the group is all there is. Their instances hear of each target seldom, and the load that they know is far too low both for the wait and for spilling.

--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -41,9 +41,9 @@
 			return b.grant(s, r, Spilled, now), true
 		}
 	}
-	if utilization(candidates, now) < maxSpillUtilization {
+	if utilization(candidates, r, now) < maxSpillUtilization {
 		for _, s := range others {
-			if s.load(now) < maxSpillTargetUtilization*float64(s.Slots) && b.waitAcceptable(s, r, now) {
+			if r.loadAt(s, now) < maxSpillTargetUtilization*float64(s.Slots) && b.waitAcceptable(s, r, now) {
 				return b.grant(s, r, Spilled, now), true
 			}
 		}
@@ -120,8 +120,8 @@
 
 // waitAcceptable reports whether the expected wait at the target leaves the request
 // enough of its latency objective. What the target's group lets expect of it is less
-// certain, so by that the request is refused only if it would wait longer than the whole
-// objective.
+// certain: by that, a request that may run anywhere is refused only if it would wait
+// longer than the whole objective.
 func (b *Balancer) waitAcceptable(s *targetState, r Request, now time.Duration) bool {
 	share := maxWaitShare
 	if r.Urgent {
@@ -131,14 +131,23 @@
 	if objective <= 0 {
 		objective = 2 * defaultLatency
 	}
-	return b.expectedWait(s, now) <= time.Duration(share*float64(objective)) && s.waitAt(s.loadInGroup(now)) <= objective
+	return s.waitAt(r.loadAt(s, now)) <= time.Duration(share*float64(objective)) && s.waitAt(s.loadInGroup(now)) <= objective
+}
+
+// loadAt returns the load of the target that counts for the request. One that is bound to
+// home regions cannot avoid a congested group, so the group counts for it in full.
+func (r Request) loadAt(s *targetState, now time.Duration) float64 {
+	if r.HomeRegions.Bound() {
+		return s.loadInGroup(now)
+	}
+	return s.load(now)
 }
 
 // utilization returns the load per slot of the targets that may run a request.
-func utilization(candidates []candidate, now time.Duration) float64 {
+func utilization(candidates []candidate, r Request, now time.Duration) float64 {
 	load, slots := 0.0, 0.0
 	for _, s := range candidates {
-		load += s.load(now)
+		load += r.loadAt(s.targetState, now)
 		slots += float64(s.Slots)
 	}
 	return load / max(slots, 1)
