--- a/internal/affinity/group_test.go
+++ b/internal/affinity/group_test.go
@@ -24,7 +24,8 @@
 	t.Helper()
 	for i := range 1000 {
 		object := fmt.Sprint("o", i)
-		if list := b.candidates(homeRequest(object), now); list[0].ID == id {
+		r := homeRequest(object)
+		if list, _ := b.candidates(r, r.key(), now); list[0].ID == id {
 			return object
 		}
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -85,14 +85,14 @@
 	// body has ended; it is nil if there is no such goroutine.
 	requestBodyDone chan struct{}
 	// callerController controls the caller's connection, from which a streamed
-	// request body is read.
+	// request body is read; nil if the body was read before.
 	callerController *http.ResponseController
 }
 
-// send writes a request to a target and reads the head of the response and, if
+// send writes a request to its target and reads the head of the response and, if
 // it is short, its body. The exchange is not nil, also beside an error.
-func (g *Gateway) send(ctx context.Context, c *call, id, address string, head []byte) (*exchange, error) {
-	conn, err := g.pool.get(ctx, id, address, c.id, c.repeatable)
+func (g *Gateway) send(ctx context.Context, c *call, head []byte) (*exchange, error) {
+	conn, err := g.pool.get(ctx, c.grant.Target, c.id, c.repeatable)
 	if err != nil {
 		return &exchange{}, err
 	}
@@ -102,8 +102,12 @@
 	if err := ctx.Err(); err != nil {
 		return x, err
 	}
-	if !c.stillAllowed() {
+	targetValid := c.targetStillValid() // first, as it waits for a lock
+	switch {
+	case !c.stillAllowed():
 		return x, errWithdrawn
+	case !targetValid:
+		return x, errTargetWithdrawn
 	}
 	x.mayHaveArrived = true
 	if err := x.write(c, head); err != nil {
@@ -112,6 +116,7 @@
 	if err := x.readHead(c.request, g.HeaderNames, c.id); err != nil {
 		return x, err
 	}
+	c.observe(x)
 	switch c.verdict(x) {
 	case answered:
 		return x, x.readBody(maxBufferedResponse)
@@ -130,7 +135,10 @@
 	if _, err := x.conn.Write(head); err != nil {
 		return err
 	}
-	x.requestBodyDone, x.callerController = make(chan struct{}), http.NewResponseController(c.writer)
+	x.requestBodyDone = make(chan struct{})
+	if c.streamedBody != nil {
+		x.callerController = http.NewResponseController(c.writer)
+	}
 	go func() {
 		defer close(x.requestBodyDone)
 		if c.streamedBody == nil {
@@ -216,10 +224,20 @@
 
 // finish ends an exchange whose response was read to its end, and keeps the
 // connection for reuse if possible.
-func (x *exchange) finish(p *pool) {
+func (c *call) finish(x *exchange) {
 	if x.conn == nil {
 		return // finished before
 	}
+	x.release(c.pool)
+	// Asked only now, as the target may have begun to leave since its response.
+	if id := x.conn.targetID; c.targetLeaving(id) {
+		c.pool.closeTarget(id)
+	}
+}
+
+// release puts the connection into the pool if it can be reused and closes it
+// otherwise.
+func (x *exchange) release(p *pool) {
 	if x.requestBodyDone != nil {
 		select {
 		case <-x.requestBodyDone:
@@ -253,6 +271,10 @@
 		return
 	}
 	_ = x.conn.Close()
+	if x.callerController == nil {
+		<-x.requestBodyDone
+		return
+	}
 	for {
 		select {
 		case <-x.requestBodyDone:
