--- a/internal/affinity/target.go
+++ b/internal/affinity/target.go
@@ -60,6 +60,7 @@
 	Target
 	idHash  uint64 // hash of Target.ID
 	process *process
+	group   *targetGroup
 
 	inFlight int // requests sent by this instance and not done
 	// The load that the last response reported, when it came, and how many of these
@@ -83,13 +84,12 @@
 // load estimates the number of requests at the target, running and queued: those of
 // this instance, and those of others by the last report, which count less as it ages.
 func (s *targetState) load(now time.Duration) float64 {
-	own := float64(s.inFlight)
-	age := now - s.reportedAt
-	if s.reportedAt == 0 || age >= reportedLoadTTL {
-		return own
-	}
-	others := max(float64(s.reportedLoad-s.inFlightAtReport), 0)
-	return own + others*(1-float64(age)/float64(reportedLoadTTL))
+	return float64(s.inFlight) + reportWeight(s.reportedAt, now)*s.reportedOthers()
+}
+
+// reportedOthers returns the number of other instances' requests by the last report.
+func (s *targetState) reportedOthers() float64 {
+	return max(float64(s.reportedLoad-s.inFlightAtReport), 0)
 }
 
 // cold reports whether the target is in a cold start, with empty caches.
--- a/internal/overloadsim/overloadsim.go
+++ b/internal/overloadsim/overloadsim.go
@@ -82,11 +82,18 @@
 	Targets, Objects int
 }
 
+// Counts are numbers of requests by how they ended. Asked is the number of all requests.
+// InTime were answered within the objective, Late after it, Refused were refused or
+// rejected twice, and Failed timed out.
+type Counts struct {
+	Asked, InTime, Late, Refused, Failed int
+}
+
 // Result counts the requests of a simulation by how they ended.
 type Result struct {
-	// Asked is the number of all requests. InTime were answered within the objective,
-	// Late after it, Refused were refused or rejected twice, and Failed timed out.
-	Asked, InTime, Late, Refused, Failed int
+	Counts
+	// Homed counts the requests that only the first region may run.
+	Homed Counts
 	// Retries were sent by instances to a further target. Uncached were run by a target
 	// that did not have the object cached.
 	Retries, Uncached int
@@ -105,7 +112,7 @@
 }
 
 // InTimeShare returns the fraction of requests answered within the objective.
-func (r Result) InTimeShare() float64 { return float64(r.InTime) / float64(max(r.Asked, 1)) }
+func (c Counts) InTimeShare() float64 { return float64(c.InTime) / float64(max(c.Asked, 1)) }
 
 // InTimeShareFrom is InTimeShare of the requests created from a time on, in whole windows
 // of two seconds.
@@ -245,25 +252,31 @@
 			createdAt: w.now, region: region, homed: w.random.Float64() < w.Homed,
 			object: fmt.Sprintf("%d/%d/%d", w.seed, region, int(float64(objects)*w.random.Float64())),
 		}
-		w.count(r, false)
+		w.countAsked(r)
 		w.send(r)
 		w.scheduleArrival(region)
 	})
 }
 
-// count counts a new request, or one answered in time, in the window in which the
-// request was created.
-func (w *simulation) count(r *request, inTime bool) {
-	i, result := int(r.createdAt/Window), &w.result
-	for len(result.asked) <= i {
+// window returns the index of the window in which the request was created.
+func (r *request) window() int { return int(r.createdAt / Window) }
+
+// countAsked counts a new request.
+func (w *simulation) countAsked(r *request) {
+	result := &w.result
+	for len(result.asked) <= r.window() {
 		result.asked, result.inTime = append(result.asked, 0), append(result.inTime, 0)
 	}
-	if inTime {
-		result.inTime[i]++
-		return
+	result.asked[r.window()]++
+	w.count(r, func(c *Counts) { c.Asked++ })
+}
+
+// count applies add to the counts that the request belongs to.
+func (w *simulation) count(r *request, add func(*Counts)) {
+	add(&w.result.Counts)
+	if r.homed {
+		add(&w.result.Homed)
 	}
-	result.asked[i]++
-	result.Asked++
 }
 
 // send sends a request to a random instance of its region.
@@ -303,7 +316,7 @@
 // not done so yet.
 func (w *simulation) retryOnce(r *request, after time.Duration) {
 	if r.retried {
-		w.result.Refused++
+		w.count(r, func(c *Counts) { c.Refused++ })
 		return
 	}
 	next := *r
@@ -395,10 +408,10 @@
 		w.observe(r, 0)
 		w.reportOutcome(r, affinity.Answered)
 		if w.now-r.createdAt <= w.Objective {
-			w.result.InTime++
-			w.count(r, true)
+			w.result.inTime[r.window()]++
+			w.count(r, func(c *Counts) { c.InTime++ })
 		} else {
-			w.result.Late++
+			w.count(r, func(c *Counts) { c.Late++ })
 		}
 	})
 	w.startQueued(r.target)
@@ -420,6 +433,6 @@
 		}
 	}
 	w.reportOutcome(r, affinity.TimedOut)
-	w.result.Failed++
+	w.count(r, func(c *Counts) { c.Failed++ })
 	w.startQueued(t)
 }
