--- a/internal/affinity/availability.go
+++ b/internal/affinity/availability.go
@@ -74,12 +74,8 @@
 	}
 }
 
-// Notice is what the head of a target's response says about the requests that the
-// target wants from this instance.
-type Notice struct {
-	Leaving bool          // it shuts down and wants no further requests
-	Pause   time.Duration // it wants no requests for this long; none if not above 0
-}
+// Notice is what a target says in the head of a response.
+type Notice = availability.Notice
 
 // Observe records what a target said in the head of its response to a granted request,
 // before or after Done. The caller has made sure that the response is the target's. The
--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -47,6 +47,13 @@
 	RelativeLatency float64 // moving average, in multiples of the routes' medians
 }
 
+// Notice is what the head of a target's response says about the requests that the
+// target wants from this instance.
+type Notice struct {
+	Leaving bool          // it shuts down and wants no further requests
+	Pause   time.Duration // it wants no requests for this long; none if not above 0
+}
+
 // ReturnDuration is the time after a pause in which the requests come back to the
 // process, so that it does not get them all at once.
 const ReturnDuration = time.Second
--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -9,6 +9,7 @@
 	"github.com/turmericfield/turmericfield/internal/clock"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/metrics"
+	"github.com/turmericfield/turmericfield/internal/notice"
 	"github.com/turmericfield/turmericfield/internal/quota"
 )
 
@@ -41,9 +42,9 @@
 	if x.evidence == unproven {
 		return // it may belong to an earlier exchange
 	}
-	notice := parseNotice(x.response.StatusCode, x.response.Header, c.HeaderNames.Leaving)
-	if notice != (affinity.Notice{}) {
-		c.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.Observe(c.grant, notice, now) })
+	said := notice.Parse(x.response.StatusCode, x.response.Header, c.HeaderNames.Leaving)
+	if said != (affinity.Notice{}) {
+		c.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.Observe(c.grant, said, now) })
 	}
 }
 
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -16,6 +16,7 @@
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/metrics"
+	"github.com/turmericfield/turmericfield/internal/notice"
 )
 
 var testHeaders = HeaderNames{
@@ -40,7 +41,7 @@
 		"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 900\r\n\r\nshort", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nId: b\r\n\r\nno length",
 		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: -1\r\n\r\n", "nonsense", "",
-		"HTTP/1.1 103 X\r\nLeaving: 1\r\n\r\n" + emptyHead(503, "a", "Leaving: 1", "Retry-After: 1.5", "Retry-After: "+laterDate, "Date: "+sentDate),
+		"HTTP/1.1 103 X\r\nLeaving: 1\r\n\r\n" + emptyHead(503, "a", "Leaving: 1", "Retry-After: 1.5", "Retry-After: Sat, 05 Dec 2026 00:00:07 GMT", "Date: Sat, 05 Dec 2026 00:00:00 GMT"),
 	} {
 		f.Add([]byte(answer))
 	}
@@ -61,7 +62,7 @@
 		if load, ok := parseLoad(x.response.Header.Get(testHeaders.Load)); ok && load < 0 {
 			t.Errorf("negative load %d", load)
 		}
-		if n := parseNotice(x.response.StatusCode, x.response.Header, testHeaders.Leaving); n.Pause < 0 || n.Pause > maxPause {
+		if n := notice.Parse(x.response.StatusCode, x.response.Header, testHeaders.Leaving); n.Pause < 0 || n.Pause > notice.MaxPause {
 			t.Errorf("pause of %v", n.Pause)
 		}
 		keepAliveTimeout(x.response.Header)
--- a/internal/gateway/notice.go
+++ b/internal/notice/notice.go
@@ -1,4 +1,6 @@
-package gateway
+// Package notice parses what the head of a target's response says about the requests
+// that the target wants from the instance.
+package notice
 
 import (
 	"net/http"
@@ -7,26 +9,26 @@
 	"strings"
 	"time"
 
-	"github.com/turmericfield/turmericfield/internal/affinity"
+	"github.com/turmericfield/turmericfield/internal/availability"
 )
 
 const (
-	// maxPause bounds the pause that a target asks for. A longer one is likely a
+	// MaxPause bounds the pause that a target asks for. A longer one is likely a
 	// mistake, and a target that still wants no requests asks for another.
-	maxPause = 5 * time.Minute
-	// leavingValue is the only value of the header HeaderNames.Leaving that counts.
+	MaxPause = 5 * time.Minute
+	// leavingValue is the only value of the header of a leaving target that counts.
 	// Any other, such as "0", would take the target out of use until it restarts.
 	leavingValue = "1"
 )
 
-// parseNotice returns what the head of a final response says about the requests that
-// its target wants. leavingHeader is the name of the header that announces that the
-// target shuts down. The response must be known to answer the request.
-func parseNotice(status int, h http.Header, leavingHeader string) affinity.Notice {
+// Parse returns what the head of a final response says. leavingHeader is the name of
+// the header that announces that the target shuts down. The response must be known to
+// answer the request.
+func Parse(status int, h http.Header, leavingHeader string) availability.Notice {
 	if status == http.StatusMisdirectedRequest {
-		return affinity.Notice{} // said by another process that has the target's address
+		return availability.Notice{} // said by another process that has the target's address
 	}
-	n := affinity.Notice{Leaving: slices.Contains(h.Values(leavingHeader), leavingValue)}
+	n := availability.Notice{Leaving: slices.Contains(h.Values(leavingHeader), leavingValue)}
 	if status == http.StatusServiceUnavailable {
 		for _, value := range h.Values("Retry-After") {
 			n.Pause = max(n.Pause, parsePause(value, h.Values("Date")))
@@ -36,14 +38,14 @@
 }
 
 // parsePause returns the pause that one Retry-After header asks for, between 0 and
-// maxPause: decimal seconds, or a date from which the response's own date is
+// MaxPause: decimal seconds, or a date from which the response's own date is
 // subtracted, as the clocks of target and instance may differ. It returns 0 for
 // anything else.
 func parsePause(value string, responseDates []string) time.Duration {
 	if isDecimal(value) {
 		seconds, err := strconv.ParseFloat(value, 64)
-		if err != nil || seconds > maxPause.Seconds() { // the error can only be an overflow
-			return maxPause
+		if err != nil || seconds > MaxPause.Seconds() { // the error can only be an overflow
+			return MaxPause
 		}
 		return time.Duration(seconds * float64(time.Second))
 	}
@@ -55,7 +57,7 @@
 	if err != nil {
 		return 0
 	}
-	return min(max(end.Sub(sent), 0), maxPause)
+	return min(max(end.Sub(sent), 0), MaxPause)
 }
 
 // isDecimal reports whether s consists of digits, which may be followed by a point and
--- a/internal/gateway/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -1,4 +1,4 @@
-package gateway
+package notice
 
 import (
 	"math"
@@ -9,30 +9,32 @@
 	"testing"
 	"time"
 
-	"github.com/turmericfield/turmericfield/internal/affinity"
+	"github.com/turmericfield/turmericfield/internal/availability"
 )
 
 const (
+	leavingHeader = "Leaving"
+
 	sentDate  = "Sat, 05 Dec 2026 00:00:00 GMT"
 	laterDate = "Sat, 05 Dec 2026 00:00:07 GMT"
 )
 
 func TestNoticeOfATargetsResponse(t *testing.T) {
-	pause := func(d time.Duration) affinity.Notice { return affinity.Notice{Pause: d} }
-	leaving := affinity.Notice{Leaving: true}
+	pause := func(d time.Duration) availability.Notice { return availability.Notice{Pause: d} }
+	leaving := availability.Notice{Leaving: true}
 	for name, c := range map[string]struct {
 		status int
 		header http.Header
-		want   affinity.Notice
+		want   availability.Notice
 	}{
 		"whole seconds":                 {503, http.Header{"Retry-After": {"2"}}, pause(2 * time.Second)},
 		"leading zeros":                 {503, http.Header{"Retry-After": {"002"}}, pause(2 * time.Second)},
 		"fraction":                      {503, http.Header{"Retry-After": {"0.25"}}, pause(250 * time.Millisecond)},
 		"without the mark":              {503, http.Header{"Retry-After": {"1"}}, pause(time.Second)},
 		"with the mark":                 {503, http.Header{"Retry-After": {"1"}, "Not-Run": {"1"}}, pause(time.Second)},
-		"as long as allowed":            {503, http.Header{"Retry-After": {"300"}}, pause(maxPause)},
-		"longer":                        {503, http.Header{"Retry-After": {"300.001"}}, pause(maxPause)},
-		"huge":                          {503, http.Header{"Retry-After": {strings.Repeat("9", 400)}}, pause(maxPause)},
+		"as long as allowed":            {503, http.Header{"Retry-After": {"300"}}, pause(MaxPause)},
+		"longer":                        {503, http.Header{"Retry-After": {"300.001"}}, pause(MaxPause)},
+		"huge":                          {503, http.Header{"Retry-After": {strings.Repeat("9", 400)}}, pause(MaxPause)},
 		"below a nanosecond":            {503, http.Header{"Retry-After": {"0." + strings.Repeat("0", 400) + "1"}}, pause(0)},
 		"zero":                          {503, http.Header{"Retry-After": {"0"}}, pause(0)},
 		"zero with a fraction":          {503, http.Header{"Retry-After": {"0.0"}}, pause(0)},
@@ -59,7 +61,7 @@
 		"date":                          {503, http.Header{"Retry-After": {laterDate}, "Date": {sentDate}}, pause(7 * time.Second)},
 		"date in an obsolete form":      {503, http.Header{"Retry-After": {"Saturday, 05-Dec-26 00:00:07 GMT"}, "Date": {sentDate}}, pause(7 * time.Second)},
 		"date in the past":              {503, http.Header{"Retry-After": {sentDate}, "Date": {laterDate}}, pause(0)},
-		"date far away":                 {503, http.Header{"Retry-After": {"Fri, 31 Dec 9999 23:59:59 GMT"}, "Date": {sentDate}}, pause(maxPause)},
+		"date far away":                 {503, http.Header{"Retry-After": {"Fri, 31 Dec 9999 23:59:59 GMT"}, "Date": {sentDate}}, pause(MaxPause)},
 		"date without the response's":   {503, http.Header{"Retry-After": {laterDate}}, pause(0)},
 		"date beside a bad one":         {503, http.Header{"Retry-After": {laterDate}, "Date": {"today"}}, pause(0)},
 		"date beside two":               {503, http.Header{"Retry-After": {laterDate}, "Date": {sentDate, laterDate}}, pause(0)},
@@ -72,7 +74,7 @@
 		"leaving, 200":               {200, http.Header{"Leaving": {"1"}}, leaving},
 		"leaving, 404":               {404, http.Header{"Leaving": {"1"}}, leaving},
 		"leaving, 500":               {500, http.Header{"Leaving": {"1"}}, leaving},
-		"leaving, with a pause":      {503, http.Header{"Leaving": {"1"}, "Retry-After": {"2"}}, affinity.Notice{Leaving: true, Pause: 2 * time.Second}},
+		"leaving, with a pause":      {503, http.Header{"Leaving": {"1"}, "Retry-After": {"2"}}, availability.Notice{Leaving: true, Pause: 2 * time.Second}},
 		"leaving, repeated":          {200, http.Header{"Leaving": {"1", "1"}}, leaving},
 		"leaving, one of two":        {200, http.Header{"Leaving": {"0", "1"}}, leaving},
 		"leaving, 0":                 {200, http.Header{"Leaving": {"0"}}, pause(0)},
@@ -83,7 +85,7 @@
 		"leaving, by another name":   {200, http.Header{"Leaving-Not": {"1"}}, pause(0)},
 		"leaving, 421 with the mark": {421, http.Header{"Leaving": {"1"}, "Not-Run": {"1"}}, pause(0)},
 	} {
-		if got := parseNotice(c.status, c.header, testHeaders.Leaving); got != c.want {
+		if got := Parse(c.status, c.header, leavingHeader); got != c.want {
 			t.Errorf("%s: got %+v, want %+v", name, got, c.want)
 		}
 	}
@@ -100,11 +102,11 @@
 	}
 	decimal := regexp.MustCompile(`^[0-9]+(\.[0-9]+)?$`)
 	f.Fuzz(func(t *testing.T, status int, retryAfter, another, date, leaving string) {
-		parse := func(values ...string) affinity.Notice {
-			return parseNotice(status, http.Header{"Retry-After": values, "Date": {date}, "Leaving": {leaving}}, testHeaders.Leaving)
+		parse := func(values ...string) availability.Notice {
+			return Parse(status, http.Header{"Retry-After": values, "Date": {date}, "Leaving": {leaving}}, leavingHeader)
 		}
 		got := parse(retryAfter)
-		if got.Pause < 0 || got.Pause > maxPause || got.Pause != 0 && status != 503 {
+		if got.Pause < 0 || got.Pause > MaxPause || got.Pause != 0 && status != 503 {
 			t.Errorf("status %d, %q: pause %v", status, retryAfter, got.Pause)
 		}
 		if want := leaving == "1" && status != 421; got.Leaving != want {
@@ -122,7 +124,7 @@
 				t.Fatal(err)
 			}
 			want, _ := seconds.Float64()
-			if math.Abs(got.Pause.Seconds()-min(want, maxPause.Seconds())) > 1e-6 {
+			if math.Abs(got.Pause.Seconds()-min(want, MaxPause.Seconds())) > 1e-6 {
 				t.Errorf("%q: pause %v", retryAfter, got.Pause)
 			}
 		} else if _, err := http.ParseTime(retryAfter); err != nil && got.Pause != 0 {
