--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -125,7 +125,8 @@
 	return p.pausedUntil - p.pausedSince, p.pausedUntil
 }
 
-// SetDraining takes in whether the registration says that the process leaves.
+// SetDraining takes in whether the registration, or another source whose newer word
+// replaces its older one, says that the process leaves.
 func (p *Process) SetDraining(draining bool, now time.Duration) {
 	p.State(now)
 	p.draining = draining
--- a/internal/availability/health.go
+++ b/internal/availability/health.go
@@ -134,17 +134,25 @@
 	p.health.respondedAt, p.health.trialInFlight = now, false
 }
 
+// CountRejection takes in that the process rejected a request, and reports whether this
+// counts against it. Of the rejections in a pause only one counts: the requests had all
+// been sent before the process asked for the pause.
+func (p *Process) CountRejection(now time.Duration) bool {
+	if p.State(now) != Paused {
+		return true
+	}
+	counts := !p.rejectedInPause
+	p.rejectedInPause = true
+	return counts
+}
+
 // RecordNeedlessRejection counts a request that the process rejected although it had
 // free slots. A retry costs the caller little, so consecutive rejections alone do not
 // eject the process. One that rejects far more often than the others does not serve its
-// objects and is ejected. Of the rejections in a pause only one counts: the requests had
-// all been sent before the process asked for the pause.
+// objects and is ejected.
 func (p *Process) RecordNeedlessRejection(now time.Duration, meanFailureRate float64) {
-	if p.State(now) == Paused {
-		if p.rejectedInPause {
-			return
-		}
-		p.rejectedInPause = true
+	if !p.CountRejection(now) {
+		return
 	}
 	p.health.failureRate += (1 - p.health.failureRate) * failureRateWeight
 	if p.health.failsOften(meanFailureRate) {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/turmericfield/turmericfield/internal/attempt"
+	"github.com/turmericfield/turmericfield/internal/availability"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/idempotency"
 	"github.com/turmericfield/turmericfield/internal/invariant"
@@ -43,6 +44,9 @@
 type Placer interface {
 	// Choose returns a grant to run one request on a target.
 	Choose(r placement.Request, now time.Time) (placement.Grant, error)
+	// Observe takes in what the target of a grant said in the head of a response. It
+	// returns the target's availability before and after that.
+	Observe(g placement.Grant, n availability.Notice, now time.Time) (before, after availability.State)
 	// Done gives a grant back and says how its use ended.
 	Done(g placement.Grant, outcome placement.Outcome, now time.Time)
 }
--- a/internal/entry/header.go
+++ b/internal/entry/header.go
@@ -27,6 +27,9 @@
 	// even if callers use the same request id for several. A connection is used for
 	// several requests only if the target repeats it in each response.
 	TryHeader = "Turmericfield-Try"
+	// LeavingHeader with the value 1 in a target's response says that the target shuts
+	// down and wants no further requests. It is not passed on to callers.
+	LeavingHeader = "Turmericfield-Leaving"
 	// DeadlineHeader carries the time left for a request, in milliseconds: in a
 	// caller's request its own limit, in a request to a target what remains.
 	DeadlineHeader = "Turmericfield-Deadline-Ms"
@@ -42,12 +45,13 @@
 )
 
 // requestHeader returns the header to send to a target: the caller's, without
-// hop-by-hop headers, the workspace's key, an outcome and Expect.
+// hop-by-hop headers, the workspace's key, what only a target says, and Expect.
 func requestHeader(from http.Header) http.Header {
 	to := make(http.Header, len(from)+4)
 	hopbyhop.CopyEndToEnd(to, from)
 	to.Del(KeyHeader)
 	to.Del(OutcomeHeader)
+	to.Del(LeavingHeader)
 	to.Del(expectHeader)
 	if to.Get("User-Agent") == "" {
 		to["User-Agent"] = nil // keeps the transport from adding its own
@@ -56,12 +60,13 @@
 }
 
 // copyResponseHeader copies the header of a target's response, without hop-by-hop
-// headers and without what a target says only to the instance: the outcome and
-// the id of the try.
+// headers and without what a target says only to the instance: the outcome, the id of
+// the try and that it leaves.
 func copyResponseHeader(to, from http.Header) {
 	hopbyhop.CopyEndToEnd(to, from)
 	to.Del(OutcomeHeader)
 	to.Del(TryHeader)
+	to.Del(LeavingHeader)
 }
 
 // callerRequestID returns the request id that the caller has set, or "" if there
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -69,7 +69,7 @@
 
 // start returns the first step of the request.
 func (c *call) start() attempt.Decision {
-	c.notRunRefusal = refusal{http.StatusServiceUnavailable, "no-target", "no target took the request", time.Second}
+	c.notRunRefusal = refusal{http.StatusServiceUnavailable, "no-target", "no target took the request", retryAfterNoTarget}
 	if c.body.streams() {
 		// A target may respond before it has read the whole body. After
 		// EnableFullDuplex, the server no longer reads the rest of the caller's body
@@ -147,6 +147,9 @@
 	}
 	c.response, c.exchange = response, e
 	kind := classify(response, c.requestID, tryID, e.onReusedConnection())
+	if kind != attempt.WrongRequestID {
+		c.observe(response)
+	}
 	if kind == attempt.ResponseHeader {
 		if err := c.bufferSmallBody(); err != nil {
 			_ = response.Body.Close()
@@ -280,9 +283,12 @@
 
 // placementRefusal returns the refusal for an error of the placer.
 func placementRefusal(err error) refusal {
-	reason := "no-target"
-	if errors.Is(err, placement.ErrOverloaded) {
+	reason, retryAfter := "no-target", retryAfterNoTarget
+	var unavailable *placement.UnavailableError
+	if errors.As(err, &unavailable) {
+		reason, retryAfter = "unavailable", retryAfterPause(unavailable.Wait)
+	} else if errors.Is(err, placement.ErrOverloaded) {
 		reason = "overloaded"
 	}
-	return refusal{http.StatusServiceUnavailable, reason, err.Error(), time.Second}
+	return refusal{http.StatusServiceUnavailable, reason, err.Error(), retryAfter}
 }
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -39,7 +39,8 @@
 	NotRunIsTrue Name = "not-run-is-true"
 	// AtMostOnce: a request that must not be repeated runs at most once.
 	AtMostOnce Name = "at-most-once"
-	// LeavingGetsNothing: a drained or leaving target gets no new requests.
+	// LeavingGetsNothing: a target that is drained, leaves or pauses gets no new
+	// requests.
 	LeavingGetsNothing Name = "leaving-gets-nothing"
 	// ShutdownCutsNothing: an orderly shutdown lets all requests in flight finish.
 	ShutdownCutsNothing Name = "shutdown-cuts-nothing"
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -83,7 +83,11 @@
 func mayResend(r result, request Request) bool {
 	switch r.outcome {
 	case Refused:
-		return r.reason == "leaving" || r.reason == "connect" || r.reason == "no-target" || r.reason == "overloaded"
+		switch r.reason {
+		case "leaving", "connect", "no-target", "unavailable", "overloaded":
+			return true
+		}
+		return false
 	case Unknown, Broken:
 		return request.Repeatable
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -30,11 +30,12 @@
 	"github.com/turmericfield/turmericfield/internal/seat"
 )
 
-// Errors of Placer.Choose. In either case the request has not run.
+// Errors of Placer.Choose, besides UnavailableError. In each case the request has not
+// run.
 var (
-	// ErrNoTarget means that no target may get the request: each is drained,
-	// leaving, ejected or was tried already, or the configuration has no such
-	// service.
+	// ErrNoTarget means that no target may get the request: each is drained, leaving,
+	// paused, ejected or was tried already, or the configuration has no such service.
+	// If all that are not drained leave or pause, the error is an UnavailableError.
 	ErrNoTarget = errors.New("no target can serve this route")
 	// ErrOverloaded means that at least one target is eligible, but for each eligible
 	// target this instance's share is used up: of the target's slots, of the requests
@@ -42,6 +43,18 @@
 	ErrOverloaded = errors.New("every target of this route is at its limit")
 )
 
+// UnavailableError means that every target of the route, those that were tried included
+// and drained ones left out, leaves or has asked for a pause.
+type UnavailableError struct {
+	// Wait is the time until the first pause ends, 0 if all targets leave.
+	Wait time.Duration
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return "every target of this route leaves or has asked for a pause"
+}
+
 // Request describes a request that needs a target.
 type Request struct {
 	Route     *config.Route
@@ -180,7 +193,7 @@
 		return Grant{}, ErrOverloaded
 	}
 	if best == nil {
-		return Grant{}, ErrNoTarget
+		return Grant{}, s.refusal(now)
 	}
 	return p.grant(best, use, shift, moved, now), nil
 }
@@ -201,7 +214,7 @@
 			continue
 		}
 		limit := p.usableSlots(t, now)
-		if t.inFlight >= t.limitDuringSlowStart(limit, now) || !p.regionHasRoom(t.region, now) {
+		if t.inFlight >= t.limitShare(limit, now) || !p.regionHasRoom(t.region, now) {
 			continue
 		}
 		score := t.score(limit, now)
@@ -242,7 +255,8 @@
 }
 
 // checkInvariants records each invariant that a new grant violates: limits of slots,
-// regions, links and shifts, and no new requests for a drained or leaving target.
+// regions, links and shifts, and no new requests for a target that is drained, leaves or
+// pauses.
 func (p *Placer) checkInvariants(g *Grant, now time.Time) {
 	t, rec := g.target, p.options.Invariants
 	if share := p.usableSlots(t, now); t.inFlight > share {
@@ -254,7 +268,7 @@
 	if g.otherRegion && !p.linksWithinBudget(g.region, g.linkUnits, now) {
 		rec.Check(false, invariant.LinkWithinBudget, "between %s and %s", p.homeRegion.name, t.region.name)
 	}
-	if t.drained || t.leaving {
+	if t.drained || t.refuses(now) {
 		rec.Check(false, invariant.LeavingGetsNothing, "%s", t.Name)
 	}
 	if s := g.shift; s != nil && s.moved*ppm > s.capPPM*s.seen {
--- a/internal/placement/poll.go
+++ b/internal/placement/poll.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericfield/turmericfield/internal/availability"
 )
 
 const (
@@ -21,17 +23,19 @@
 // DuePolls returns the names of the targets that this instance has to poll now
 // for their load and state, and takes them as polled. Those are its part of the
 // targets in its own availability zone, and all leaving targets, since every
-// instance finds out for itself that a target stops leaving. self is the name of
+// instance finds out for itself that a target stops leaving. A target is not polled
+// during a pause that it asked this instance for. self is the name of
 // this instance, zoneInstances those of the live instances of its zone.
 func (p *Placer) DuePolls(self string, zoneInstances []string, now time.Time) []string {
 	var due []string
 	for name, t := range p.targets {
 		period := leavingPollInterval
-		if !t.leaving {
+		leaving := t.leaving(now)
+		if !leaving {
 			period = pollInterval
 		}
-		mine := t.leaving || t.distance == distanceSameZone && isPoller(self, zoneInstances, name)
-		if t.drained || !mine || now.Sub(t.lastPolled) < period {
+		mine := leaving || t.distance == distanceSameZone && isPoller(self, zoneInstances, name)
+		if t.drained || !mine || t.pauseLeft(now) > 0 || now.Sub(t.lastPolled) < period {
 			continue
 		}
 		t.lastPolled = now
@@ -58,12 +62,12 @@
 	return xxhash.Sum64String(instance + "/" + target)
 }
 
-// LeavingCount returns the number of targets that are known to be leaving; see
-// Placer.MarkLeaving.
-func (p *Placer) LeavingCount() int {
+// AvailabilityCount returns the number of targets in a state, such as those that leave
+// or pause.
+func (p *Placer) AvailabilityCount(state availability.State, now time.Time) int {
 	n := 0
 	for _, t := range p.targets {
-		if t.leaving {
+		if t.availability(now) == state {
 			n++
 		}
 	}
--- a/internal/placement/share_test.go
+++ b/internal/placement/share_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/turmericfield/turmericfield/internal/availability"
 	"github.com/turmericfield/turmericfield/internal/config"
 )
 
@@ -295,7 +296,8 @@
 
 // All instances together never exceed a limit, in any sequence of bursts, pauses,
 // restarts, changes of the number of seats that instances learn of at different
-// times, and loans by messages that are lost, late, out of order and doubled.
+// times, targets that leave or ask for pauses, and loans by messages that are lost, late,
+// out of order and doubled.
 func TestFleetStaysWithinEveryBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t)
@@ -340,6 +342,14 @@
 					deliver()
 				}
 			},
+			"notice": func(t *rapid.T) {
+				m := pick(t)
+				if len(m.grants) > 0 {
+					m.Observe(rapid.SampledFrom(m.grants).Draw(t, "grant"), availability.Notice{
+						Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0, Pause: time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond,
+					}, f.now)
+				}
+			},
 			"lose":  func(*rapid.T) { f.messages = nil },
 			"pause": func(t *rapid.T) { m := pick(t); m.paused = !m.paused },
 			"adopt": func(t *rapid.T) {
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/turmericfield/turmericfield/internal/availability"
 	"github.com/turmericfield/turmericfield/internal/config"
 )
 
@@ -81,7 +82,10 @@
 	cachedShareVersion uint64 // value of Placer.shareVersion
 
 	drained bool // by the configuration
-	leaving bool // draining or stopping, as reported by the target or the platform
+	// process tells whether the target leaves or pauses. Its ejections and trials are
+	// not used here. Its time counts from processSince.
+	process      *availability.Process
+	processSince time.Time
 
 	slowStartSince       time.Time // zero without a slow start
 	refusalPenaltyUntil  time.Time
@@ -95,6 +99,11 @@
 	lastPolled           time.Time // by this instance
 }
 
+// beginProcess takes the target for another process, of which nothing is known.
+func (t *target) beginProcess(now time.Time) {
+	t.process, t.processSince = availability.New(func(availability.Change) {}), now
+}
+
 // usableSlots returns how many requests this instance may have in flight on a
 // target.
 func (p *Placer) usableSlots(t *target, now time.Time) int {
@@ -117,7 +126,57 @@
 
 // acceptsWork reports whether a target may get new requests.
 func (t *target) acceptsWork(now time.Time) bool {
-	return !t.drained && !t.leaving && !now.Before(t.ejectedUntil)
+	return !t.drained && !t.refuses(now) && !now.Before(t.ejectedUntil)
+}
+
+// processTime returns a time on the clock of the target's process.
+func (t *target) processTime(now time.Time) time.Duration { return now.Sub(t.processSince) }
+
+// availability returns whether the target leaves or pauses.
+func (t *target) availability(now time.Time) availability.State {
+	return t.process.State(t.processTime(now))
+}
+
+// leaving reports whether the target shuts down.
+func (t *target) leaving(now time.Time) bool { return t.availability(now) == availability.Leaving }
+
+// refuses reports whether the target must get no request at all, since it leaves or
+// pauses.
+func (t *target) refuses(now time.Time) bool {
+	t.availability(now)
+	return t.process.Refuses()
+}
+
+// pauseLeft returns how long the target's pause still lasts, 0 or less without one.
+func (t *target) pauseLeft(now time.Time) time.Duration {
+	_, until := t.process.LastPause()
+	return until - t.processTime(now)
+}
+
+// refusal returns the error for a request that no target of the service may get: an
+// UnavailableError if all that are not drained leave or pause, else ErrNoTarget.
+func (s *service) refusal(now time.Time) error {
+	unavailable := &UnavailableError{}
+	refusing := 0
+	for _, t := range s.targets {
+		if t.drained {
+			continue
+		}
+		switch t.availability(now) {
+		case availability.Paused:
+			if left := t.pauseLeft(now); unavailable.Wait == 0 || left < unavailable.Wait {
+				unavailable.Wait = left
+			}
+		case availability.Leaving:
+		default:
+			return ErrNoTarget
+		}
+		refusing++
+	}
+	if refusing == 0 {
+		return ErrNoTarget
+	}
+	return unavailable
 }
 
 // rank orders targets by distance; those that have just refused a request come
@@ -129,8 +188,14 @@
 	return t.distance
 }
 
-// slowStartFraction returns the fraction of a target's slots that may be used now:
-// below 1 during a slow start, 1 otherwise.
+// usableFraction returns the fraction of a target's slots that may be used now: below 1
+// during a slow start and while requests return after a pause, 1 otherwise.
+func (t *target) usableFraction(now time.Time) float64 {
+	return min(t.slowStartFraction(now), t.process.ReturnedShare(t.processTime(now)))
+}
+
+// slowStartFraction returns the fraction of a target's slots that a slow start allows:
+// below 1 during one, 1 otherwise.
 func (t *target) slowStartFraction(now time.Time) float64 {
 	if t.slowStartSince.IsZero() {
 		return 1
@@ -143,21 +208,21 @@
 	return slowStartMinFraction + (1-slowStartMinFraction)*age.Seconds()/slowStartDuration.Seconds()
 }
 
-// limitDuringSlowStart reduces a share of slots during a slow start, to at least
-// one slot.
-func (t *target) limitDuringSlowStart(share int, now time.Time) int {
-	if share <= 1 || t.slowStartSince.IsZero() {
+// limitShare reduces a share of slots to the usable fraction, but to no less than one
+// slot.
+func (t *target) limitShare(share int, now time.Time) int {
+	if share <= 1 {
 		return share
 	}
-	return max(1, int(float64(share)*t.slowStartFraction(now)))
+	return max(1, int(float64(share)*t.usableFraction(now)))
 }
 
 // score rates a target; the lowest is the best. It is the fraction of the share
-// in use, this request included, over the slow-start fraction. A slow target's
+// in use, this request included, over the usable fraction. A slow target's
 // score is multiplied by the ratio of its mean latency to the limit for slow ones.
 // The load that the target reports only decides between otherwise equal targets.
 func (t *target) score(share int, now time.Time) float64 {
-	score := (float64(t.inFlight) + 1) / float64(share) / t.slowStartFraction(now)
+	score := (float64(t.inFlight) + 1) / float64(share) / t.usableFraction(now)
 	if slow := t.service.meanLatencySeconds * slowLatencyRatio; slow > 0 && t.meanLatencySeconds > slow {
 		score *= t.meanLatencySeconds / slow
 	}
@@ -179,6 +244,9 @@
 	}
 	if outcome == NotRun {
 		t.refusalPenaltyUntil = now.Add(refusalPenaltyDuration)
+		if !t.process.CountRejection(t.processTime(now)) {
+			return
+		}
 	}
 	t.consecutiveFailures++
 	if t.consecutiveFailures >= failuresToEject && !now.Before(t.ejectedUntil) && t.service.mayEject(now) {
@@ -243,20 +311,36 @@
 		return Unchanged
 	}
 	t.report, t.reportedAt = r, at
-	if r.Draining == t.leaving {
+	if r.Draining == t.leaving(now) {
 		return Unchanged
 	}
-	t.leaving = r.Draining
-	if t.leaving {
+	t.process.SetDraining(r.Draining, t.processTime(now))
+	if r.Draining {
 		return BeganLeaving
 	}
 	t.slowStartSince = now
 	return StoppedLeaving
 }
 
-// MarkLeaving marks a target as leaving, which stops new requests to it. It is
-// called at the first sign from any source, such as an answer of the target or
-// the platform. A later report that the target is not draining removes the mark.
+// MarkLeaving marks a target as leaving, which stops new requests to it. A later report
+// that the target is not draining removes the mark.
 func (p *Placer) MarkLeaving(name string, now time.Time) LeavingChange {
 	return p.ApplyReport(Report{Target: name, Draining: true}, now)
 }
+
+// Observe takes in what a target said in the head of its response to a granted request,
+// before or after Done. The caller has made sure that the response is the target's. A
+// notice from an address that the target no longer has is ignored. Observe returns
+// whether the target left or paused before the response, and whether it does so now.
+func (p *Placer) Observe(g Grant, n availability.Notice, now time.Time) (before, after availability.State) {
+	t := p.targets[g.Target.Name]
+	if t == nil || t.Address != g.Target.Address {
+		return availability.Serving, availability.Serving
+	}
+	before = t.availability(now)
+	t.process.Pause(n.Pause, t.processTime(now))
+	if n.Leaving {
+		p.MarkLeaving(t.Name, now)
+	}
+	return before, t.availability(now)
+}
--- a/internal/placement/target_test.go
+++ b/internal/placement/target_test.go
@@ -107,13 +107,13 @@
 	now := start.Add(10 * time.Second)
 	p.MarkLeaving("listings-1", now)
 	p.ApplyReport(Report{Target: "listings-1", Age: time.Second}, now)
-	if !p.targets["listings-1"].leaving {
+	if !p.targets["listings-1"].leaving(now) {
 		t.Fatal("an older report brought the leaving target back")
 	}
 	p.ApplyReport(Report{Target: "listings-1"}, now.Add(time.Second))
 	target := p.targets["listings-1"]
-	if target.leaving || target.slowStartFraction(now.Add(time.Second)) > 0.3 {
-		t.Fatalf("leaving %t, slow-start fraction %g", target.leaving, target.slowStartFraction(now.Add(time.Second)))
+	if target.leaving(now.Add(time.Second)) || target.slowStartFraction(now.Add(time.Second)) > 0.3 {
+		t.Fatalf("leaving %t, slow-start fraction %g", target.leaving(now.Add(time.Second)), target.slowStartFraction(now.Add(time.Second)))
 	}
 	if target.slowStartFraction(now.Add(time.Second+slowStartDuration)) != 1 {
 		t.Fatal("the slow start has not ended")
--- a/internal/server/gauges.go
+++ b/internal/server/gauges.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/turmericfield/turmericfield/internal/availability"
 	"github.com/turmericfield/turmericfield/internal/membership"
 	"github.com/turmericfield/turmericfield/internal/metrics"
 )
@@ -19,7 +20,9 @@
 	}
 	s.metrics.Gauge("store_watcher", s.watcherGauge)
 	s.metrics.Gauge("evidence_age_ms", s.evidenceAgeMillis)
-	s.metrics.Gauge("targets_leaving", s.targetsLeaving)
+	for name, state := range map[string]availability.State{"targets_leaving": availability.Leaving, "targets_paused": availability.Paused} {
+		s.metrics.Gauge(name, func() int64 { return s.targetsInState(state) })
+	}
 }
 
 // membersInState returns the number of members in a state.
@@ -44,10 +47,9 @@
 	return 0
 }
 
-// targetsLeaving returns the number of targets that get no new work because
-// they are leaving.
-func (s *Server) targetsLeaving() (n int64) {
-	s.entry.WithLock(func(time.Time) { n = int64(s.placer.LeavingCount()) })
+// targetsInState returns the number of targets in a state of availability.
+func (s *Server) targetsInState(state availability.State) (n int64) {
+	s.entry.WithLock(func(now time.Time) { n = int64(s.placer.AvailabilityCount(state, now)) })
 	return n
 }
 
--- a/internal/server/placement.go
+++ b/internal/server/placement.go
@@ -12,7 +12,9 @@
 
 	"github.com/turmericfield/turmericfield/api/peerpb"
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/entry"
 	"github.com/turmericfield/turmericfield/internal/membership"
+	"github.com/turmericfield/turmericfield/internal/notice"
 	"github.com/turmericfield/turmericfield/internal/placement"
 	"github.com/turmericfield/turmericfield/internal/seat"
 )
@@ -133,38 +135,40 @@
 	return addresses
 }
 
-// pollTarget asks a target for its load and its health. The target is draining if
-// its load answer says so or if either answer has the status 503.
+// pollTarget asks a target for its load and its health. The target is draining if its
+// load answer says so, or if either answer has the status 503 or says in its header
+// that the target leaves.
 func pollTarget(ctx context.Context, client *http.Client, address string) (placement.Report, error) {
 	var load targetLoad
-	status, err := getJSON(ctx, client, "http://"+address+targetLoadPath, &load)
+	loadDraining, err := getJSON(ctx, client, "http://"+address+targetLoadPath, &load)
 	if err != nil {
 		return placement.Report{}, err
 	}
-	health, err := getJSON(ctx, client, "http://"+address+targetHealthPath, nil)
+	healthDraining, err := getJSON(ctx, client, "http://"+address+targetHealthPath, nil)
 	if err != nil {
 		return placement.Report{}, err
 	}
-	draining := load.Draining || status == http.StatusServiceUnavailable || health == http.StatusServiceUnavailable
-	return placement.Report{InFlight: load.InFlight, Slots: load.Slots, Draining: draining}, nil
+	return placement.Report{InFlight: load.InFlight, Slots: load.Slots, Draining: load.Draining || loadDraining || healthDraining}, nil
 }
 
-// getJSON returns the status of the answer to a GET request. If the status is 200
-// and into is not nil, it decodes the body into the value that into points to.
-func getJSON(ctx context.Context, client *http.Client, url string, into any) (int, error) {
+// getJSON sends a GET request to a target and returns whether the head of its answer says
+// that the target is draining. If the status is 200 and into is not nil, it decodes the
+// body into the value that into points to.
+func getJSON(ctx context.Context, client *http.Client, url string, into any) (draining bool, err error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return 0, err
+		return false, err
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return 0, err
+		return false, err
 	}
 	defer response.Body.Close()
 	if into != nil && response.StatusCode == http.StatusOK {
 		err = json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxPollAnswerBytes)).Decode(into)
 	}
-	return response.StatusCode, errors.Wrapf(err, "answer of %s", url)
+	draining = response.StatusCode == http.StatusServiceUnavailable || notice.Parse(response.StatusCode, response.Header, entry.LeavingHeader).Leaving
+	return draining, errors.Wrapf(err, "answer of %s", url)
 }
 
 // applyReport passes the report of a poll to the placer, and tells the other
--- a/internal/standin/target/fault.go
+++ b/internal/standin/target/fault.go
@@ -90,6 +90,13 @@
 	// Draining makes the target refuse every request with 503 as not executed, and
 	// show in health checks and load reports that it is draining.
 	Draining bool `json:"draining"`
+	// Leaving makes every response, also to health checks and load requests, say in
+	// LeavingHeader that the target leaves. Without Draining it goes on executing.
+	Leaving bool `json:"leaving"`
+	// RetryAfter is sent as Retry-After in the 503 responses to requests, of any form;
+	// empty sends none. The target does not keep a pause that it asks for: other
+	// requests are executed.
+	RetryAfter string `json:"retry_after"`
 }
 
 // Validate returns an error if a setting is out of its range.
--- a/internal/standin/target/response.go
+++ b/internal/standin/target/response.go
@@ -80,6 +80,14 @@
 	_ = buffer.Flush()
 }
 
+// writeUnavailable answers 503, with Retry-After if the settings have one.
+func (t *Target) writeUnavailable(w http.ResponseWriter, body string) {
+	if value := t.injector.currentSettings().RetryAfter; value != "" {
+		w.Header().Set("Retry-After", value)
+	}
+	http.Error(w, body, http.StatusServiceUnavailable)
+}
+
 // writeOtherResponse answers with the headers of another request: the one executed
 // before, if there is one. If empty is set, the body is empty.
 func writeOtherResponse(w http.ResponseWriter, previousID string, empty bool) {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -22,6 +22,8 @@
 	// OutcomeHeader with the value not-run on a 503 says that the target refused
 	// the request without executing it.
 	OutcomeHeader = "Turmericfield-Outcome"
+	// LeavingHeader with the value 1 says that the target shuts down.
+	LeavingHeader = "Turmericfield-Leaving"
 	HealthPath    = "/-/health" // answers 200, or 503 while draining
 	LoadPath      = "/-/load"   // returns a Load
 	LedgerPath    = "/-/ledger" // returns the number of executions by request ID
@@ -88,6 +90,9 @@
 
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if t.injector.currentSettings().Leaving {
+		w.Header().Set(LeavingHeader, "1")
+	}
 	switch r.URL.Path {
 	case HealthPath:
 		t.serveHealth(w)
@@ -123,7 +128,7 @@
 	defer t.inFlight.Add(-1)
 	if fault == ShedNotRun || inFlight > int64(t.options.Slots) || t.injector.currentSettings().Draining {
 		w.Header().Set(OutcomeHeader, "not-run")
-		http.Error(w, "no free slot", http.StatusServiceUnavailable)
+		t.writeUnavailable(w, "no free slot")
 		return
 	}
 	t.execute(w, r, fault)
@@ -161,7 +166,7 @@
 	case SilentAfter:
 		neverAnswer(r)
 	case ShedUntold:
-		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		t.writeUnavailable(w, "overloaded")
 	case DropIdle:
 		res.writeAll(w)
 		_ = http.NewResponseController(w).Flush()
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -73,3 +73,32 @@
 		}
 	})
 }
+
+func TestNoticesAreMissingFromResponses(t *testing.T) {
+	for _, c := range []struct {
+		settings, path, fault string
+		leaving, retryAfter   string
+	}{
+		{`{}`, "/", "shed", "", ""},
+		{`{"leaving":true}`, "/", "none", "1", ""},
+		{`{"leaving":true}`, "/", "shed", "1", ""},
+		{`{"leaving":true}`, HealthPath, "", "1", ""},
+		{`{"leaving":true}`, LoadPath, "", "1", ""},
+		{`{"retry_after":"2"}`, "/", "shed", "", "2"},
+		{`{"retry_after":"soon"}`, "/", "shed-untold", "", "soon"},
+		{`{"retry_after":"2"}`, "/", "none", "", ""},
+		{`{"retry_after":"2","draining":true}`, "/", "none", "", "2"},
+	} {
+		target := New(Options{Slots: 1})
+		if status, got := call(t, target, "PUT", ControlPath, c.settings); status != http.StatusOK {
+			t.Fatal(got)
+		}
+		r := httptest.NewRequest("GET", c.path, http.NoBody)
+		r.Header.Set(FaultHeader, c.fault)
+		w := httptest.NewRecorder()
+		target.ServeHTTP(w, r)
+		if leaving, retryAfter := w.Header().Get(LeavingHeader), w.Header().Get("Retry-After"); leaving != c.leaving || retryAfter != c.retryAfter {
+			t.Errorf("%+v: status %d, leaving %q, Retry-After %q", c, w.Code, leaving, retryAfter)
+		}
+	}
+}
