--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -82,8 +82,8 @@
 	cachedShareVersion uint64 // value of Placer.shareVersion
 
 	drained bool // by the configuration
-	// process tells whether the target leaves or pauses. Its ejections and trials are
-	// not used here. Its time counts from processSince.
+	// process tells whether the target leaves or pauses; nil if nothing has said so. Its
+	// ejections and trials are not used here. Its time counts from processSince.
 	process      *availability.Process
 	processSince time.Time
 
@@ -99,9 +99,12 @@
 	lastPolled           time.Time // by this instance
 }
 
-// beginProcess takes the target for another process, of which nothing is known.
-func (t *target) beginProcess(now time.Time) {
-	t.process, t.processSince = availability.New(func(availability.Change) {}), now
+// knownProcess returns the target's process, which begins as serving.
+func (t *target) knownProcess(now time.Time) *availability.Process {
+	if t.process == nil {
+		t.process, t.processSince = availability.New(func(availability.Change) {}), now
+	}
+	return t.process
 }
 
 // usableSlots returns how many requests this instance may have in flight on a
@@ -134,6 +137,9 @@
 
 // availability returns whether the target leaves or pauses.
 func (t *target) availability(now time.Time) availability.State {
+	if t.process == nil {
+		return availability.Serving
+	}
 	return t.process.State(t.processTime(now))
 }
 
@@ -143,12 +149,18 @@
 // refuses reports whether the target must get no request at all, since it leaves or
 // pauses.
 func (t *target) refuses(now time.Time) bool {
+	if t.process == nil {
+		return false
+	}
 	t.availability(now)
 	return t.process.Refuses()
 }
 
 // pauseLeft returns how long the target's pause still lasts, 0 or less without one.
 func (t *target) pauseLeft(now time.Time) time.Duration {
+	if t.process == nil {
+		return 0
+	}
 	_, until := t.process.LastPause()
 	return until - t.processTime(now)
 }
@@ -191,6 +203,9 @@
 // usableFraction returns the fraction of a target's slots that may be used now: below 1
 // during a slow start and while requests return after a pause, 1 otherwise.
 func (t *target) usableFraction(now time.Time) float64 {
+	if t.process == nil {
+		return t.slowStartFraction(now)
+	}
 	return min(t.slowStartFraction(now), t.process.ReturnedShare(t.processTime(now)))
 }
 
@@ -211,7 +226,7 @@
 // limitShare reduces a share of slots to the usable fraction, but to no less than one
 // slot.
 func (t *target) limitShare(share int, now time.Time) int {
-	if share <= 1 {
+	if share <= 1 || t.slowStartSince.IsZero() && t.process == nil {
 		return share
 	}
 	return max(1, int(float64(share)*t.usableFraction(now)))
@@ -244,7 +259,7 @@
 	}
 	if outcome == NotRun {
 		t.refusalPenaltyUntil = now.Add(refusalPenaltyDuration)
-		if !t.process.CountRejection(t.processTime(now)) {
+		if t.process != nil && !t.process.CountRejection(t.processTime(now)) {
 			return
 		}
 	}
@@ -314,7 +329,7 @@
 	if r.Draining == t.leaving(now) {
 		return Unchanged
 	}
-	t.process.SetDraining(r.Draining, t.processTime(now))
+	t.knownProcess(now).SetDraining(r.Draining, t.processTime(now))
 	if r.Draining {
 		return BeganLeaving
 	}
@@ -338,7 +353,7 @@
 		return availability.Serving, availability.Serving
 	}
 	before = t.availability(now)
-	t.process.Pause(n.Pause, t.processTime(now))
+	t.knownProcess(now).Pause(n.Pause, t.processTime(now))
 	if n.Leaving {
 		p.MarkLeaving(t.Name, now)
 	}
--- a/internal/placement/update.go
+++ b/internal/placement/update.go
@@ -84,13 +84,11 @@
 // updateTarget applies a target's configuration. At another address there is another
 // process. A target that is no longer drained or leaving begins a slow start.
 func (p *Placer) updateTarget(t *target, c config.Target, now time.Time) {
-	if t.process == nil {
-		t.beginProcess(now)
-	} else if t.Address != c.Address {
+	if t.Address != "" && t.Address != c.Address {
 		if t.leaving(now) {
 			t.slowStartSince = now
 		}
-		t.beginProcess(now)
+		t.process = nil
 		t.report, t.reportedAt = Report{}, now
 	}
 	t.Target = c
