--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -47,6 +47,13 @@
 	RelativeLatency float64 // moving average, in multiples of the routes' medians
 }
 
+// Notice is what the head of a target's response says about the requests that the
+// target wants from this instance.
+type Notice struct {
+	Leaving bool          // it shuts down and wants no further requests
+	Pause   time.Duration // it wants no requests for this long; none if not above 0
+}
+
 // ReturnDuration is the time after a pause in which the requests come back to the
 // process, so that it does not get them all at once.
 const ReturnDuration = time.Second
@@ -118,7 +125,8 @@
 	return p.pausedUntil - p.pausedSince, p.pausedUntil
 }
 
-// SetDraining takes in whether the registration says that the process leaves.
+// SetDraining takes in whether the registration, or another source whose newer word
+// replaces its older one, says that the process leaves.
 func (p *Process) SetDraining(draining bool, now time.Duration) {
 	p.State(now)
 	p.draining = draining
