--- a/internal/command/experimentavailability.go
+++ b/internal/command/experimentavailability.go
@@ -2,12 +2,12 @@
 
 import (
 	"io"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/turmericfield/turmericfield/internal/experiment"
-	"github.com/turmericfield/turmericfield/internal/settings"
 )
 
 // newExperimentAvailability returns the command that simulates targets that pause or
@@ -21,13 +21,11 @@
 		Short: "Play targets that ask for pauses or leave, with and without what they say",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			var p settings.Problems
-			if seeds < 1 {
-				p.Add("seeds", "must be 1 at least, is %d", seeds)
+			if err := checkSeeds(seeds, f); err != nil {
+				return err
 			}
-			f.checkOutput(&p)
-			if err := p.Err(); err != nil {
-				return errors.Mark(err, errUsage)
+			if loads := experiment.AvailabilityLoads(); !slices.Contains(loads, plotted) {
+				return errors.Mark(errors.Newf("load: %q is none of %q", plotted, loads), errUsage)
 			}
 			rows := experiment.RunAvailability(seeds)
 			if plotFile != "" {
--- a/internal/command/experimentoverload.go
+++ b/internal/command/experimentoverload.go
@@ -39,13 +39,8 @@
 		Short: "Play loads on targets that know some objects, under the product's policy and baselines",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			var p settings.Problems
-			if seeds < 1 {
-				p.Add("seeds", "must be 1 at least, is %d", seeds)
-			}
-			f.checkOutput(&p)
-			if err := p.Err(); err != nil {
-				return errors.Mark(err, errUsage)
+			if err := checkSeeds(seeds, f); err != nil {
+				return err
 			}
 			rows := simulateOverload(seeds)
 			return f.print(cmd.OutOrStdout(), rows, func(w io.Writer) { writeOverloadTable(w, rows) })
@@ -56,6 +51,16 @@
 	return cmd
 }
 
+// checkSeeds reports every fault of the flags of a simulation.
+func checkSeeds(seeds int, f clientFlags) error {
+	var p settings.Problems
+	if seeds < 1 {
+		p.Add("seeds", "must be 1 at least, is %d", seeds)
+	}
+	f.checkOutput(&p)
+	return errors.Mark(p.Err(), errUsage)
+}
+
 // simulateOverload runs every scenario under every policy, with seeds from 0. The policy
 // named "own" is this system's; "spill" and "random" are the ones to compare it with.
 func simulateOverload(seeds int) []overloadRow {
--- a/internal/experiment/availability.go
+++ b/internal/experiment/availability.go
@@ -5,12 +5,8 @@
 	"io"
 	"text/tabwriter"
 
-	"github.com/cockroachdb/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 
 	"github.com/turmericfield/turmericfield/internal/overloadsim"
 )
@@ -39,6 +35,15 @@
 	Windows []float64 `json:"windows"`
 }
 
+// AvailabilityLoads returns the names of the scenarios that RunAvailability plays.
+func AvailabilityLoads() []string {
+	var names []string
+	for _, s := range overloadsim.AvailabilityScenarios() {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
 // RunAvailability plays targets that pause or leave, with the given number of seeds.
 func RunAvailability(seeds int) []AvailabilityRow {
 	var rows []AvailabilityRow
@@ -103,12 +108,5 @@
 		}
 		curves = append(curves, r.Policy, points)
 	}
-	if err := plotutil.AddLinePoints(p, curves...); err != nil {
-		return errors.Wrap(err, "experiment: cannot draw the plot")
-	}
-	p.Add(plotter.NewGrid())
-	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
-	_, err := canvas.WriteTo(w)
-	return err
+	return writeSVG(w, p, curves)
 }
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -40,6 +40,11 @@
 			curves = append(curves, l.Cost, points)
 		}
 	}
+	return writeSVG(w, p, curves)
+}
+
+// writeSVG draws the curves, which are names and points by turns, on the plot.
+func writeSVG(w io.Writer, p *plot.Plot, curves []any) error {
 	if err := plotutil.AddLinePoints(p, curves...); err != nil {
 		return errors.Wrap(err, "experiment: cannot draw the plot")
 	}
