--- a/internal/affinity/regions.go
+++ b/internal/affinity/regions.go
@@ -157,8 +157,9 @@
 }
 
 // usableTargets returns the targets of a service that get requests and are neither
-// ejected nor limited to a cold rate, nor paused so that it counts. If their slots are less than minUsableShare of
-// the slots of all that get requests, it returns all these.
+// ejected nor limited to a cold rate nor in a pause that countsAsPaused. If their slots
+// are less than minUsableShare of the slots of all that get requests, it returns all
+// these.
 func (b *Balancer) usableTargets(m *regionMix, service string, now time.Duration) []*targetState {
 	uncounted := b.shiftLimit(shiftWindow)
 	var open, usable []*targetState
