--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -15,7 +15,7 @@
 //
 // A request with an object goes to the highest-ranked usable target if the wait there
 // is acceptable, otherwise to one of the next targets that has the object cached, and
-// only while the service has spare capacity to one that has not.
+// only while those that may run it have spare capacity to one that has not.
 func (b *Balancer) Choose(r Request, now time.Duration) (Grant, bool) {
 	key := r.key()
 	candidates, refusing := b.candidates(r, key, now)
@@ -46,9 +46,9 @@
 			return b.grant(s, r, Spilled, now), true
 		}
 	}
-	if b.utilization(r.Service, now) < maxSpillServiceUtilization {
+	if utilization(candidates, r, now) < maxSpillUtilization {
 		for _, s := range others {
-			if s.load(now) < maxSpillTargetUtilization*float64(s.Slots) {
+			if r.loadAt(s, now) < maxSpillTargetUtilization*float64(s.Slots) && b.waitAcceptable(s, r, now) {
 				return b.grant(s, r, Spilled, now), true
 			}
 		}
@@ -106,12 +106,18 @@
 
 // expectedWait returns the expected time until the target has a free slot.
 func (b *Balancer) expectedWait(s *targetState, now time.Duration) time.Duration {
+	return s.waitAt(s.load(now))
+}
+
+// waitAt returns the expected time until the target has a free slot if it has the given
+// number of requests.
+func (s *targetState) waitAt(load float64) time.Duration {
 	slots := float64(max(s.Slots, 1))
-	excess := s.load(now) + 1 - slots
+	excess := load + 1 - slots
 	if excess <= 0 {
 		return 0
 	}
-	meanLatency := b.meanLatency[s.Service]
+	meanLatency := s.group.meanLatency
 	if meanLatency == 0 {
 		meanLatency = defaultLatency.Seconds()
 	}
@@ -119,7 +125,9 @@
 }
 
 // waitAcceptable reports whether the expected wait at the target leaves the request
-// enough of its latency objective.
+// enough of its latency objective. What the target's group lets expect of it is less
+// certain: by that, a request that may run anywhere is refused only if it would wait
+// longer than the whole objective.
 func (b *Balancer) waitAcceptable(s *targetState, r Request, now time.Duration) bool {
 	share := maxWaitShare
 	if r.Urgent {
@@ -129,14 +137,23 @@
 	if objective <= 0 {
 		objective = 2 * defaultLatency
 	}
-	return b.expectedWait(s, now) <= time.Duration(share*float64(objective))
+	return s.waitAt(r.loadAt(s, now)) <= time.Duration(share*float64(objective)) && s.waitAt(s.loadInGroup(now)) <= objective
+}
+
+// loadAt returns the load of the target that counts for the request. One that is bound to
+// home regions cannot avoid a congested group, so the group counts for it in full.
+func (r Request) loadAt(s *targetState, now time.Duration) float64 {
+	if r.HomeRegions.Bound() {
+		return s.loadInGroup(now)
+	}
+	return s.load(now)
 }
 
-// utilization returns the load of a service per slot.
-func (b *Balancer) utilization(service string, now time.Duration) float64 {
+// utilization returns the load per slot of the targets that may run a request.
+func utilization(candidates []candidate, r Request, now time.Duration) float64 {
 	load, slots := 0.0, 0.0
-	for _, s := range b.services[service] {
-		load += s.load(now)
+	for _, s := range candidates {
+		load += r.loadAt(s.targetState, now)
 		slots += float64(s.Slots)
 	}
 	return load / max(slots, 1)
