--- a/internal/affinity/availability.go
+++ b/internal/affinity/availability.go
@@ -74,14 +74,11 @@
 	}
 }
 
-// Notice is what a target says in the head of a response.
-type Notice = availability.Notice
-
 // Observe records what a target said in the head of its response to a granted request,
 // before or after Done. The caller has made sure that the response is the target's. The
 // notice concerns the process to which the request was granted, also if that has
 // another address since then or none. It is ignored if the target has since restarted.
-func (b *Balancer) Observe(g Grant, n Notice, now time.Duration) {
+func (b *Balancer) Observe(g Grant, n availability.Notice, now time.Duration) {
 	if !n.Leaving && n.Pause <= 0 {
 		return
 	}
--- a/internal/affinity/availability_test.go
+++ b/internal/affinity/availability_test.go
@@ -21,7 +21,7 @@
 func (s *targetState) ejected(now time.Duration) bool { return s.process.Ejected(now) }
 
 // notices are the two things that a target may say, and what they last.
-var notices = map[string]Notice{"leaving": {Leaving: true}, "paused": {Pause: time.Minute}}
+var notices = map[string]availability.Notice{"leaving": {Leaving: true}, "paused": {Pause: time.Minute}}
 
 // chosenFor returns the requests that a target gets of many, with the objects o0 to
 // o(n-1).
@@ -169,15 +169,17 @@
 
 func TestRequestWaitsForNothingWhenAllTargetsLeaveOrPause(t *testing.T) {
 	const now = time.Hour
-	observe := func(n Notice, ids ...string) func(b *Balancer) {
+	observe := func(n availability.Notice, ids ...string) func(b *Balancer) {
 		return func(b *Balancer) {
 			for _, id := range ids {
 				b.Observe(Grant{Target: b.targets[id].Target}, n, now)
 			}
 		}
 	}
-	leave := func(ids ...string) func(b *Balancer) { return observe(Notice{Leaving: true}, ids...) }
-	pause := func(d time.Duration, ids ...string) func(b *Balancer) { return observe(Notice{Pause: d}, ids...) }
+	leave := func(ids ...string) func(b *Balancer) { return observe(availability.Notice{Leaving: true}, ids...) }
+	pause := func(d time.Duration, ids ...string) func(b *Balancer) {
+		return observe(availability.Notice{Pause: d}, ids...)
+	}
 	// In region r0 are t00 and t03, in r1 t01 and t04, in r2 t02 and t05.
 	for name, test := range map[string]struct {
 		request Request
@@ -289,7 +291,7 @@
 	b := New("a", "r0", 1)
 	b.SetColdStart(service, rate, time.Hour)
 	b.SetTargets(targets, 0)
-	b.Observe(Grant{Target: targets[0]}, Notice{Pause: time.Hour}, 1)
+	b.Observe(Grant{Target: targets[0]}, availability.Notice{Pause: time.Hour}, 1)
 	granted := 0
 	for now := time.Duration(1); now < seconds*time.Second; now += 5 * ms {
 		g, ok := b.Choose(newRequest(fmt.Sprint(now)), now)
@@ -312,7 +314,7 @@
 	for i := range instances {
 		b := newBalancer(fmt.Sprint("i", i), "r0", newTargets(6, 6))
 		home = assign(b, objects, 1)
-		b.Observe(Grant{Target: b.targets[home[0]].Target}, Notice{Pause: end - 1}, 1)
+		b.Observe(Grant{Target: b.targets[home[0]].Target}, availability.Notice{Pause: end - 1}, 1)
 		fleet = append(fleet, b)
 	}
 	atHome := func(now time.Duration) (all, ofOne float64) {
@@ -353,7 +355,7 @@
 	targets := newTargets(6, 6)
 	targets[0].ColdFor = time.Minute
 	b := newBalancer("a", "r0", targets)
-	b.Observe(Grant{Target: targets[0]}, Notice{Pause: time.Second}, 1)
+	b.Observe(Grant{Target: targets[0]}, availability.Notice{Pause: time.Second}, 1)
 	b.targets["t00"].eject(2, time.Hour, Slow)
 	if now := 3 * time.Second; !b.targets["t00"].ejected(now) || !b.targets["t00"].cold(now) {
 		t.Error("a pause has ended the target's ejection or cold start")
@@ -366,7 +368,7 @@
 // While the only target returns from a pause, nothing else could run the request.
 func TestRequestIsRefusedWhileTheOnlyTargetReturns(t *testing.T) {
 	b := newBalancer("a", "r0", newTargets(1, 6))
-	b.Observe(Grant{Target: b.targets["t00"].Target}, Notice{Pause: time.Second}, 1)
+	b.Observe(Grant{Target: b.targets["t00"].Target}, availability.Notice{Pause: time.Second}, 1)
 	for i := range 50 {
 		g := mustChoose(t, b, newRequest(fmt.Sprint("o", i)), time.Second+1)
 		b.Done(g, Report{Outcome: Abandoned}, time.Second+1)
@@ -389,10 +391,10 @@
 		now := time.Duration(batch) * time.Hour
 		b.SetTargets(gone(batch, half), now)
 		for i, x := range gone(batch, half) {
-			b.Observe(Grant{Target: x}, Notice{Leaving: i < half-100, Pause: time.Minute}, now)
+			b.Observe(Grant{Target: x}, availability.Notice{Leaving: i < half-100, Pause: time.Minute}, now)
 		}
 		if batch == 2 { // a late response of a process that was unregistered before
-			b.Observe(Grant{Target: gone(1, half)[1]}, Notice{Leaving: true}, now)
+			b.Observe(Grant{Target: gone(1, half)[1]}, availability.Notice{Leaving: true}, now)
 		}
 	}
 	now := 4 * time.Hour
@@ -412,11 +414,11 @@
 	targets := newTargets(6, 6)
 	b := newBalancer("a", "r0", targets)
 	b.SetTargets(changed(targets, "t00", func(x *Target) { x.Leaving = true }), 1)
-	b.Observe(Grant{Target: targets[1]}, Notice{Leaving: true}, 2)
-	b.Observe(Grant{Target: targets[2]}, Notice{Pause: 3 * time.Second}, 3)
-	b.Observe(Grant{Target: targets[2]}, Notice{Pause: time.Second}, 4)
-	b.Observe(Grant{Target: targets[3]}, Notice{Pause: time.Second}, 5)
-	b.Observe(Grant{Target: targets[3]}, Notice{Leaving: true}, 6)
+	b.Observe(Grant{Target: targets[1]}, availability.Notice{Leaving: true}, 2)
+	b.Observe(Grant{Target: targets[2]}, availability.Notice{Pause: 3 * time.Second}, 3)
+	b.Observe(Grant{Target: targets[2]}, availability.Notice{Pause: time.Second}, 4)
+	b.Observe(Grant{Target: targets[3]}, availability.Notice{Pause: time.Second}, 5)
+	b.Observe(Grant{Target: targets[3]}, availability.Notice{Leaving: true}, 6)
 	if got := b.AvailabilityCounts(7)[service]; got != (AvailabilityCount{Leaving: 3, Paused: 1}) {
 		t.Errorf("%+v, want 3 that leave and 1 that pauses", got)
 	}
@@ -458,7 +460,7 @@
 			grants = append(grants, mustChoose(t, b, newRequest("o"), now))
 		}
 		for _, g := range grants {
-			b.Observe(g, Notice{Pause: 500 * ms}, now)
+			b.Observe(g, availability.Notice{Pause: 500 * ms}, now)
 			b.Done(g, Report{Outcome: Rejected}, now)
 		}
 		now += 5 * time.Second
@@ -481,7 +483,7 @@
 		g := mustChoose(t, b, newRequest(fmt.Sprint("o", i%40)), now)
 		if g.Target.ID == "t00" {
 			rejected++
-			b.Observe(g, Notice{Pause: ms}, now)
+			b.Observe(g, availability.Notice{Pause: ms}, now)
 			b.Done(g, Report{Outcome: Rejected}, now)
 		} else {
 			b.Done(g, Report{Outcome: Answered, Elapsed: 200 * ms}, now)
@@ -494,7 +496,7 @@
 }
 
 // pauseFirst lets the first n targets of region r0 say something to all instances.
-func (f *shiftFleet) pauseFirst(n int, notice Notice) {
+func (f *shiftFleet) pauseFirst(n int, notice availability.Notice) {
 	for _, b := range f.balancers {
 		left := n
 		for _, x := range f.targets {
@@ -511,7 +513,7 @@
 		forFleets(t, func(t *testing.T, instances int) {
 			f := newShiftFleet(instances, 31, 62, 74)
 			f.run(4 * time.Second)
-			f.pauseFirst(31, Notice{Pause: pause})
+			f.pauseFirst(31, availability.Notice{Pause: pause})
 			back := f.now + shiftWindow
 			f.run(16 * time.Second)
 			f.checkShift(t, back)
@@ -533,7 +535,7 @@
 	b.SetTargets(targets, 0)
 	const end = shiftWindow - 1
 	before := assign(b, 400, 0)
-	b.Observe(Grant{Target: targets[0]}, Notice{Pause: end}, 0)
+	b.Observe(Grant{Target: targets[0]}, availability.Notice{Pause: end}, 0)
 	for now := time.Duration(0); now < end+availability.ReturnDuration; now += 50 * ms {
 		for i, id := range assign(b, 400, now) {
 			if before[i] != "t00" && id != before[i] {
@@ -581,7 +583,7 @@
 	targets := newTargets(2, 6)
 	targets[1].Region = "r0"
 	b := newBalancer("a", "r0", targets)
-	b.Observe(Grant{Target: targets[0]}, Notice{Pause: end}, 0)
+	b.Observe(Grant{Target: targets[0]}, availability.Notice{Pause: end}, 0)
 	b.targets["t01"].eject(0, time.Hour, Slow)
 	if n := chosenFor(b, "t00", 100, end); n != 100 {
 		t.Errorf("%d of 100 requests went to an ejected target while another returned from a pause", 100-n)
@@ -591,7 +593,7 @@
 func TestPauseStopsToCountBeforeItsEnd(t *testing.T) {
 	f := newShiftFleet(3, 2, 6, 8)
 	f.run(time.Second)
-	f.pauseFirst(2, Notice{Pause: shiftWindow - ms})
+	f.pauseFirst(2, availability.Notice{Pause: shiftWindow - ms})
 	for end := f.now + shiftWindow - 100*ms; f.now < end; {
 		f.run(50 * ms)
 		if n := f.balancers[0].regionMixes[service].slots["r0"]; n > 0 {
@@ -603,7 +605,7 @@
 func TestLongPauseOfOneTargetLeavesTheShareOfItsRegion(t *testing.T) {
 	f := newShiftFleet(3, 31, 62, 74)
 	f.run(100 * ms)
-	f.pauseFirst(1, Notice{Pause: 2 * shiftWindow})
+	f.pauseFirst(1, availability.Notice{Pause: 2 * shiftWindow})
 	f.run(100 * ms)
 	if n := f.balancers[0].regionMixes[service].slots["r0"]; n != 30*6 {
 		t.Errorf("%g slots of the region count as usable, want those of the 30 targets that do not pause", n)
@@ -614,7 +616,7 @@
 // may change the ranking itself, as an ejection may.
 func TestRequestThatEvadesAPausedTargetIsCalledPreferred(t *testing.T) {
 	b := newBalancer("a", "r0", newTargets(6, 6))
-	b.Observe(mustChoose(t, b, newRequest("o"), 1), Notice{Pause: shiftWindow - ms}, 1)
+	b.Observe(mustChoose(t, b, newRequest("o"), 1), availability.Notice{Pause: shiftWindow - ms}, 1)
 	if g := mustChoose(t, b, newRequest("o"), 2); g.Reason != Evaded {
 		t.Errorf("%s, want %s", g.Reason, Evaded)
 	}
--- a/internal/affinity/signals_test.go
+++ b/internal/affinity/signals_test.go
@@ -67,7 +67,7 @@
 }
 
 // observe lets a target respond with a notice.
-func (m *signalsModel) observe(g Grant, n Notice) {
+func (m *signalsModel) observe(g Grant, n availability.Notice) {
 	m.Observe(g, n, m.now)
 	for _, t := range m.all {
 		if t.ID != g.Target.ID || t.Started != g.Target.Started {
@@ -136,7 +136,7 @@
 			if len(grants) == 0 {
 				return
 			}
-			m.observe(rapid.SampledFrom(grants).Draw(t, "grant"), Notice{
+			m.observe(rapid.SampledFrom(grants).Draw(t, "grant"), availability.Notice{
 				Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0, Pause: time.Duration(rapid.IntRange(-1000, 5000).Draw(t, "pause")) * ms,
 			})
 		},
--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -43,7 +43,7 @@
 		return // it may belong to an earlier exchange
 	}
 	said := notice.Parse(x.response.StatusCode, x.response.Header, c.HeaderNames.Leaving)
-	if said != (affinity.Notice{}) {
+	if said != (availability.Notice{}) {
 		c.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.Observe(c.grant, said, now) })
 	}
 }
--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/affinity"
+	"github.com/turmericfield/turmericfield/internal/availability"
 	"github.com/turmericfield/turmericfield/internal/quota"
 )
 
@@ -34,7 +35,7 @@
 }
 
 // observe lets the balancer observe a notice of one of newCaller's targets.
-func (c *caller) observe(i int, n affinity.Notice) {
+func (c *caller) observe(i int, n availability.Notice) {
 	c.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) {
 		b.Observe(affinity.Grant{Target: affinity.Target{ID: fmt.Sprint("t", i), Started: 1}}, n, now)
 	})
@@ -199,7 +200,7 @@
 // connection is opened.
 func TestRequestWhoseTargetIsWithdrawnBeforeTheSendGoesToAnother(t *testing.T) {
 	t.Parallel()
-	for name, notice := range map[string]affinity.Notice{"leaving": {Leaving: true}, "paused": {Pause: testPause}} {
+	for name, notice := range map[string]availability.Notice{"leaving": {Leaving: true}, "paused": {Pause: testPause}} {
 		for withdrawn, want := range map[int]int{0: 200, 1: 200, maxAttemptedTargets + 1: 200, maxWithdrawnTargets + 1: 503} {
 			t.Run(fmt.Sprint(name, withdrawn), func(t *testing.T) {
 				t.Parallel()
@@ -236,9 +237,9 @@
 func TestIdleConnectionsToALeavingTargetAreClosed(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct {
-		notice affinity.Notice
+		notice availability.Notice
 		kept   bool
-	}{"leaving": {affinity.Notice{Leaving: true}, false}, "paused": {affinity.Notice{Pause: testPause}, true}} {
+	}{"leaving": {availability.Notice{Leaving: true}, false}, "paused": {availability.Notice{Pause: testPause}, true}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			running, proceed := make(chan struct{}), make(chan struct{})
@@ -312,14 +313,14 @@
 func TestRequestThatNoTargetWantsIsRefusedAtOnce(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct {
-		notices  []affinity.Notice
+		notices  []availability.Notice
 		wait     time.Duration // that the caller waits
 		min, max time.Duration // of Retry-After
 	}{
-		"all leave":                     {[]affinity.Notice{{Leaving: true}, {Leaving: true}}, 4 * time.Second, 300 * time.Millisecond, 400 * time.Millisecond},
-		"all pause":                     {[]affinity.Notice{{Pause: testPause}, {Pause: time.Second}}, 4 * time.Second, 900 * time.Millisecond, 1400 * time.Millisecond},
-		"one leaves, one pauses":        {[]affinity.Notice{{Leaving: true}, {Pause: time.Second}}, 4 * time.Second, 900 * time.Millisecond, 1400 * time.Millisecond},
-		"pause ends after the deadline": {[]affinity.Notice{{Pause: testPause}, {Pause: 10 * time.Second}}, time.Second, 9 * time.Second, 14 * time.Second},
+		"all leave":                     {[]availability.Notice{{Leaving: true}, {Leaving: true}}, 4 * time.Second, 300 * time.Millisecond, 400 * time.Millisecond},
+		"all pause":                     {[]availability.Notice{{Pause: testPause}, {Pause: time.Second}}, 4 * time.Second, 900 * time.Millisecond, 1400 * time.Millisecond},
+		"one leaves, one pauses":        {[]availability.Notice{{Leaving: true}, {Pause: time.Second}}, 4 * time.Second, 900 * time.Millisecond, 1400 * time.Millisecond},
+		"pause ends after the deadline": {[]availability.Notice{{Pause: testPause}, {Pause: 10 * time.Second}}, time.Second, 9 * time.Second, 14 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -412,7 +413,7 @@
 	c := admittedCall(t)
 	observedBefore := func(suspension time.Duration) {
 		c.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) {
-			b.Observe(c.grant, affinity.Notice{Pause: testPause}, now-suspension)
+			b.Observe(c.grant, availability.Notice{Pause: testPause}, now-suspension)
 		})
 	}
 	observedBefore(testPause + 2*time.Second)
--- a/internal/overloadsim/notices.go
+++ b/internal/overloadsim/notices.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/affinity"
+	"github.com/turmericfield/turmericfield/internal/availability"
 )
 
 const (
@@ -23,7 +24,7 @@
 
 // observer is a Policy that is told what targets say about the requests that they want.
 type observer interface {
-	Observe(g affinity.Grant, n affinity.Notice, now time.Duration)
+	Observe(g affinity.Grant, n availability.Notice, now time.Duration)
 }
 
 // registry is a Policy that is told when registrations change.
@@ -108,8 +109,8 @@
 // observe passes to the instance what the target's response says about the requests that
 // it wants.
 func (w *simulation) observe(r *request, pause time.Duration) {
-	notice := affinity.Notice{Leaving: w.leaving(r.target), Pause: pause}
-	if notice == (affinity.Notice{}) {
+	notice := availability.Notice{Leaving: w.leaving(r.target), Pause: pause}
+	if notice == (availability.Notice{}) {
 		return
 	}
 	state := w.noticeState(r)
