edge: tell which version each instance has in force, and what it has heard of

'request: decided' now always has version and evidence_age_ms, 'store: followed' has the revision and the age of the source's copy, and the metrics have configuration_version, evidence_age_ms, store_revision and store_revision_heard_of.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -197,8 +197,17 @@
 		}, s.Name),
 	}
 	set.Gauge("requests_in_flight", e.gateway.InFlight)
+	set.Gauge("configuration_version", func() int64 {
+		if t := e.gateway.Table(); t != nil {
+			return int64(t.Version)
+		}
+		return 0
+	})
+	set.Gauge("evidence_age_ms", func() int64 { return e.gateway.Staleness().Milliseconds() })
 	e.hub = &hubServer{Edge: e, hub: quota.NewHub(), aggregator: quota.NewAggregator(zoneReporterPrefix+s.Name, uint64(time.Now().UnixNano()))}
 	e.follower = newFollower(e)
+	set.Gauge("store_revision", func() int64 { return int64(e.follower.revision()) })
+	set.Gauge("store_revision_heard_of", e.follower.heardOf.Load)
 	e.members = newMembers(s, func() bool { return e.gateway.Staleness() < maxSelfListingStaleness }, e.homeRegions)
 	return e
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,8 @@
 	currentAsOf time.Duration // time since boot at which the copy was known to be current; 0 if never
 	lost        bool          // no source may be tried now or the copy's last confirmation is too old (see markFailed); sent to followers
 	updated     chan struct{} // closed and replaced when there is something to tell followers
+
+	heardOf atomic.Int64 // newest store revision that a source has told of, current or not
 }
 
 func newFollower(e *Edge) *follower {
@@ -117,6 +120,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteRevision(revision)
 	f.markCurrent(changefeed.StoreSource, nil, askedAt)
 	f.feed.Replace(entries, revision)
 	f.apply(f.mirror, f.mirror.Replace(entries, revision, now()))
@@ -159,6 +163,7 @@
 		source = via[0]
 	}
 	regained := f.lost
+	f.noteRevision(revision)
 	f.markCurrent(source, via, currentAsOf)
 	hasNew := f.feed.Apply(changes, revision)
 	f.apply(f.mirror, f.mirror.Apply(changes, revision, now()))
@@ -176,10 +181,16 @@
 	}
 }
 
+// noteRevision records that a source has told of a store revision.
+func (f *follower) noteRevision(revision uint64) {
+	f.heardOf.Store(max(f.heardOf.Load(), int64(revision)))
+}
+
 // applyUnconfirmed applies changes that do not show whether the copy is current.
 func (f *follower) applyUnconfirmed(changes []platform.Change, revision uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteRevision(revision)
 	hasNew := f.feed.Apply(changes, revision)
 	f.apply(f.mirror, f.mirror.ApplyUnconfirmed(changes, revision, now()))
 	if hasNew {
@@ -207,7 +218,8 @@
 	f.retryDelay = 0
 	f.chooser.MarkCurrent(source)
 	if source != f.source || f.currentAsOf == 0 {
-		f.log.Info().Str("source", sourceName(source)).Strs("via", via).Msg("store: followed")
+		f.log.Info().Str("source", sourceName(source)).Strs("via", via).Uint64("revision", f.mirror.Revision()).
+			Int64("source_age_ms", (now() - currentAsOf).Milliseconds()).Msg("store: followed")
 	}
 	if f.lost {
 		f.lost = false
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -152,7 +152,7 @@
 		line = line.Str("reason", reason)
 	}
 	if c.route != nil {
-		line = line.Str("route", c.route.Name).Uint64("version", c.table.Version).Int("priority", c.priority())
+		line = line.Str("route", c.route.Name).Int("priority", c.priority())
 	}
 	if c.service != "" {
 		line = line.Str("service", c.service)
@@ -168,7 +168,7 @@
 			Uint64("quota_taken", q.Taken).Bool("quota_hub", q.Hub).Int64("quota_age_ms", q.Age.Milliseconds())
 	}
 	if c.table != nil {
-		line = line.Int64("evidence_age_ms", c.Staleness().Milliseconds())
+		line = line.Uint64("version", c.table.Version).Int64("evidence_age_ms", c.Staleness().Milliseconds())
 		if newest := c.Table(); newest.Version != c.table.Version {
 			line = line.Uint64("in_force", newest.Version)
 		}
