gateway: deny a request for good only by a configuration known to be current

What callers saw: an instance without evidence answered 404 on a route, and 401 to a key, that a newer version had added. Callers do not repeat these; another instance would have served them.

Cause: a refusal is a statement on the configuration like any other, but only what the configuration allows was tied to its age, not what it denies.

Change: 404, 401 and 413 turn into 503 (configuration-stale, not run, with Retry-After) once the configuration is older than what home regions may rest on.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,10 +33,10 @@
 	// for which API keys are trusted without new confirmation. It covers the transit
 	// of a request and the time to decide on it.
 	revocationMargin = 700 * time.Millisecond
-	// homeMargin is subtracted from Settings.MaxConfigurationDelay to get the time for
-	// which home regions are trusted without new confirmation. It covers the transit of
+	// configurationMargin is subtracted from Settings.MaxConfigurationDelay to get the time
+	// for which home regions, and refusals for good, are trusted without new confirmation. It covers the transit of
 	// a request to its target, and a stall of the process before its send.
-	homeMargin = 200 * time.Millisecond
+	configurationMargin = 200 * time.Millisecond
 	// registrationGrace is how long after the end of a store outage an entry whose
 	// lease expired is kept, so that its owner can register again.
 	registrationGrace = 2 * time.Second
@@ -115,9 +115,10 @@
 // maxKeyStaleness returns for how long API keys are trusted without confirmation.
 func (s Settings) maxKeyStaleness() time.Duration { return s.MaxRevocationDelay - revocationMargin }
 
-// maxHomeStaleness returns for how long home regions are trusted without confirmation.
-func (s Settings) maxHomeStaleness() time.Duration {
-	return min(s.maxKeyStaleness(), s.MaxConfigurationDelay-homeMargin)
+// maxConfigurationStaleness returns for how long home regions, and refusals for good, are
+// trusted without confirmation.
+func (s Settings) maxConfigurationStaleness() time.Duration {
+	return min(s.maxKeyStaleness(), s.MaxConfigurationDelay-configurationMargin)
 }
 
 // regionCount returns the number of distinct regions in the settings.
@@ -195,7 +196,7 @@
 		targets: map[string]registration{}, decoded: map[string]registration{},
 		gateway: gateway.New(gateway.Options{
 			HeaderNames: adapter.HTTPHeaders(), Region: s.Region, RegionCount: s.regionCount(),
-			MaxKeyStaleness: s.maxKeyStaleness(), MaxHomeStaleness: s.maxHomeStaleness(),
+			MaxKeyStaleness: s.maxKeyStaleness(), MaxConfigurationStaleness: s.maxConfigurationStaleness(),
 			RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, MaxShift: s.MaxShift, Metrics: set, Log: logs.Part("gateway"),
 		}, s.Name),
 	}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -18,7 +18,7 @@
 	}
 	c.repeatable = c.route.Repeatable
 	if limit := c.table.Limits.BodyBytes; limit > 0 && c.request.ContentLength > limit {
-		return &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
+		return c.deny(http.StatusRequestEntityTooLarge, "body-too-large")
 	}
 	c.setDeadline()
 	if d := c.draining.Load(); d != nil && c.start.After(d.lastStart) && c.deadline.After(d.end) {
@@ -40,11 +40,21 @@
 		return &refusal{http.StatusServiceUnavailable, "no-configuration", retryAfterStaleConfig}
 	}
 	if c.route = c.table.Route(c.request.Host, c.request.URL.EscapedPath()); c.route == nil {
-		return &refusal{http.StatusNotFound, "no-route", 0}
+		return c.deny(http.StatusNotFound, "no-route")
 	}
 	return nil
 }
 
+// deny returns a refusal after which callers do not send the request again. If the
+// configuration may be outdated, another one may allow the request, and callers are
+// asked to send it again.
+func (c *call) deny(status int, reason string) *refusal {
+	if !c.configurationTrusted() {
+		return &refusal{http.StatusServiceUnavailable, "configuration-stale", retryAfterStaleConfig}
+	}
+	return &refusal{status, reason, 0}
+}
+
 // resolveWorkspace finds the workspace that holds the request's API key, unless the
 // route needs none.
 func (c *call) resolveWorkspace() *refusal {
@@ -57,10 +67,10 @@
 	}
 	keys := c.apiKeys()
 	if len(keys) != 1 {
-		return &refusal{http.StatusUnauthorized, "one-key-needed", 0}
+		return c.deny(http.StatusUnauthorized, "one-key-needed")
 	}
 	if c.workspace = c.table.WorkspaceOf(keys[0]); c.workspace == nil {
-		return &refusal{http.StatusUnauthorized, "unknown-key", 0}
+		return c.deny(http.StatusUnauthorized, "unknown-key")
 	}
 	return nil
 }
@@ -75,7 +85,7 @@
 			c.homeRegions = c.homeRegions.Intersect(w.HomeRegions)
 		}
 	}
-	if c.homeRegions.Bound() && !c.homesTrusted() {
+	if c.homeRegions.Bound() && !c.configurationTrusted() {
 		return &refusal{http.StatusServiceUnavailable, "homes-stale", retryAfterStaleConfig}
 	}
 	return nil
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -22,7 +22,7 @@
 func admittedCall(t *testing.T) *call {
 	t.Helper()
 	logs := logging.New(t.Output(), "error")
-	g := New(Options{HeaderNames: testHeaders, Region: "r", RegionCount: 1, MaxKeyStaleness: 2 * time.Hour, MaxHomeStaleness: time.Hour, Metrics: metrics.New(), Log: logs.Part("gateway")}, "self")
+	g := New(Options{HeaderNames: testHeaders, Region: "r", RegionCount: 1, MaxKeyStaleness: 2 * time.Hour, MaxConfigurationStaleness: time.Hour, Metrics: metrics.New(), Log: logs.Part("gateway")}, "self")
 	g.SetTable(config.NewRoutingTable(config.RoutingTableSource{
 		Version: 1, Routes: []config.Route{{Name: "a", Host: "h", PathPrefix: "/a/", Service: "s", TimeoutMillis: 1000}}, Services: []config.Service{{Name: "s"}},
 	}))
@@ -87,7 +87,7 @@
 
 func TestRequestWithHomeRegionsIsNotSentOnceTheyMayBeOutdated(t *testing.T) {
 	c := admittedCall(t)
-	c.SetCurrentAsOf(clock.SinceBoot() - c.MaxHomeStaleness)
+	c.SetCurrentAsOf(clock.SinceBoot() - c.MaxConfigurationStaleness)
 	c.workspace = &config.Workspace{Name: "w"}
 	if !c.stillAllowed() {
 		t.Error("a request without home regions may not be sent")
@@ -199,7 +199,7 @@
 	if refused := c.admit(); refused != nil {
 		t.Fatalf("refused: %+v", refused)
 	}
-	c.SetCurrentAsOf(clock.SinceBoot() - c.MaxHomeStaleness)
+	c.SetCurrentAsOf(clock.SinceBoot() - c.MaxConfigurationStaleness)
 	if refused := c.admit(); refused == nil || refused.reason != "homes-stale" {
 		t.Errorf("got %+v, want homes-stale", refused)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -217,8 +217,8 @@
 func (c *call) stillAllowed() bool {
 	// Read before the tables are compared: if the proof is a newer table's, that one
 	// is in force by then.
-	keysTrusted, homesTrusted := c.keysTrusted(), c.homesTrusted()
-	return c.remaining() > 0 && c.Table() == c.table && (c.workspace == nil || keysTrusted) && (!c.homeRegions.Bound() || homesTrusted)
+	keysTrusted, configurationTrusted := c.keysTrusted(), c.configurationTrusted()
+	return c.remaining() > 0 && c.Table() == c.table && (c.workspace == nil || keysTrusted) && (!c.homeRegions.Bound() || configurationTrusted)
 }
 
 // targetStillValid reports whether the request may still be sent to its target.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,9 +46,10 @@
 	// are refused. It is also the time after which the instance uses a larger share of
 	// the quotas when others have left.
 	MaxKeyStaleness time.Duration
-	// MaxHomeStaleness is the same bound for home regions: beyond it, requests that
-	// only some regions may run are refused.
-	MaxHomeStaleness time.Duration
+	// MaxConfigurationStaleness is the same bound for the rest of the configuration:
+	// beyond it, requests that only some regions may run are refused, and none is denied
+	// for good.
+	MaxConfigurationStaleness time.Duration
 	// RetryRatio and RetryExtra bound the fleet's retries, which are sends of a
 	// request to a further target: RetryRatio is a share of the requests,
 	// RetryExtra a number of retries in each window on top of it.
@@ -167,8 +168,9 @@
 // keysTrusted reports whether the table is current enough for its API keys.
 func (g *Gateway) keysTrusted() bool { return g.Staleness() < g.MaxKeyStaleness }
 
-// homesTrusted reports whether the table is current enough for its home regions.
-func (g *Gateway) homesTrusted() bool { return g.Staleness() < g.MaxHomeStaleness }
+// configurationTrusted reports whether the table is current enough for its home regions,
+// and for what it does not allow.
+func (g *Gateway) configurationTrusted() bool { return g.Staleness() < g.MaxConfigurationStaleness }
 
 // Ready reports whether the instance can serve callers: it has a current
 // configuration and is not draining.
