--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -76,6 +76,9 @@
 	if m.Name == "" || m.Address == "" {
 		return m, errors.New("instance entry has no name or no address")
 	}
+	if m.Weight < 0 || m.Weight > 1 {
+		return m, errors.Newf("instance's weight %g is not between 0 and 1", m.Weight)
+	}
 	return m, nil
 }
 
