gateway: a leaving instance takes only what it can answer before its end

It happens here: in the first half of the grace an instance took requests whatever their deadline. One that arrived 2.6 s after the stop with a time limit of 6 s, at a slow target, was cut at 5.7 s.

Change: from the stop on, a request is taken only if its deadline, by which it gets an answer in any case, is before the end of the process, less 0.15 s for late timers. TestNoRequestTakenDuringAPlannedStopIsCut failed before (6 requests in flight at the end of the process).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -54,6 +54,9 @@
 	finalRequestGrace = 2 * time.Second
 	// shutdownMargin is how long before the shutdown timeout the process ends.
 	shutdownMargin = 300 * time.Millisecond
+	// lastAnswerMargin is how long before that the last request must have been answered, so
+	// that its answer has been sent even if timers are late.
+	lastAnswerMargin = 150 * time.Millisecond
 	// softMemoryLimitRatio is the fraction of the process's memory limit that is set
 	// as Go's soft memory limit, from which the garbage collector runs more often.
 	softMemoryLimitRatio = 0.6
@@ -319,7 +322,7 @@
 	begin := time.Now()
 	e.log.Info().Int64("in_flight", e.gateway.InFlight()).Msg("life: leaving")
 	end := begin.Add(e.ShutdownTimeout - shutdownMargin)
-	e.gateway.Drain(begin.Add(e.ShutdownTimeout/2-shutdownMargin), end)
+	e.gateway.Drain(end.Add(-lastAnswerMargin))
 	select {
 	case <-time.After(e.ShutdownTimeout - finalRequestGrace):
 	case <-kill.Done():
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -21,7 +21,7 @@
 		return c.deny(http.StatusRequestEntityTooLarge, "body-too-large")
 	}
 	c.setDeadline()
-	if d := c.draining.Load(); d != nil && c.start.After(d.lastStart) && c.deadline.After(d.end) {
+	if end := c.drainEnd.Load(); end != nil && c.deadline.After(*end) {
 		return &refusal{http.StatusServiceUnavailable, "leaving", retryAfterDraining}
 	}
 	if refused := c.resolveWorkspace(); refused != nil {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -124,7 +124,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.draining.Load() != nil {
+	if g.drainEnd.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{Gateway: g, writer: w, request: r, startSinceBoot: clock.SinceBoot(), start: time.Now(), id: r.Header.Get(g.HeaderNames.RequestID)}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,14 +77,9 @@
 
 	pool     *pool
 	inFlight atomic.Int64
-	draining atomic.Pointer[drainTimes]
-}
-
-// drainTimes is the schedule of a draining instance: a request that arrives
-// after lastStart is served only if its deadline is not after end.
-type drainTimes struct {
-	lastStart time.Time
-	end       time.Time // when the process ends
+	// drainEnd is the time by which all requests must have been answered; nil if the
+	// instance is not draining.
+	drainEnd atomic.Pointer[time.Time]
 }
 
 // New returns a gateway for the instance named self. It refuses requests until
@@ -144,10 +139,9 @@
 	g.retries.setInstances(len(names))
 }
 
-// Drain makes the gateway close each caller's connection after its next
-// response. Requests that arrive after lastStart and whose deadline is after
-// end are refused.
-func (g *Gateway) Drain(lastStart, end time.Time) { g.draining.Store(&drainTimes{lastStart, end}) }
+// Drain makes the gateway close each caller's connection after its next response. Requests
+// whose deadline is after end are refused, since they might be cut off then.
+func (g *Gateway) Drain(end time.Time) { g.drainEnd.Store(&end) }
 
 // InFlight returns the number of requests being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
@@ -175,7 +169,7 @@
 // Ready reports whether the instance can serve callers: it has a current
 // configuration and is not draining.
 func (g *Gateway) Ready() bool {
-	return g.draining.Load() == nil && g.table.Load() != nil && g.keysTrusted()
+	return g.drainEnd.Load() == nil && g.table.Load() != nil && g.keysTrusted()
 }
 
 // jitter returns a random duration between d and 4/3 of it, so that refused
