split: keep the shares of the whole fleet near the weights, not of each instance

What operators saw: parts of a traffic split off their weights (a clause of CONFIG: more than 0.2 among 200 requests or more).

Cause: each instance let a service be up to three requests ahead of its weight, so that a hot object stays at one service. The object's hash is the same on all instances, so their leads add up: 72 requests on 24 instances. Without an object, each instance sent its first request to the part with the largest weight.

Change: the lead also stays under a twentieth of the requests that the instance has counted, and else the part is drawn in proportion to the parts' deficits. TestSharesOverAllInstancesStayNearTheirWeights failed before, in 36 windows of 200 requests with 25 instances (2,000 played for each of five weights) and in more with 100 and 300.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,7 +86,7 @@
 // SetTable has been called.
 func New(options Options, self string) *Gateway {
 	g := &Gateway{
-		Options: options, balancer: affinity.New(self, options.Region, options.RegionCount), limiter: quota.New(self, uint64(time.Now().UnixNano()), options.MaxKeyStaleness), splitter: split.New(),
+		Options: options, balancer: affinity.New(self, options.Region, options.RegionCount), limiter: quota.New(self, uint64(time.Now().UnixNano()), options.MaxKeyStaleness), splitter: split.New(rand.Uint64()),
 		retries: newRetryBudget(options.RetryRatio, options.RetryExtra), pool: newPool(),
 	}
 	g.balancer.SetMaxShift(options.MaxShift)
--- a/internal/split/split.go
+++ b/internal/split/split.go
@@ -4,6 +4,8 @@
 package split
 
 import (
+	"math/rand/v2"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/turmericfield/turmericfield/internal/config"
@@ -11,10 +13,12 @@
 
 const (
 	// maxLead bounds how many requests a service may have received beyond its share
-	// of the route's requests. A request that would bring its object's service that
-	// far beyond its share goes to another service. With a larger bound, the shares
-	// would deviate visibly from the weights over short periods.
-	maxLead = 3.0
+	// of the route's requests, and maxLeadRatio which part of all these requests. A
+	// request that would bring its object's service that far beyond its share goes to
+	// another service. Hot objects lead to the same service on all instances, so that
+	// with larger bounds the shares of the fleet would deviate visibly from the weights.
+	maxLead      = 3.0
+	maxLeadRatio = 0.05
 	// halveAfter is the number of requests at which all counts are halved, so that
 	// older requests count less.
 	halveAfter = 400.0
@@ -23,6 +27,7 @@
 // Splitter chooses the service for each request. It is not safe for concurrent use.
 type Splitter struct {
 	routes map[string]*routeCounts
+	random *rand.Rand
 }
 
 // routeCounts counts the requests of a route since the last change of its split.
@@ -32,8 +37,11 @@
 	total float64   // sum of sent
 }
 
-// New returns a splitter that has counted no requests.
-func New() *Splitter { return &Splitter{routes: map[string]*routeCounts{}} }
+// New returns a splitter that has counted no requests and takes its random numbers from
+// a source with this seed.
+func New(seed uint64) *Splitter {
+	return &Splitter{routes: map[string]*routeCounts{}, random: rand.New(rand.NewPCG(seed, 0))}
+}
 
 // Choose returns the service for a request of the route. Requests with the same object
 // prefer the same service; an empty object means that there is none.
@@ -49,18 +57,19 @@
 		c = &routeCounts{parts: route.Split, sent: make([]float64, len(route.Split))}
 		s.routes[route.Name] = c
 	}
-	i := c.choose(object)
+	i := c.choose(object, s.random)
 	c.record(i)
 	return route.Split[i].Service
 }
 
 // choose returns the index of the part that a request goes to. A part's share of the
 // requests is its weight divided by the sum of all weights. The request goes to the part
-// that the object's hash falls into, unless that part would then have received maxLead or
-// more requests beyond its share. In that case, or without an object, it goes to the part
-// with the largest deficit: the part's share of all requests, including this one, less the
-// requests that the part has received.
-func (c *routeCounts) choose(object string) int {
+// that the object's hash falls into, unless that part would then have received more
+// requests beyond its share than it may. In that case, or without an object, it goes to
+// one of the parts with a deficit: the part's share of all requests, including this one,
+// less the requests that the part has received. The choice among them is random in
+// proportion to their deficits, so that instances do not all choose alike.
+func (c *routeCounts) choose(object string, random *rand.Rand) int {
 	sum := 0.0
 	for _, p := range c.parts {
 		sum += p.Weight
@@ -78,17 +87,24 @@
 			}
 		}
 	}
-	neediest, maxDeficit := 0, 0.0
+	deficits, all, last := make([]float64, len(c.parts)), 0.0, 0
 	for i, p := range c.parts {
 		deficit := (c.total+1)*p.Weight/sum - c.sent[i]
-		if p.Weight > 0 && (maxDeficit == 0 || deficit > maxDeficit) {
-			neediest, maxDeficit = i, deficit
-		}
-		if i == hashed && deficit > 1-maxLead {
+		if i == hashed && 1-deficit < min(maxLead, maxLeadRatio*(c.total+1)) {
 			return hashed
 		}
+		if p.Weight > 0 && deficit > 0 {
+			deficits[i], last = deficit, i
+			all += deficit
+		}
+	}
+	point := random.Float64() * all
+	for i, deficit := range deficits {
+		if point -= deficit; point < 0 {
+			return i
+		}
 	}
-	return neediest
+	return last
 }
 
 // record counts a request to the part with index i.
