gateway: a time limit that becomes shorter binds requests that are not sent yet

What callers saw: a clause of CONFIG is the routes' time limits. A request that is resolved again, because another version came into force while its body arrived or between two attempts, took over route, homes and service of the new version, but not its time limit.

Cause: the deadline was set once, at the arrival.

Change: it is shortened when the request is resolved again; a longer limit changes nothing for requests under way. TestShorterTimeLimitBindsARequestWhoseBodyIsStillArriving failed before: the target was given 3,582 ms where the version in force said 300.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -133,6 +134,7 @@
 		return &refusal{http.StatusServiceUnavailable, "withdrawn", retryAfterStaleConfig}
 	}
 	c.repeatable = c.repeatable && c.route.Repeatable
+	c.shortenDeadline()
 	if !c.route.SendsTo(c.service) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -141,6 +143,19 @@
 	return nil
 }
 
+// shortenDeadline moves the deadline forward if the route's timeout is shorter now than
+// when the request was resolved first.
+func (c *call) shortenDeadline() {
+	before := c.deadline
+	if c.setDeadline(); !c.deadline.Before(before) {
+		c.deadline = before
+		return
+	}
+	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
+	context.AfterFunc(c.ctx, cancel)
+	c.ctx = ctx
+}
+
 // setDeadline sets the deadline from the shortest of defaultTimeout, the
 // route's timeout and the time that the caller waits.
 func (c *call) setDeadline() {
