changefeed: follow the source that a search has found while the store is silent

Cause: a search that ended without a response of a preferred source left that source untouched, so that it could be asked again at once; the instance went from one such search to the next and never followed what it had found.

Change: preferred sources that have not responded when a search ends are paused like others that fail. TestSilentPreferredSourceIsPausedWhenTheSearchEnds failed before. The virtual fleet also plays a second change now.

The soak: clients ask each instance for a route of the newest version ten times a second; the checker fails if it is refused as outdated later than configApplyS after its confirmation, while some instance has a way to the store.

--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -318,3 +318,27 @@
 		t.Errorf("asks %q", got)
 	}
 }
+
+// While a preferred source is silent, an instance must follow what it has found, and not
+// ask the silent one again without a pause.
+func TestSilentPreferredSourceIsPausedWhenTheSearchEnds(t *testing.T) {
+	c := newChooser("a", []string{"a", "b"}, nil)
+	for name, s := range map[string]*Search{"search": c.NewSearch(0), "search for a better one": c.NewSearchForBetter("b", 0)} {
+		c.MarkCurrent(StoreSource)
+		if name == "search" {
+			c.MarkFailed("other", 0) // something has failed, so that several are asked
+		}
+		if got := s.Ask(0); !slices.Contains(got, StoreSource) {
+			t.Fatalf("%s: asks %q", name, got)
+		}
+		if name == "search" {
+			s.Current("b", 0)
+		}
+		if got, done := s.Result(searchInterval); got != "b" || !done {
+			t.Fatalf("%s: follows %q, %v", name, got, done)
+		}
+		if c.BetterDue("b", searchInterval) {
+			t.Errorf("%s: the silent store is asked again at once", name)
+		}
+	}
+}
--- a/internal/changefeed/search.go
+++ b/internal/changefeed/search.go
@@ -133,15 +133,23 @@
 	}
 }
 
-// Result returns the source to follow once the search is over.
+// Result returns the source to follow once the search is over. Preferred sources that have
+// not responded by then have failed.
 func (s *Search) Result(now time.Duration) (string, bool) {
-	if s.isFound && (now >= s.endAt || !s.betterAsked(s.found)) {
-		return s.found, true
+	source := s.fallback
+	switch {
+	case s.isFound && (now >= s.endAt || !s.betterAsked(s.found)):
+		source = s.found
+	case !s.isFound && s.hasFallback && s.rounds > 0 && (now >= s.endAt || len(s.asked) == 0):
+	default:
+		return "", false
 	}
-	if !s.isFound && s.hasFallback && s.rounds > 0 && (now >= s.endAt || len(s.asked) == 0) {
-		return s.fallback, true
+	for name := range s.asked {
+		if s.chooser.preference(name) < s.chooser.preference(source) {
+			s.chooser.MarkFailed(name, now)
+		}
 	}
-	return "", false
+	return source, true
 }
 
 // betterAsked reports whether a source that is preferred to the given one has yet to respond.
--- a/internal/changefeed/spread_test.go
+++ b/internal/changefeed/spread_test.go
@@ -12,6 +12,7 @@
 // searches for one as package edge does, over a network with delays, while sources fail.
 
 const (
+	never          = time.Hour // later than all events
 	step           = 5 * time.Millisecond
 	regionalDelay  = time.Millisecond // one way, within a region and to its store
 	remoteDelay    = 20 * time.Millisecond
@@ -67,7 +68,7 @@
 }
 
 func newPlayedFleet(t *testing.T, regions, perRegion int, watchWait time.Duration) *playedFleet {
-	f := &playedFleet{t: t, timing: Timing{watchWait}, instances: map[string]*playedInstance{}, changeAt: time.Hour}
+	f := &playedFleet{t: t, timing: Timing{watchWait}, instances: map[string]*playedInstance{}, changeAt: never}
 	names := make([][]string, regions)
 	for r := range names {
 		for i := range perRegion {
@@ -234,19 +235,31 @@
 	return AskTimeout
 }
 
-// worst returns the longest time from the change to its arrival at an instance for which
-// applies is true, and the number of those that it has not reached.
-func (f *playedFleet) worst(applies func(in *playedInstance) bool) (longest time.Duration, missing int) {
+// change changes the store now.
+func (f *playedFleet) change() {
+	f.changeAt = f.now + step
+	for _, in := range f.instances {
+		in.revision = 0
+	}
+}
+
+// check fails the test if the change has not reached all instances that run.
+func (f *playedFleet) check(what string, bound time.Duration) {
+	longest, missing := time.Duration(0), 0
 	for _, in := range f.instances {
 		switch {
-		case !applies(in) || in.suspended:
+		case in.suspended:
 		case in.revision == 0:
 			missing++
 		default:
 			longest = max(longest, in.changedAt-f.changeAt)
 		}
 	}
-	return longest, missing
+	if missing > 0 {
+		f.t.Errorf("%s: %d instances without the change after %v", what, missing, bound)
+		return
+	}
+	f.t.Logf("%s: the last instance has the change after %v", what, longest)
 }
 
 // A change must reach all instances that reach a current one within the bound, which is
@@ -281,14 +294,13 @@
 							fail(f.instances[name])
 						}
 					}
-					f.changeAt = f.now + step
-					bound := 5 * watchWait
+					const bound = 5 * watchWait
+					f.change()
 					f.run(f.changeAt + bound)
-					if longest, missing := f.worst(func(*playedInstance) bool { return true }); missing > 0 {
-						t.Errorf("%d regions of %d, %s: %s, offset %d: %d instances without the change after %v", size.regions, size.perRegion, share, failing, offset, missing, bound)
-					} else if testing.Verbose() && offset == 0 {
-						t.Logf("%d regions of %d, %s: %s: the last instance has the change after %v", size.regions, size.perRegion, share, failing, longest)
-					}
+					f.check(fmt.Sprintf("%d regions of %d, %s: %s, offset %d", size.regions, size.perRegion, share, failing, offset), bound)
+					f.change() // while all follow what they have found
+					f.run(f.changeAt + bound)
+					f.check(fmt.Sprintf("%d regions of %d, %s: %s, offset %d, next change", size.regions, size.perRegion, share, failing, offset), bound)
 				}
 			}
 		}
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
 
 const (
+	// startTime is the time in which an instance starts.
+	startTime = time.Second
 	// pauseNoticeTime is how long after a target asked for a pause requests may still
 	// reach it from the instance that it asked.
 	pauseNoticeTime = 500 * time.Millisecond
@@ -21,8 +24,10 @@
 
 // bounds are the times within which instances must follow a change.
 type bounds struct {
-	key   time.Duration // from a key's withdrawal to the last request sent with it that runs
-	homes time.Duration // from a configuration to the last request sent that runs by the one before
+	key time.Duration // from a key's withdrawal to the last request sent with it that runs
+	// homes is the time from a configuration to the last request sent that runs by the
+	// one before, and to its being in force wherever it can be known.
+	homes time.Duration
 	drain time.Duration // from a target's word that it leaves to the last request sent that reaches it
 }
 
@@ -33,6 +38,7 @@
 	instance              string // name of the instance to which it was sent
 	sent                  time.Time
 	disruptions           int // of the instance, when it was sent; set by recordSent
+	version               int // of the configuration that has its route; 0 for all
 }
 
 // link is what a target's process knows an instance by.
@@ -79,6 +85,8 @@
 //   - A withdrawn key stops working.
 //   - A request runs in the home regions of its route and its workspace, at all
 //     instances: one that cannot prove its configuration current must refuse it.
+//   - A configuration comes into force in time at each instance that runs, if some
+//     instance that runs has a way to the store: all reach one another.
 //   - A target that said in a response that it leaves gets no further requests from that
 //     instance, and one that asked for a pause at most maxRequestsInPause. A restart or
 //     suspension of the instance excuses it.
@@ -92,6 +100,8 @@
 	withdrawnAt    map[string]time.Time // by key
 	configurations []configuration      // in the order of their versions
 	disruptions    map[string]int       // number of restarts and suspensions, by instance
+	disruptedAt    map[string]time.Time // the last of them
+	wayOpenSince   map[string]time.Time // way to the store, by instance; zero if it has none
 	leavingSince   map[link]time.Time   // when the target first told the instance
 	pauses         map[link][]*pause
 	violations     []string
@@ -102,7 +112,7 @@
 func newChecker(b bounds) *checker {
 	return &checker{
 		bounds: b, sent: map[string]request{}, runs: map[string]int{}, refusedStatus: map[string]int{}, withdrawnAt: map[string]time.Time{},
-		disruptions: map[string]int{}, leavingSince: map[link]time.Time{}, pauses: map[link][]*pause{},
+		disruptions: map[string]int{}, disruptedAt: map[string]time.Time{}, wayOpenSince: map[string]time.Time{}, leavingSince: map[link]time.Time{}, pauses: map[link][]*pause{},
 	}
 }
 
@@ -149,10 +159,54 @@
 
 // recordDisruption records that an instance is being ended, started, suspended or
 // continued. It is called before an end, start or suspension, and after a suspension.
-func (c *checker) recordDisruption(instance string) {
+func (c *checker) recordDisruption(instance string) { c.recordDisruptionAt(instance, time.Now()) }
+
+func (c *checker) recordDisruptionAt(instance string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.disruptions[instance]++
+	c.disruptedAt[instance] = at
+}
+
+// recordWay records that an instance's way to the store opens or closes.
+func (c *checker) recordWay(instance string, open bool, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wayOpenSince[instance] = (time.Time{}); open {
+		c.wayOpenSince[instance] = at
+	}
+}
+
+// newestVersion returns the version of the newest configuration.
+func (c *checker) newestVersion() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.configurations)
+}
+
+// checkVersion checks the answer to a request for the route of one version. The caller
+// holds the lock.
+func (c *checker) checkVersion(r request, status int, body string) {
+	refused := status == 404 || strings.HasPrefix(body, "configuration-stale") || strings.HasPrefix(body, "no-configuration")
+	if !refused || r.version < len(c.configurations) || !c.runsFor(r.instance, r.sent) {
+		return
+	}
+	confirmed := c.configurations[r.version-1].confirmed
+	if confirmed.IsZero() || r.sent.Sub(confirmed) <= c.homes {
+		return
+	}
+	for instance, since := range c.wayOpenSince {
+		if !since.IsZero() && !since.After(confirmed) && c.runsFor(instance, r.sent) {
+			c.fail("%s: version %d is not in force at %s, status %d, %v after its confirmation, although %s has a way to the store", r.id, r.version, r.instance, status, r.sent.Sub(confirmed), instance)
+			return
+		}
+	}
+}
+
+// runsFor reports whether an instance has run without disruption for long enough to
+// have found a current source. The caller holds the lock.
+func (c *checker) runsFor(instance string, at time.Time) bool {
+	return at.Sub(c.disruptedAt[instance]) > c.homes+startTime
 }
 
 // link returns what the target's process knows the sender of a request by. The result
@@ -252,6 +306,9 @@
 func (c *checker) recordAnswer(id string, status int, body, seal string, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if r := c.sent[id]; r.version > 0 {
+		c.checkVersion(r, status, body)
+	}
 	switch {
 	case status >= 200 && status < 300 && complete:
 		c.servedCount++
--- a/test/soak/defects_test.go
+++ b/test/soak/defects_test.go
@@ -65,6 +65,7 @@
 	believesEarlierRefusals = "believes earlier refusals"
 	ignoresLeaving          = "ignores that targets leave"
 	ignoresPauses           = "ignores pauses"
+	asksStoreOnly           = "asks the store only"
 )
 
 var defects = []defect{
@@ -75,6 +76,7 @@
 	{believesEarlierRefusals, []fault{(*injector).failingTarget}, "which says that it was not run, but it ran"},
 	{ignoresLeaving, []fault{(*injector).targetLeaves}, "that it leaves"},
 	{ignoresPauses, []fault{(*injector).targetPauses}, "in a pause that the target had asked for"},
+	{asksStoreOnly, []fault{(*injector).turnedAway, (*injector).failingTarget, (*injector).failingTarget, (*injector).failingTarget, (*injector).failingTarget}, "is not in force"},
 }
 
 // HTTPHeaders implements edge.Adapter.
@@ -86,6 +88,15 @@
 	return names
 }
 
+// StoreKeys implements edge.Adapter. An instance that asks the store only finds no others.
+func (a *defectiveAdapter) StoreKeys() edge.StoreKeys {
+	keys := a.Adapter.StoreKeys()
+	if a.defect == asksStoreOnly {
+		keys.OwnPrefix += fmt.Sprint(os.Getpid()) + "/"
+	}
+	return keys
+}
+
 // Target implements edge.Adapter. An instance that ignores pauses reaches targets through
 // proxies that drop the header.
 func (a *defectiveAdapter) Target(id string, value []byte) (affinity.Target, error) {
@@ -138,6 +149,9 @@
 		os.Exit(1)
 	}
 	s.LogLevel = "info"
+	if defect == asksStoreOnly {
+		s.PeerSeeds = nil
+	}
 	signal.Ignore(syscall.SIGHUP) // the product reads its settings again
 	ctx := context.Background()
 	if defect == believesEarlierRefusals {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -25,7 +25,7 @@
 	(*injector).storeConnection, (*injector).suspension, (*injector).termination, (*injector).kill, (*injector).reload,
 	(*injector).failingTarget, (*injector).silentDrain, (*injector).targetRestart,
 	(*injector).targetLeaves, (*injector).targetLeaves, (*injector).targetPauses, (*injector).targetPauses,
-	(*injector).historyLost, (*injector).keyWithdrawn, (*injector).homesMoved, (*injector).zoneClosed,
+	(*injector).historyLost, (*injector).keyWithdrawn, (*injector).homesMoved, (*injector).zoneClosed, (*injector).turnedAway,
 }
 
 // inject begins the next fault.
@@ -63,10 +63,28 @@
 }
 
 func (j *injector) storeConnection(lasts time.Duration) {
-	in, mode := j.anyInstance(), []string{"silent", "reset", "deaf", "slow"}[j.random.IntN(4)]
+	j.closeWay(j.anyInstance(), []string{"silent", "reset", "deaf", "slow", "busy"}[j.random.IntN(5)], lasts)
+}
+
+func (j *injector) closeWay(in *instance, mode string, lasts time.Duration) {
 	j.note("%s: store connection %s for %v", in.name, mode, lasts)
 	in.proxy.mode.Store(mode)
-	j.after(lasts, func() { in.proxy.mode.Store("") })
+	j.checks.recordWay(in.name, false, time.Now())
+	j.after(lasts, func() {
+		j.checks.recordWay(in.name, true, time.Now())
+		in.proxy.mode.Store("")
+	})
+}
+
+// turnedAway makes the store turn half of the instances away for long, while the
+// configuration changes and the history is dropped.
+func (j *injector) turnedAway(lasts time.Duration) {
+	lasts *= 3
+	for _, i := range j.random.Perm(len(j.instances))[:len(j.instances)/2] {
+		j.closeWay(j.instances[i], []string{"busy", "silent", "reset"}[j.random.IntN(3)], lasts)
+	}
+	j.historyLost(0)
+	j.homesMoved(0)
 }
 
 func (j *injector) suspension(lasts time.Duration) {
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -26,6 +26,7 @@
 //   - "deaf": drops what the store sends.
 //   - "slow": waits 200 ms before it forwards what it has read.
 //   - "reset": resets a connection when one side sends something.
+//   - "busy": answers each request with status 503 in place of the store.
 type storeProxy struct {
 	listener     net.Listener
 	storeAddress string
@@ -76,6 +77,9 @@
 			_ = to.Close()
 			_ = from.Close()
 			return
+		case mode == "busy" && !fromStore && n > 0:
+			n = 0
+			_, _ = io.WriteString(from, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n") // fails if the instance has given up
 		case mode == "silent", mode == "deaf" && fromStore:
 			n = 0
 		case mode == "slow":
@@ -148,6 +152,7 @@
 	f.writeConfiguration()
 	for i := range *instanceCount {
 		f.instances = append(f.instances, f.newInstance(i, dir))
+		f.checks.recordWay(f.instances[i].name, true, time.Now())
 		f.instances[i].start(f)
 	}
 	return f
@@ -182,6 +187,10 @@
 		resources = append(resources, map[string]any{"resourceKind": "tenants", "metadata": map[string]any{"name": name}, "spec": map[string]any{
 			"apiKeys": []string{key}, "homeRegions": homes[name]}})
 	}
+	// Each version has a route of its own, which shows whether that version is in force.
+	resources = append(resources, map[string]any{"resourceKind": "routes", "metadata": map[string]any{"name": versionRoute}, "spec": map[string]any{
+		"hostname": host, "prefix": fmt.Sprintf("/version-%d/", f.version), "routeType": "safe", "service": service, "timeoutS": routeTimeout.Seconds(),
+		"targetLatencyS": 0.5, "maxAttempts": 2, "allowAnonymous": true}})
 	f.checks.recordConfiguration(homes, func() {
 		f.store.Put("op/config", map[string]any{"version": fmt.Sprintf("%08x", f.version), "resources": resources})
 	})
@@ -190,6 +199,9 @@
 // routes are the names of the routes.
 var routes = []string{"browse", "reserve", "archive", "book"}
 
+// versionRoute is the name of a route that no random request uses.
+const versionRoute = "version"
+
 // repeatable reports whether the requests of a route are safe to repeat.
 func repeatable(route string) bool { return route == "browse" || route == "archive" }
 
@@ -202,20 +214,26 @@
 	for j, zone := range targetZones {
 		fmt.Fprintf(&zones, "%s = %q\n", zone, regions[j%len(regions)])
 	}
+	var seeds []string
+	for j := range min(*instanceCount, seedCount) {
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s%d:17004", f.ipPrefix, firstInstanceIP+j)))
+	}
 	text := fmt.Sprintf(`node = %q
 zone = %q
 region = %q
 ip = %q
 internalPortRange = [17010, 17019]
+seeds = [%s]
 bounds = ["revokeS=%g", "configApplyS=%g", "graceS=3"]
 [zones]
 %s[listen]
 front = "%s:17000"
 ready = "%s:17001"
 directory = "%s:17002"
+control = "%s:17004"
 [platform]
 address = %q
-`, in.name, targetZones[i%len(targetZones)], regions[i%len(regions)], ip, keyBound.Seconds(), configurationBound.Seconds(), zones.String(), ip, ip, ip, in.proxy.listener.Addr())
+`, in.name, targetZones[i%len(targetZones)], regions[i%len(regions)], ip, strings.Join(seeds, ", "), keyBound.Seconds(), configurationBound.Seconds(), zones.String(), ip, ip, ip, ip, in.proxy.listener.Addr())
 	if err := os.WriteFile(in.settingsFile, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -288,6 +306,25 @@
 	}
 }
 
+// probeVersion asks an instance again and again for the route of the newest version, until
+// stop is closed.
+func (f *fleet) probeVersion(in *instance) {
+	c := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		version := f.checks.newestVersion()
+		r := request{
+			id: fmt.Sprintf("%016x", f.requestCount.Add(1)), method: http.MethodGet, uri: fmt.Sprintf("/version-%d/", version),
+			route: versionRoute, instance: in.name, sent: time.Now(), version: version,
+		}
+		f.send(c, in.address, r)
+	}
+}
+
 // send sends a request and records the answer. Headers that a caller must not be able
 // to set, such as the workspace name, are forged.
 func (f *fleet) send(c *http.Client, address string, r request) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -27,6 +27,7 @@
 	drainBound         = time.Second             // the platform's drainS
 	routeTimeout       = 2 * time.Second
 	firstInstanceIP    = 10             // last number of the first instance's IP
+	seedCount          = 3              // instances whose addresses each instance's settings name
 	firstTargetIP      = 100            // last number of the first target's IP
 	host               = "host.example" // hostname of all routes
 	// quietPeriod is the time without faults at the end of a run. In its second half
@@ -81,6 +82,9 @@
 		random := rand.New(rand.NewPCG(uint64(n), f.random.Uint64()))
 		sending.Go(func() { f.runClient(n, random) })
 	}
+	for _, in := range f.instances {
+		sending.Go(func() { f.probeVersion(in) })
+	}
 	time.Sleep(time.Second)
 	j := &injector{fleet: f, list: faults, shuffle: true}
 	if d.name != "" {
@@ -145,6 +149,21 @@
 	}
 }
 
+// Seeds that failed once, and the cause.
+func TestSoakSeedsThatFailed(t *testing.T) {
+	for s, cause := range map[uint64]string{
+		9102: "an instance that started while the store turned it away knew no other instance",
+		9109: "an instance with a silent store asked it again and again and did not follow the source that it had found",
+		9112: "the same",
+	} {
+		t.Run(fmt.Sprint("seed-", s), func(t *testing.T) {
+			t.Parallel()
+			t.Log(cause)
+			runSeed(t, s)
+		})
+	}
+}
+
 // A checker that overlooks a violation would let every soak run pass. Each case
 // violates one guarantee as a faulty instance would.
 func TestCheckerReportsEveryViolation(t *testing.T) {
@@ -171,6 +190,14 @@
 			sendRequest(c, "2", epoch.Add(drainBound+time.Millisecond))
 			c.recordArrival("2", "t0/1", "sierra", epoch.Add(drainBound+time.Millisecond))
 		},
+		"version not in force": func(c *checker) { versionRefused(c, 404, "no-route\n", configurationBound) },
+		"version not in force, and not denied for good": func(c *checker) {
+			versionRefused(c, 503, "configuration-stale\n", configurationBound)
+		},
+		"version not in force at an instance without a way to the store": func(c *checker) {
+			c.recordWay("i0", false, epoch)
+			versionRefused(c, 404, "no-route\n", configurationBound)
+		},
 		"target pauses": func(c *checker) {
 			c.recordNotice("1", "t0/1", notice{pause: time.Second, begun: epoch, written: epoch})
 			arrivals(c, "t0/1", 3, epoch.Add(600*time.Millisecond))
@@ -203,6 +230,20 @@
 			c.recordArrival("1", "t0/1", "oriente", epoch)
 			c.recordArrival("1", "t0/1", "sierra", epoch)
 		},
+		"version refused soon after it was confirmed": func(c *checker) { versionRefused(c, 404, "no-route\n", 0) },
+		"version refused while no instance has a way to the store": func(c *checker) {
+			c.recordWay("i0", false, epoch)
+			c.recordWay("i1", false, epoch.Add(time.Millisecond))
+			versionRefused(c, 404, "no-route\n", configurationBound)
+		},
+		"version refused by an instance that has just started": func(c *checker) {
+			c.recordDisruptionAt("i0", epoch.Add(configurationBound))
+			versionRefused(c, 404, "no-route\n", configurationBound)
+		},
+		"version refused after the next was written": func(c *checker) {
+			versionRefused(c, 404, "no-route\n", configurationBound, configuration{begun: epoch.Add(time.Second)})
+		},
+		"version's route refused for want of a target": func(c *checker) { versionRefused(c, 503, "full\n", configurationBound) },
 		"sent soon after the target left": func(c *checker) {
 			leaves(c)
 			sendRequest(c, "2", epoch.Add(drainBound))
@@ -258,6 +299,18 @@
 	c.recordSent(request{id: id, method: "POST", uri: "/reserve/1", body: "b", route: "reserve", workspace: "w0", key: "k", instance: "i0", sent: at})
 }
 
+// versionRefused records that an instance refused the route of a version that was confirmed
+// at epoch, in a request sent some time later, after further configurations.
+func versionRefused(c *checker, status int, body string, later time.Duration, further ...configuration) {
+	if _, known := c.wayOpenSince["i1"]; !known {
+		c.recordWay("i1", true, epoch.Add(-time.Minute))
+	}
+	c.configurations = append(c.configurations, configuration{begun: epoch, confirmed: epoch})
+	c.recordSent(request{id: "probe", route: versionRoute, instance: "i0", sent: epoch.Add(later + time.Millisecond), version: len(c.configurations)})
+	c.configurations = append(c.configurations, further...)
+	c.recordAnswer("probe", status, body, "", true)
+}
+
 // runRequest records that the request of newRequestChecker ran.
 func runRequest(c *checker) { c.recordRun("1", "POST", "/reserve/1", "b", "w0", "") }
 
