--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -98,6 +98,19 @@
 	}
 }
 
+func TestListingDeletesOnlyEntriesUpToItsRevision(t *testing.T) {
+	f := NewFeed(sameFirstByte)
+	f.Replace([]platform.Entry{{Key: "t", Value: []byte("a"), Revision: 8}}, 5)
+	f.Replace(nil, 7)
+	if batch, _ := f.ChangesSince(5); len(batch.Changes) > 0 {
+		t.Errorf("a listing of an earlier revision passes on %q", describe(batch.Changes))
+	}
+	f.Replace(nil, 9)
+	if batch, _ := f.ChangesSince(5); describe(batch.Changes) != "t@9 " || !batch.Changes[0].Deleted {
+		t.Errorf("a later listing passes on %q", describe(batch.Changes))
+	}
+}
+
 func TestFollowerTooFarBehindMustList(t *testing.T) {
 	f := NewFeed(sameFirstByte)
 	f.Replace(nil, 5)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -100,3 +100,16 @@
 		t.Fatalf("changed %v", changed)
 	}
 }
+
+// The pages of a listing are read one after another, so that it may hold entries newer
+// than its revision. A listing of a revision before them says nothing of them.
+func TestListingRemovesOnlyEntriesUpToItsRevision(t *testing.T) {
+	m := newListedMirror(0)
+	m.Replace([]platform.Entry{entry(target, 1), entry("servers/t2", 8)}, 6, time.Second)
+	if changed := m.Replace([]platform.Entry{entry(target, 1)}, 7, time.Second); len(changed) != 0 || !has(m, "servers/t2") {
+		t.Errorf("a listing of an earlier revision changed %v", changed)
+	}
+	if changed := m.Replace([]platform.Entry{entry(target, 1)}, 8, time.Second); !slices.Equal(changed, []string{"servers/t2"}) || has(m, "servers/t2") {
+		t.Errorf("a later listing changed %v", changed)
+	}
+}
