affinity: keep requests bound to few targets where their objects are cached

Change: for a bound request, a target that is ejected only for slowness is used unless it is slower than the other ones of the home by more than chance explains. Under overload, the load at which a request is refused depends on its object, in the same order at all instances and rotating in 30 s, so that a part of the objects stays cached.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -69,9 +69,14 @@
 	Urgent bool
 	// HomeRegions is the set of regions that may run the request.
 	HomeRegions config.RegionSet
+	// TimeOfDay is the time since the Unix epoch, about the same at all instances. Which
+	// objects are preferred under overload changes with it.
+	TimeOfDay time.Duration
 	// Exclude lists the IDs of targets that must not be chosen, because the request
 	// was sent to them before.
 	Exclude []string
+
+	pressure float64 // 0 to 1; see pressure
 }
 
 // Reason says why a target was chosen or why the request was refused.
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -22,9 +22,9 @@
 	if len(candidates) == 0 {
 		return refusing.refusal(now), false
 	}
-	usable := b.usable(candidates, key, now, false)
+	usable := b.usable(r, candidates, key, now, false)
 	if len(usable) == 0 {
-		usable = b.usable(candidates, key, now, true)
+		usable = b.usable(r, candidates, key, now, true)
 	}
 	if len(usable) == 0 {
 		return b.chooseEjected(candidates, r, now)
@@ -32,6 +32,9 @@
 	if r.Object == "" {
 		return b.chooseLessLoaded(usable, r, now)
 	}
+	if r.HomeRegions.Bound() {
+		r.pressure = pressure(utilization(candidates, r, now))
+	}
 	first := usable[0]
 	reason := Preferred
 	if first != candidates[0].targetState || refusing.topScore > candidates[0].score {
@@ -59,10 +62,10 @@
 // usable returns the first candidates that are neither ejected nor over the rate of
 // a cold target, at most 1+maxSpillTargets. Those that return from a pause and do not
 // yet get the request back are among them only if returning is true.
-func (b *Balancer) usable(candidates []candidate, key uint64, now time.Duration, returning bool) []*targetState {
+func (b *Balancer) usable(r Request, candidates []candidate, key uint64, now time.Duration, returning bool) []*targetState {
 	list := make([]*targetState, 0, 1+maxSpillTargets)
 	for _, c := range candidates {
-		if c.process.Ejected(now) || !returning && !b.hasReturned(c.targetState, key, now) || c.cold(now) && !b.takeColdToken(c.targetState, now, false) {
+		if c.process.Ejected(now) && !(r.HomeRegions.Bound() && slowTogether(c, candidates, now)) || !returning && !b.hasReturned(c.targetState, key, now) || c.cold(now) && !b.takeColdToken(c.targetState, now, false) {
 			continue
 		}
 		if list = append(list, c.targetState); len(list) > maxSpillTargets {
@@ -112,16 +115,14 @@
 // waitAt returns the expected time until the target has a free slot if it has the given
 // number of requests.
 func (s *targetState) waitAt(load float64) time.Duration {
+	return time.Duration(max(s.excess(load), 0) * s.group.expectedLatency() * float64(time.Second))
+}
+
+// excess returns by how many requests per slot a target with the given number of requests
+// would be over its slots with one more. It is below 0 if slots would remain free.
+func (s *targetState) excess(load float64) float64 {
 	slots := float64(max(s.Slots, 1))
-	excess := load + 1 - slots
-	if excess <= 0 {
-		return 0
-	}
-	meanLatency := s.group.meanLatency
-	if meanLatency == 0 {
-		meanLatency = defaultLatency.Seconds()
-	}
-	return time.Duration(excess / slots * meanLatency * float64(time.Second))
+	return (load + 1 - slots) / slots
 }
 
 // waitAcceptable reports whether the expected wait at the target leaves the request
@@ -137,7 +138,11 @@
 	if objective <= 0 {
 		objective = 2 * defaultLatency
 	}
-	return s.waitAt(r.loadAt(s, now)) <= time.Duration(share*float64(objective)) && s.waitAt(s.loadInGroup(now)) <= objective
+	acceptable := share * objective.Seconds() / s.group.expectedLatency() // in requests per slot, like the excess
+	if r.pressure > 0 {
+		acceptable += r.pressure * preference(r.key(), s, r.TimeOfDay)
+	}
+	return s.excess(r.loadAt(s, now)) <= acceptable && s.waitAt(s.loadInGroup(now)) <= objective
 }
 
 // loadAt returns the load of the target that counts for the request. One that is bound to
--- a/internal/affinity/group.go
+++ b/internal/affinity/group.go
@@ -51,6 +51,14 @@
 	return s.load(now) + unknown*s.group.othersPerSlot(now)*float64(s.Slots)
 }
 
+// expectedLatency returns the mean latency of the group's targets in seconds.
+func (g *targetGroup) expectedLatency() float64 {
+	if g.meanLatency == 0 {
+		return defaultLatency.Seconds()
+	}
+	return g.meanLatency
+}
+
 // recordLatency adds the time that a response took, without the expected wait.
 func (g *targetGroup) recordLatency(seconds float64) {
 	if g.meanLatency == 0 {
--- a/internal/availability/health.go
+++ b/internal/availability/health.go
@@ -70,11 +70,13 @@
 	consecutiveFailures int     // until the next good response
 	failureRate         float64 // moving average, 0 to 1
 	ejectedUntil        time.Duration
-	ejectionDuration    time.Duration // of the last ejection; 0 after a recovery
-	trialInFlight       bool          // after an ejection for failures, one request probes the process
+	ejectionDuration    time.Duration  // of the last ejection; 0 after a recovery
+	ejectionReason      EjectionReason // of the last ejection
+	trialInFlight       bool           // after an ejection for failures, one request probes the process
 
 	logRelativeLatency float64 // moving average of the natural logarithm of the relative latency
 	latencySamples     int     // responses since the start or the last ejection for slowness
+	ejectionLogLatency float64 // logRelativeLatency that led to the last ejection for slowness
 }
 
 // Ejected reports whether the process gets no requests unless there is no other
@@ -84,6 +86,21 @@
 	return now < p.health.ejectedUntil || p.health.trialInFlight
 }
 
+// EjectedOnlyForSlowness reports whether the process is ejected because its responses were
+// slow, and not because requests failed since. It returns the relative latency that led to
+// the ejection.
+func (p *Process) EjectedOnlyForSlowness(now time.Duration) (relativeLatency float64, ok bool) {
+	h := &p.health
+	ok = now < h.ejectedUntil && h.ejectionReason == Slow && !h.trialInFlight
+	return math.Exp(h.ejectionLogLatency), ok
+}
+
+// RelativeLatency returns the moving average of the relative latency, and false if there
+// was no response since the start.
+func (p *Process) RelativeLatency() (float64, bool) {
+	return math.Exp(p.health.logRelativeLatency), p.health.logRelativeLatency != 0
+}
+
 // FailureRate returns the moving average of failures, 0 to 1.
 func (p *Process) FailureRate() float64 { return p.health.failureRate }
 
@@ -166,7 +183,7 @@
 	p.State(now)
 	h := &p.health
 	h.trialInFlight = false
-	h.ejectionDuration = min(max(2*h.ejectionDuration, minDuration), maxEjection)
+	h.ejectionDuration, h.ejectionReason = min(max(2*h.ejectionDuration, minDuration), maxEjection), reason
 	h.ejectedUntil = now + h.ejectionDuration
 	from := p.state
 	p.fireDue(now)
@@ -196,6 +213,7 @@
 	h.logRelativeLatency += (math.Log(relativeLatency) - h.logRelativeLatency) * relativeLatencyWeight
 	h.latencySamples++
 	if h.latencySamples >= minLatencySamples && h.logRelativeLatency > math.Log(slowRelativeLatency) {
+		h.ejectionLogLatency = h.logRelativeLatency
 		p.Eject(now, slowEjection, Slow)
 		h.logRelativeLatency, h.latencySamples = math.Log(slowRelativeLatency)*(1-relativeLatencyWeight), 0 // just below the limit, so that a few slow responses eject again
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -311,6 +311,7 @@
 	grant, ok := c.balancer.Choose(affinity.Request{
 		Service: c.service, Object: object, ID: c.id, HomeRegions: c.homeRegions, Exclude: c.excluded,
 		Route: c.route.Name, Objective: c.route.LatencyObjective, Urgent: c.priority() <= urgentPriority,
+		TimeOfDay: time.Duration(time.Now().UnixNano()),
 	}, clock.SinceBoot())
 	c.grant = grant
 	switch {
--- a/internal/overloadsim/overloadsim.go
+++ b/internal/overloadsim/overloadsim.go
@@ -92,8 +92,10 @@
 // Result counts the requests of a simulation by how they ended.
 type Result struct {
 	Counts
-	// Homed counts the requests that only the first region may run.
-	Homed Counts
+	// Homed counts the requests that only the first region may run, and HomedByObject
+	// the same for each object.
+	Homed         Counts
+	HomedByObject map[string]*Counts
 	// Retries were sent by instances to a further target. Uncached were run by a target
 	// that did not have the object cached.
 	Retries, Uncached int
@@ -114,6 +116,9 @@
 // InTimeShare returns the fraction of requests answered within the objective.
 func (c Counts) InTimeShare() float64 { return float64(c.InTime) / float64(max(c.Asked, 1)) }
 
+// AnsweredShare returns the fraction of requests answered, in time or late.
+func (c Counts) AnsweredShare() float64 { return float64(c.InTime+c.Late) / float64(max(c.Asked, 1)) }
+
 // InTimeShareFrom is InTimeShare of the requests created from a time on, in whole windows
 // of two seconds.
 func (r Result) InTimeShareFrom(at time.Duration) float64 {
@@ -197,6 +202,7 @@
 // Simulate runs a scenario with a policy. The same seed gives the same result.
 func Simulate(s Scenario, seed uint64, policy PolicyFactory) Result {
 	w := &simulation{Scenario: s, seed: seed, random: rand.New(rand.NewPCG(seed, 11)), targets: map[string]*target{}, notices: map[noticeKey]*noticeState{}}
+	w.result.HomedByObject = map[string]*Counts{}
 	var list []affinity.Target
 	number := -1
 	for r, region := range s.Regions {
@@ -276,6 +282,10 @@
 	add(&w.result.Counts)
 	if r.homed {
 		add(&w.result.Homed)
+		if w.result.HomedByObject[r.object] == nil {
+			w.result.HomedByObject[r.object] = &Counts{}
+		}
+		add(w.result.HomedByObject[r.object])
 	}
 }
 
@@ -289,7 +299,7 @@
 
 // place lets the request's instance choose a target and send it there.
 func (w *simulation) place(r *request) {
-	q := affinity.Request{Service: service, Object: r.object, Route: "route", Objective: w.Objective, Exclude: r.excluded}
+	q := affinity.Request{Service: service, Object: r.object, Route: "route", Objective: w.Objective, TimeOfDay: w.now, Exclude: r.excluded}
 	if r.homed {
 		q.HomeRegions = []string{regionName(0)}
 	}
--- a/internal/overloadsim/overloadsim_test.go
+++ b/internal/overloadsim/overloadsim_test.go
@@ -1,6 +1,9 @@
 package overloadsim
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"testing"
 )
 
@@ -105,6 +108,43 @@
 	}
 }
 
+// Where requests are bound to a region whose targets can keep only a part of their objects
+// cached, at least half of that part of the requests must be answered in time.
+func TestRequestsBoundToFewTargetsFindTheirObjectsCached(t *testing.T) {
+	s := scenario(t, "large home with few targets")
+	objects := 0
+	for _, region := range s.Regions {
+		objects += region.Objects
+	}
+	cached := float64(s.CacheSize*s.Regions[0].Targets) / float64(objects)
+	inTime := 0.0
+	for seed := range uint64(seeds) {
+		inTime += Simulate(s, seed, Affinity(s)).Homed.InTimeShare() / seeds
+	}
+	if inTime < cached/2 {
+		t.Errorf("%.3f of the requests are answered in time, want %.3f at least: %.2f of the objects fit into the caches", inTime, cached/2, cached)
+	}
+}
+
+// Preferring some objects where targets are overloaded must starve no others: the tenth of
+// the objects that is served least must be answered at least a quarter as often as all.
+func TestNoObjectIsStarvedByOverload(t *testing.T) {
+	for _, name := range []string{"large home with few targets", "one home with too few targets"} {
+		s := scenario(t, name)
+		for seed := range uint64(4) {
+			result := Simulate(s, seed, Affinity(s))
+			objects := slices.SortedFunc(maps.Values(result.HomedByObject), func(a, b *Counts) int { return cmp.Compare(a.AnsweredShare(), b.AnsweredShare()) })
+			var least Counts
+			for _, c := range objects[:len(objects)/10] {
+				least.Asked, least.InTime, least.Late = least.Asked+c.Asked, least.InTime+c.InTime, least.Late+c.Late
+			}
+			if all := result.Homed.AnsweredShare(); least.AnsweredShare() < all/4 {
+				t.Errorf("%s, seed %d: %.2f of the requests for a tenth of the objects are answered, %.2f of all", name, seed, least.AnsweredShare(), all)
+			}
+		}
+	}
+}
+
 func TestSameSeedGivesTheSameResult(t *testing.T) {
 	s := scenario(t, "circuit")
 	a, b := Simulate(s, 3, Affinity(s)), Simulate(s, 3, Affinity(s))
--- a/internal/overloadsim/scenario.go
+++ b/internal/overloadsim/scenario.go
@@ -32,6 +32,11 @@
 	homed.Homed = 0.06
 	homedOverloaded := cooperativeGrown
 	homedOverloaded.Homed = 0.2
+	homedNarrow := Scenario{
+		Regions: []Region{{2, 55}, {6, 55}, {8, 55}}, Instances: 2, Slots: 6, Queue: 18, CacheSize: 43,
+		ColdServiceTime: 690 * time.Millisecond, WarmServiceTime: 207 * time.Millisecond, Objective: 460 * time.Millisecond,
+		Timeout: 1200 * time.Millisecond, Length: 32 * time.Second, Rate: Steady(34), Homed: 0.3,
+	}
 	slow, circuitOverloaded := cooperative, circuit
 	slow.Slowdown = func(target int, at time.Duration) float64 {
 		if target%7 == 0 && at > 8*time.Second && at < 16*time.Second {
@@ -54,11 +59,11 @@
 	}
 	named := map[string]Scenario{
 		"cooperative": cooperative, "circuit": circuit, "cooperative, grown": cooperativeGrown, "burst": burst,
-		"all targets reject half": rejecting, "one home with few targets": homed, "one home with too few targets": homedOverloaded,
+		"all targets reject half": rejecting, "one home with few targets": homed, "one home with too few targets": homedOverloaded, "large home with few targets": homedNarrow,
 		"some targets slow": slow, "some targets stay slow": staysSlow, "circuit, overloaded": circuitOverloaded,
 	}
 	var list []Scenario
-	for _, name := range []string{"cooperative", "circuit", "cooperative, grown", "burst", "all targets reject half", "one home with few targets", "one home with too few targets", "some targets slow", "some targets stay slow", "circuit, overloaded"} {
+	for _, name := range []string{"cooperative", "circuit", "cooperative, grown", "burst", "all targets reject half", "one home with few targets", "one home with too few targets", "large home with few targets", "some targets slow", "some targets stay slow", "circuit, overloaded"} {
 		s := named[name]
 		s.Name = name
 		list = append(list, s)
