quota: charge nothing from before the hub knew a workspace

Cause: a hub that has just started gets reports before it knows the configuration. It skipped workspaces that it did not know, also as the baseline of their counts, so that everything admitted since the start of the instances was charged once the configuration came: buckets at -202 to -618, requests within the quota refused for seconds (seen on the large deployment after two fifths of the instances were killed).

Change: counts are taken as a baseline whether the workspace is known or not.

--- a/internal/quota/hub.go
+++ b/internal/quota/hub.go
@@ -47,12 +47,14 @@
 	share := min(float64(h.reporters.members(now))/float64(h.instances), 1)
 	newRequests := 0.0
 	for _, u := range r.Usages {
+		// Counted also while the workspace is unknown, or else all of it would be charged
+		// once the hub has learned the configuration.
+		n := from.admitted(u)
 		w := h.workspaces[u.Workspace]
 		if w == nil || w.Rate <= 0 {
 			continue
 		}
-		b := h.refill(w, share, now)
-		if n := from.admitted(u); !first {
+		if b := h.refill(w, share, now); !first {
 			b.left -= n
 			newRequests += n
 		}
