quota: ask for newer levels before a request within the quota is refused

Cause: three kinds of wrong refusals. An instance without levels has one n-th of the quota, less than a request in seconds. One with levels may spend two requests of a full bucket between two levels, while a workspace's callers use a few instances. And levels expired while reports went from one lost hub to the next: two failures for each, a wait between them, a return each second to a hub that still did not respond, and aggregators left for others because their hub was lost.

Change: a limiter that knows too little says so, and the request waits up to 150 ms for levels, for which its instance reports at once. A quota that is used up is refused at once as before, and so is a request at an instance that has had no levels for 2 s. quota.Failover moves on after one failure, through refused connections within one report, and leaves a receiver only for one that has responded.

Tried and taken back: fuller buckets of a new hub, which broke the quota when two hubs were lost within half a second.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -174,6 +174,7 @@
 	gateway    *gateway.Gateway
 	members    *members
 	hub        *hubServer
+	levels     *levelUpdates
 	follower   *follower
 	targets    map[string]registration // given to the balancer, by store key
 	decoded    map[string]registration // newest decoded ones, by store key
@@ -194,13 +195,15 @@
 	}
 	set := metrics.New()
 	set.Gauge("log_lines_dropped", logs.Dropped)
+	levels := newLevelUpdates()
 	e := &Edge{
+		levels:   levels,
 		Settings: s, adapter: adapter, storeKeys: adapter.StoreKeys(), store: store, metrics: set, logs: logs, log: logs.Part("edge"), configured: make(chan struct{}),
 		targets: map[string]registration{}, decoded: map[string]registration{},
 		gateway: gateway.New(gateway.Options{
 			HeaderNames: adapter.HTTPHeaders(), Region: s.Region, RegionCount: s.regionCount(),
 			MaxKeyStaleness: s.maxKeyStaleness(), MaxConfigurationStaleness: s.maxConfigurationStaleness(),
-			RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, MaxShift: s.MaxShift, Metrics: set, Log: logs.Part("gateway"),
+			RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, MaxShift: s.MaxShift, RefreshQuota: levels.refresh, Metrics: set, Log: logs.Part("gateway"),
 		}, s.Name),
 	}
 	set.Gauge("requests_in_flight", e.gateway.InFlight)
--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -8,7 +8,9 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"github.com/turmericfield/turmericfield/api/fleetpb"
 	"github.com/turmericfield/turmericfield/internal/affinity"
@@ -19,14 +21,16 @@
 	// reportTimeout bounds a report call: several round trips between regions, and
 	// less than the time for which quota levels are valid.
 	reportTimeout = 400 * time.Millisecond
-	// primaryHubRetry is how long an instance reports to a substitute hub before it
-	// tries the first-ranked one again. While two hubs are in use, each grants only a
-	// part of the quotas.
-	primaryHubRetry = time.Second
-	// failuresToSwitchHub is the number of consecutive failed reports after which an
-	// instance reports to the next hub. A single failure may be a lost packet, and
-	// levels stay valid for longer than two failed reports take.
-	failuresToSwitchHub = 2
+	// maxFailovers is the number of receivers to which a report is sent one after another
+	// while their machines refuse connections.
+	maxFailovers = 4
+	// maxRoundsWithoutLevels is the number of reports in a row to which an aggregator has
+	// responded without levels, after which its zone reports to another one. The loss of
+	// a hub takes two.
+	maxRoundsWithoutLevels = 4
+	// minReportInterval is the time between the begins of two reports if requests wait for
+	// levels.
+	minReportInterval = 50 * time.Millisecond
 )
 
 // hubServer is the quota server of an instance, in use where other instances report
@@ -41,7 +45,7 @@
 
 // errNoLevels means that a zone's aggregator has no recent quota levels from the
 // fleet's hub.
-var errNoLevels = errors.New("the zone's aggregator has no recent quota levels from the hub")
+var errNoLevels = status.Error(codes.FailedPrecondition, "the zone's aggregator has no recent quota levels from the hub")
 
 // fleetServer implements the gRPC service that instances offer one another.
 type fleetServer struct {
@@ -123,42 +127,83 @@
 	}
 }
 
+// levelUpdates lets requests wait for newer quota levels.
+type levelUpdates struct {
+	mu      sync.Mutex
+	updated chan struct{} // closed and replaced when there are newer levels
+	asked   chan struct{} // holds an element if levels were asked for
+}
+
+func newLevelUpdates() *levelUpdates {
+	return &levelUpdates{updated: make(chan struct{}), asked: make(chan struct{}, 1)}
+}
+
+// refresh asks for newer levels and reports whether some came before the context ended.
+func (u *levelUpdates) refresh(ctx context.Context) bool {
+	u.mu.Lock()
+	updated := u.updated
+	u.mu.Unlock()
+	select {
+	case u.asked <- struct{}{}:
+	default: // has been asked already
+	}
+	select {
+	case <-updated:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// notify wakes the requests that wait.
+func (u *levelUpdates) notify() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	close(u.updated)
+	u.updated = make(chan struct{})
+}
+
 // reporter sends quota usage to a hub or a zone's aggregator and switches to another
 // instance when that one fails.
 type reporter struct {
 	*Edge
-	logKey   string // log key of the instance that it reports to: "hub", or "sum" for an aggregator
-	rank     int    // of the instance that it reports to; 0 is the preferred one
-	failures int    // consecutive failed reports
-	// holdStart is when the last report failed or rank 0 was last returned to. The
-	// rank is kept for primaryHubRetry from then on.
-	holdStart time.Time
-	peer      peerConn
-	lost      bool // the last report failed
-}
-
-// report reports quota usage every quota.ReportInterval until the context ends. In a
-// small fleet, each instance reports to the hub: the first-ranked live instance that
-// responds. In a large one, it reports to the aggregator, which is the first-ranked
-// instance of its zone and reports the zone's total to the hub.
+	logKey        string // log key of the instance that it reports to: "hub", or "sum" for an aggregator
+	zone          bool   // it reports to the zone's aggregator
+	receiver      func(rank int) member
+	failover      quota.Failover
+	withoutLevels int // responses in a row without levels
+	peer, trial   peerConn
+	lost          bool // the last report failed
+}
+
+// report reports quota usage every quota.ReportInterval until the context ends, and sooner
+// if requests wait for levels. In a small fleet, each instance reports to the hub: the
+// first-ranked live instance that responds. In a large one, it reports to the aggregator,
+// which is the first-ranked instance of its zone and reports the zone's total to the hub.
 func (e *Edge) report(ctx context.Context) {
-	hub, aggregator := &reporter{Edge: e, logKey: "hub"}, &reporter{Edge: e, logKey: "sum"}
+	hub := &reporter{Edge: e, logKey: "hub", receiver: e.members.hub}
+	aggregator := &reporter{Edge: e, logKey: "sum", zone: true, receiver: func(rank int) member {
+		m, _ := e.members.zoneAggregator(rank)
+		return m
+	}}
 	defer hub.peer.close()
 	defer aggregator.peer.close()
 	for ctx.Err() == nil {
 		begin := time.Now()
-		zoneAggregator, large := e.members.zoneAggregator(aggregator.rank)
+		zoneAggregator, large := e.members.zoneAggregator(aggregator.failover.Rank())
 		if large {
-			if r, ok := e.hub.zoneReport(zoneAggregator.Name == e.Name); ok {
-				hub.reportTo(ctx, e.members.hub(hub.rank), r, false, e.hub.setZoneLevels)
+			if _, ok := e.hub.zoneReport(zoneAggregator.Name == e.Name); ok {
+				hub.reportTo(ctx, func() quota.Report { r, _ := e.hub.zoneReport(true); return r }, e.hub.setZoneLevels)
 			}
-			aggregator.reportTo(ctx, zoneAggregator, e.ownReport(), true, e.setLevels)
+			aggregator.reportTo(ctx, e.ownReport, e.setLevels)
 		} else {
-			hub.reportTo(ctx, e.members.hub(hub.rank), e.ownReport(), false, e.setLevels)
+			hub.reportTo(ctx, e.ownReport, e.setLevels)
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(quota.ReportInterval - time.Since(begin)):
+		case <-e.levels.asked:
+			time.Sleep(minReportInterval - time.Since(begin))
 		}
 	}
 }
@@ -173,27 +218,49 @@
 // time since boot.
 func (e *Edge) setLevels(r quota.Report, l quota.Levels, sentAt time.Duration) {
 	e.gateway.WithState(func(_ *affinity.Balancer, q *quota.Limiter, _ time.Duration) { q.SetLevels(r, l, sentAt) })
+	e.levels.notify()
 }
 
-// reportTo sends a report to an instance and passes the response to onLevels. After
-// failuresToSwitchHub consecutive failures the next rank is used, and primaryHubRetry
-// later the first again.
-func (r *reporter) reportTo(ctx context.Context, to member, report quota.Report, zone bool, onLevels func(quota.Report, quota.Levels, time.Duration)) {
-	begin, sentAt := time.Now(), now()
-	levels, err := r.send(ctx, to, report, zone)
-	r.logOutcome(to, err)
-	switch {
-	case err != nil:
-		if r.failures++; r.failures%failuresToSwitchHub == 0 {
-			r.rank++
+// reportTo sends a report and passes the response to onLevels. While machines refuse the
+// connection, it goes on to the next receivers at once. If a preferred receiver may
+// respond again, it is sent a report as well.
+func (r *reporter) reportTo(ctx context.Context, report func() quota.Report, onLevels func(quota.Report, quota.Levels, time.Duration)) {
+	for range maxFailovers {
+		to, sent, sentAt := r.receiver(r.failover.Rank()), report(), now()
+		levels, err := r.send(ctx, &r.peer, to, sent, reportTimeout)
+		r.logOutcome(to, err)
+		switch {
+		case err == nil:
+			r.withoutLevels = 0
+			onLevels(sent, levels, sentAt)
+			r.tryPreferred(ctx, report)
+			return
+		case status.Code(err) == codes.FailedPrecondition:
+			// The aggregator runs and may find another hub sooner than this instance would
+			// find another aggregator.
+			if r.withoutLevels++; r.withoutLevels < maxRoundsWithoutLevels {
+				return
+			}
+		}
+		r.withoutLevels = 0
+		r.failover.Failed(now())
+		if status.Code(err) != codes.Unavailable {
+			return
 		}
-		r.holdStart = begin
+	}
+}
+
+// tryPreferred sends a report to a preferred receiver if a trial is due, and uses that one
+// from the next report on if it responds with levels.
+func (r *reporter) tryPreferred(ctx context.Context, report func() quota.Report) {
+	rank, due := r.failover.Succeeded(now())
+	if !due {
 		return
-	case r.rank > 0 && time.Since(r.holdStart) > primaryHubRetry:
-		r.rank, r.holdStart = 0, begin
 	}
-	r.failures = 0
-	onLevels(report, levels, sentAt)
+	defer r.trial.close()
+	if _, err := r.send(ctx, &r.trial, r.receiver(rank), report(), quota.TrialTimeout); err == nil {
+		r.failover.TrialSucceeded(rank)
+	}
 }
 
 // logOutcome logs when reports begin to fail and when they succeed again.
@@ -210,26 +277,28 @@
 
 // send sends one report over gRPC, or hands it over directly if this instance is the
 // receiver.
-func (r *reporter) send(ctx context.Context, to member, report quota.Report, zone bool) (quota.Levels, error) {
+func (r *reporter) send(ctx context.Context, conn *peerConn, to member, report quota.Report, timeout time.Duration) (quota.Levels, error) {
 	if to.Name == r.Name {
-		return r.hub.handle(report, zone)
+		return r.hub.handle(report, r.zone)
 	}
-	client, err := r.peer.client(to.PeerAddress, reportTimeout)
+	client, err := conn.client(to.PeerAddress, timeout)
 	if err != nil {
 		return quota.Levels{}, err
 	}
 	request := &fleetpb.ReportRequest{
-		Instance: report.Instance, Started: report.Started, Members: uint32(report.Members), Zone: zone,
+		Instance: report.Instance, Started: report.Started, Members: uint32(report.Members), Zone: r.zone,
 		Usages: make([]*fleetpb.Usage, len(report.Usages)),
 	}
 	for i, u := range report.Usages {
 		request.Usages[i] = &fleetpb.Usage{Workspace: u.Workspace, Admitted: u.Admitted}
 	}
-	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := client.Report(call, request)
 	if err != nil {
-		r.peer.close()
+		if status.Code(err) != codes.FailedPrecondition {
+			conn.close()
+		}
 		return quota.Levels{}, errors.Wrap(err, "report")
 	}
 	levels := quota.Levels{
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -8,8 +8,13 @@
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/clock"
+	"github.com/turmericfield/turmericfield/internal/quota"
 )
 
+// maxQuotaWait bounds how long a request waits for newer quota levels: several round trips
+// between regions, or the loss of one hub whose machine still responds.
+const maxQuotaWait = 150 * time.Millisecond
+
 // admit checks, in this order, the configuration, route, body size, deadline,
 // draining, API key, home regions and quota. Key and quota are skipped for open routes
 // and on platforms without keys. It returns nil if the request may be sent.
@@ -97,21 +102,41 @@
 	return c.request.Header[textproto.CanonicalMIMEHeaderKey(c.HeaderNames.APIKey)]
 }
 
-// takeQuota takes the request from the quota of its workspace, if it has one.
+// takeQuota takes the request from the quota of its workspace, if it has one. If this
+// instance knows too little of the quota's use, the request waits for newer levels.
 func (c *call) takeQuota() *refusal {
 	if c.workspace == nil {
 		return nil
 	}
+	verdict, wait := c.tryQuota()
+	if verdict == quota.Undecided && c.RefreshQuota != nil {
+		c.Metrics.Add("quota_asks_total", 1)
+		ctx, cancel := context.WithTimeout(c.request.Context(), min(maxQuotaWait, c.remaining()))
+		defer cancel()
+		for verdict == quota.Undecided && c.RefreshQuota(ctx) {
+			verdict, wait = c.tryQuota()
+		}
+	}
+	if verdict != quota.Admitted {
+		return &refusal{http.StatusTooManyRequests, "quota", wait}
+	}
+	c.charged = c.workspace.Name
+	return nil
+}
+
+// tryQuota takes the request from the quota of its workspace as far as this instance knows
+// that. If it does not admit the request, it records why for the log.
+func (c *call) tryQuota() (quota.Verdict, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.SinceBoot()
-	ok, wait := c.limiter.Take(c.workspace, now)
-	if !ok {
+	verdict, wait := c.limiter.Take(c.workspace, now)
+	if verdict != quota.Admitted {
 		c.exceededQuota = c.limiter.Status(c.workspace, now)
-		return &refusal{http.StatusTooManyRequests, "quota", wait}
+	} else {
+		c.exceededQuota = quota.Status{}
 	}
-	c.charged = c.workspace.Name
-	return nil
+	return verdict, wait
 }
 
 // followConfiguration resolves the request again if another configuration has come
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,8 +56,11 @@
 	RetryRatio float64
 	RetryExtra float64
 	MaxShift   float64 // see affinity.Balancer.SetMaxShift
-	Metrics    *metrics.Set
-	Log        *log.Logger
+	// RefreshQuota asks for newer quota levels and waits for some until the context ends. It
+	// reports whether some came. nil means that there are none to be had.
+	RefreshQuota func(ctx context.Context) bool
+	Metrics      *metrics.Set
+	Log          *log.Logger
 }
 
 // Gateway is the http.Handler that serves callers.
--- /dev/null
+++ b/internal/quota/lost_test.go
@@ -0,0 +1,440 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/config"
+)
+
+const (
+	zoneDelay    = 500 * time.Microsecond // one way, within an availability zone
+	reportLimit  = 400 * time.Millisecond // time after which a report counts as failed
+	askPause     = 50 * time.Millisecond  // least time between the begins of two reports
+	flatFleet    = 48                     // largest fleet without aggregators
+	maxFailovers = 4                      // receivers that one report tries
+)
+
+// lossyFleet simulates in virtual time a fleet whose instances are killed and start again,
+// with hubs, aggregators and the choice between them.
+type lossyFleet struct {
+	nodes      []*lossyNode
+	workspaces []*config.Workspace
+	callers    [][]int // by workspace: the instances that its callers use
+	random     *rand.Rand
+	now        time.Duration
+	events     eventHeap
+	asked      []time.Duration
+	refused    []time.Duration   // that one bucket for the whole fleet would have admitted
+	ideal      []idealBucket     // by workspace
+	admitted   [][]time.Duration // by workspace
+}
+
+// idealBucket is the token bucket that a workspace's quota describes.
+type idealBucket struct {
+	tokens     float64
+	refilledAt time.Duration
+}
+
+// take takes a token for a request, and reports whether there was one.
+func (b *idealBucket) take(w *config.Workspace, now time.Duration) bool {
+	b.tokens = min(b.tokens+w.Rate*(now-b.refilledAt).Seconds(), float64(w.Burst))
+	b.refilledAt = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+type lossyNode struct {
+	fleet            *lossyFleet
+	index, zone      int
+	started          uint64
+	up               bool
+	silent           bool // while down, it does not even refuse connections
+	limiter          *Limiter
+	aggregator       *Aggregator
+	hub              *Hub
+	toAggregator     Failover
+	toHub            Failover
+	reporting        bool
+	reportedAt       time.Duration
+	waiting          []waitingIn
+	workspacesByName map[string]*config.Workspace
+}
+
+type waitingIn struct {
+	workspace int
+	within    bool // the quota
+	until     time.Duration
+}
+
+type event struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type eventHeap struct {
+	list []event
+	n    int
+}
+
+func (h *eventHeap) Len() int { return len(h.list) }
+func (h *eventHeap) Less(i, j int) bool {
+	a, b := h.list[i], h.list[j]
+	return a.at < b.at || a.at == b.at && a.n < b.n
+}
+func (h *eventHeap) Swap(i, j int) { h.list[i], h.list[j] = h.list[j], h.list[i] }
+func (h *eventHeap) Push(x any)    { h.list = append(h.list, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := h.list[len(h.list)-1]
+	h.list = h.list[:len(h.list)-1]
+	return last
+}
+
+func (f *lossyFleet) after(d time.Duration, do func()) {
+	f.events.n++
+	heap.Push(&f.events, event{f.now + d, f.events.n, do})
+}
+
+// newLossyFleet returns a fleet of n instances in nine zones with workspaces of different
+// sizes, the callers of each of which use a few instances.
+func newLossyFleet(n int, seed uint64) *lossyFleet {
+	f := &lossyFleet{random: rand.New(rand.NewPCG(seed, 9))}
+	byName := map[string]*config.Workspace{}
+	for i, rate := range []float64{8, 19, 49, 200} {
+		w := &config.Workspace{Name: fmt.Sprint("w", i), Rate: rate, Burst: int(rate)}
+		f.workspaces, byName[w.Name] = append(f.workspaces, w), w
+		var callers []int
+		for range min(6, n) {
+			callers = append(callers, f.random.IntN(n))
+		}
+		f.callers, f.ideal = append(f.callers, callers), append(f.ideal, idealBucket{tokens: rate})
+	}
+	f.admitted = make([][]time.Duration, len(f.workspaces))
+	for i := range n {
+		node := &lossyNode{fleet: f, index: i, zone: i % testZones, workspacesByName: byName}
+		f.nodes = append(f.nodes, node)
+		node.start()
+	}
+	return f
+}
+
+// start starts the instance's process, which knows nothing of an earlier one.
+func (n *lossyNode) start() {
+	n.started++
+	name := fmt.Sprint("i", n.index)
+	n.up, n.silent, n.reporting, n.reportedAt, n.waiting = true, false, false, -time.Second, nil
+	n.limiter = New(name, n.started, 4*time.Second)
+	n.limiter.SetInstances(len(n.fleet.nodes), n.fleet.now)
+	n.aggregator, n.hub = NewAggregator("zone of "+name, n.started), NewHub()
+	n.aggregator.SetWorkspaces(n.workspacesByName)
+	n.hub.SetWorkspaces(n.workspacesByName)
+	n.toAggregator, n.toHub = Failover{}, Failover{}
+	n.fleet.after(time.Duration(n.fleet.random.IntN(int(ReportInterval))), n.ticker(n.started))
+}
+
+// ticker reports every ReportInterval until the process ends.
+func (n *lossyNode) ticker(started uint64) func() {
+	return func() {
+		if n.up && n.started == started {
+			n.report()
+			n.fleet.after(ReportInterval, n.ticker(started))
+		}
+	}
+}
+
+// kill ends a process for a time.
+func (n *lossyNode) kill(d time.Duration, silent bool) {
+	n.up, n.silent = false, silent
+	n.fleet.refuseWaiting(n)
+	n.fleet.after(d, n.start)
+}
+
+func (f *lossyFleet) refuseWaiting(n *lossyNode) { n.waiting = nil } // their callers ask elsewhere
+
+// zoneMember returns the instance of a rank in a zone.
+func (f *lossyFleet) zoneMember(zone, rank int) *lossyNode {
+	var members []*lossyNode
+	for _, n := range f.nodes {
+		if n.zone == zone {
+			members = append(members, n)
+		}
+	}
+	return members[rank%len(members)]
+}
+
+// report sends the reports of one round, unless the last round has not ended or begun
+// just before.
+func (n *lossyNode) report() {
+	f := n.fleet
+	if n.reporting || f.now-n.reportedAt < askPause {
+		return
+	}
+	n.reporting, n.reportedAt = true, f.now
+	done := func() { n.reporting = false }
+	own := func(done func()) {
+		n.sendTo(&n.toAggregator, func(rank int) *lossyNode { return f.zoneMember(n.zone, rank) }, n.limiter.Report, func(to *lossyNode, r Report) (Levels, bool) {
+			l, _ := to.aggregator.Handle(r, f.now)
+			return l, true
+		}, n.takeLevels, done)
+	}
+	atHub := func(to *lossyNode, r Report) (Levels, bool) {
+		to.hub.SetInstances(len(f.nodes))
+		return to.hub.Handle(r, f.now), true
+	}
+	hub := func(rank int) *lossyNode { return f.nodes[rank%len(f.nodes)] }
+	switch {
+	case len(f.nodes) <= flatFleet:
+		n.sendTo(&n.toHub, hub, n.limiter.Report, atHub, n.takeLevels, done)
+	case f.zoneMember(n.zone, n.toAggregator.Rank()) == n || n.aggregator.HasReporters(f.now):
+		n.sendTo(&n.toHub, hub, func() Report { return n.aggregator.Report(f.now) }, atHub, n.aggregator.SetLevels, func() { own(done) })
+	default:
+		own(done)
+	}
+}
+
+// sendTo sends a report, as the shell does.
+func (n *lossyNode) sendTo(choice *Failover, member func(rank int) *lossyNode, report func() Report, handle func(*lossyNode, Report) (Levels, bool), onLevels func(Report, Levels, time.Duration), done func()) {
+	f, started := n.fleet, n.started
+	var try func(left int)
+	try = func(left int) {
+		r, sentAt := report(), f.now
+		n.call(member(choice.Rank()), reportLimit, func(to *lossyNode) (Levels, bool) { return handle(to, r) }, func(l Levels, ok, gone bool) {
+			if n.started != started || !n.up {
+				return
+			}
+			if !ok {
+				if choice.Failed(f.now); gone && left > 1 {
+					try(left - 1)
+					return
+				}
+				done()
+				return
+			}
+			if !empty(l) {
+				onLevels(r, l, sentAt)
+			}
+			rank, due := choice.Succeeded(f.now)
+			if !due {
+				done()
+				return
+			}
+			n.call(member(rank), TrialTimeout, func(to *lossyNode) (Levels, bool) { return handle(to, report()) }, func(_ Levels, ok, _ bool) {
+				if ok {
+					choice.TrialSucceeded(rank)
+				}
+				done()
+			})
+		})
+	}
+	try(maxFailovers)
+}
+
+// empty reports whether an aggregator had no levels.
+func empty(l Levels) bool { return l.Share == 0 }
+
+// call calls another instance, and tells the result or that it failed.
+func (n *lossyNode) call(to *lossyNode, limit time.Duration, handle func(*lossyNode) (Levels, bool), result func(l Levels, ok, gone bool)) {
+	f, delay := n.fleet, oneWayDelay
+	if n.zone == to.zone {
+		delay = zoneDelay
+	}
+	f.after(delay, func() {
+		switch {
+		case to.up:
+			l, ok := handle(to)
+			f.after(delay, func() { result(l, ok, false) })
+		case to.silent:
+			f.after(limit-delay, func() { result(Levels{}, false, false) })
+		default:
+			f.after(delay, func() { result(Levels{}, false, true) })
+		}
+	})
+}
+
+// takeLevels stores levels and decides on the waiting requests.
+func (n *lossyNode) takeLevels(r Report, l Levels, sentAt time.Duration) {
+	n.limiter.SetLevels(r, l, sentAt)
+	waiting := n.waiting
+	n.waiting = nil
+	for _, w := range waiting {
+		n.decide(w)
+	}
+}
+
+// decide decides on a request or lets it wait for levels.
+func (n *lossyNode) decide(w waitingIn) {
+	f := n.fleet
+	verdict, _ := n.limiter.Take(f.workspaces[w.workspace], f.now)
+	switch {
+	case verdict == Admitted:
+		f.admitted[w.workspace] = append(f.admitted[w.workspace], f.now)
+	case verdict == Undecided && f.now < w.until:
+		n.waiting = append(n.waiting, w)
+		n.report()
+	case w.within:
+		f.refused = append(f.refused, f.now)
+	}
+}
+
+// arrive schedules the requests of a workspace, at a fraction of its rate.
+func (f *lossyFleet) arrive(workspace int, load float64, until time.Duration) {
+	w := f.workspaces[workspace]
+	f.after(time.Duration(f.random.ExpFloat64()/(w.Rate*load)*float64(time.Second)), func() {
+		if f.now >= until {
+			return
+		}
+		callers := f.callers[workspace]
+		n := f.nodes[callers[f.random.IntN(len(callers))]]
+		for tries := 0; !n.up && tries < 2*len(f.nodes); tries++ {
+			n = f.nodes[f.random.IntN(len(f.nodes))]
+		}
+		if n.up { // otherwise nobody takes the request
+			f.asked = append(f.asked, f.now)
+			n.decide(waitingIn{workspace, f.ideal[workspace].take(w, f.now), f.now + askTime})
+		}
+		f.arrive(workspace, load, until)
+	})
+}
+
+// run simulates until a time, deciding at it on requests that still wait.
+func (f *lossyFleet) run(until time.Duration) {
+	for f.events.Len() > 0 && f.events.list[0].at <= until {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		for _, n := range f.nodes {
+			for len(n.waiting) > 0 && n.waiting[0].until <= f.now {
+				w := n.waiting[0]
+				n.waiting = n.waiting[1:]
+				n.decide(w)
+			}
+		}
+		e.do()
+	}
+	f.now = until
+}
+
+// inWindows returns the largest fraction of refused requests in any two seconds from a time on.
+func (f *lossyFleet) worstRefusals(from time.Duration) (worst float64, at time.Duration) {
+	count := func(list []time.Duration, begin time.Duration) (n int) {
+		for _, t := range list {
+			if t >= begin && t < begin+2*time.Second {
+				n++
+			}
+		}
+		return n
+	}
+	for begin := from; begin < f.now; begin += 500 * time.Millisecond {
+		if share := float64(count(f.refused, begin)) / float64(max(count(f.asked, begin), 1)); share > worst {
+			worst, at = share, begin
+		}
+	}
+	return worst, at
+}
+
+// checkQuotas fails the test if more was admitted in any window than a quota allows.
+func (f *lossyFleet) checkQuotas(t *testing.T, name string) {
+	t.Helper()
+	for i, w := range f.workspaces {
+		bound := (w.Rate*window.Seconds()+float64(w.Burst))*(1+excess) + slack
+		for j, k := 0, 0; k < len(f.admitted[i]); k++ {
+			for f.admitted[i][k]-f.admitted[i][j] >= window {
+				j++
+			}
+			if n := float64(k - j + 1); n > bound {
+				t.Fatalf("%s: %.0f requests of %s admitted within %v up to %v; the bound is %.0f", name, n, w.Name, window, f.admitted[i][k], bound)
+			}
+		}
+	}
+}
+
+// maxWrongRefusals is the fraction of requests within the quota that may be refused in any
+// two seconds while a part of the fleet is lost.
+const maxWrongRefusals = 0.001
+
+// lossyCase is a loss of instances: the hub, or a fraction of all, for a time.
+type lossyCase struct {
+	hub    bool
+	share  float64
+	down   time.Duration
+	silent bool
+}
+
+var lossyCases = map[string]lossyCase{
+	"none lost":           {},
+	"hub killed":          {hub: true, down: time.Second},
+	"hub without power":   {hub: true, down: 3 * time.Second, silent: true},
+	"two fifths killed":   {share: 0.4, down: time.Second},
+	"three fifths killed": {share: 0.6, down: time.Second},
+}
+
+// lose takes the instances of a case down.
+func (f *lossyFleet) lose(c lossyCase) {
+	if c.hub {
+		f.nodes[0].kill(c.down, c.silent)
+	}
+	for _, i := range f.random.Perm(len(f.nodes))[:int(c.share*float64(len(f.nodes)))] {
+		f.nodes[i].kill(c.down, c.silent)
+	}
+}
+
+func TestRequestsWithinTheQuotaAreAdmittedWhileInstancesAreLost(t *testing.T) {
+	for name, c := range lossyCases {
+		for _, n := range []int{7, 25, 118, 300} {
+			t.Run(fmt.Sprintf("%s of %d", name, n), func(t *testing.T) {
+				t.Parallel()
+				worst, asked, refused := 0.0, 0, 0
+				for seed := range uint64(4) {
+					f := newLossyFleet(n, seed)
+					f.run(time.Second)
+					for w := range f.workspaces {
+						f.arrive(w, 1/1.6, 14*time.Second)
+					}
+					f.run(6 * time.Second)
+					f.lose(c)
+					f.run(14 * time.Second)
+					f.checkQuotas(t, name)
+					share, at := f.worstRefusals(0)
+					if worst = max(worst, share); share > maxWrongRefusals {
+						t.Logf("seed %d: %.4f refused in the two seconds from %v", seed, share, at)
+					}
+					asked, refused = asked+len(f.asked), refused+len(f.refused)
+				}
+				t.Logf("%d of %d refused, worst two seconds %.4f", refused, asked, worst)
+				if worst > maxWrongRefusals {
+					t.Errorf("%.4f of the requests within the quota are refused, want %.4f at most", worst, maxWrongRefusals)
+				}
+			})
+		}
+	}
+}
+
+// Whatever is lost, and however often, no workspace may get more than its quota.
+func TestNoQuotaIsExceededWhileInstancesAreLost(t *testing.T) {
+	for name, c := range lossyCases {
+		for _, n := range []int{7, 25, 118, 300} {
+			t.Run(fmt.Sprintf("%s of %d", name, n), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(12) {
+					f := newLossyFleet(n, 100+seed)
+					f.run(time.Second)
+					for w := range f.workspaces {
+						f.arrive(w, 4, 16*time.Second)
+					}
+					for _, at := range []time.Duration{5 * time.Second, 9 * time.Second, 9500 * time.Millisecond} {
+						f.run(at)
+						f.lose(c)
+					}
+					f.run(16 * time.Second)
+					f.checkQuotas(t, name)
+				}
+			})
+		}
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -45,6 +45,16 @@
 	// admit one more request. It is about the time from admitting a request to
 	// receiving a level that accounts for it, in a fleet with aggregators.
 	reserveTime = 500 * time.Millisecond
+	// askFill is the fraction of the fleet's burst above which a request is not refused
+	// because this instance has spent its part of the level: the tokens are there, and
+	// new levels tell how many of them it may have.
+	askFill = 0.25
+	// completeShare is the Levels.Share from which levels show the state of the fleet. A hub
+	// that has just taken over has heard from few instances.
+	completeShare = 0.5
+	// maxAskTime is the time without complete levels in which requests ask for some before
+	// they are refused by the equal share. After that the instance is likely cut off.
+	maxAskTime = 2 * time.Second
 	// minSpendTokens is what an instance may spend at least between two levels while
 	// over half of the burst is left, because two requests may arrive together by
 	// chance.
@@ -106,8 +116,26 @@
 	hasLevels bool
 	hubShare  float64 // Levels.Share
 	part      float64 // Levels.Part
+	// completeAt is when the latest complete levels were current, or the first request
+	// was decided if there were none yet.
+	completeAt time.Duration
+	hasDecided bool
 }
 
+// Verdict says whether a request is admitted.
+type Verdict int
+
+// Verdicts on a request.
+const (
+	// Exceeded means that the workspace's quota is used up.
+	Exceeded Verdict = iota
+	// Admitted means that the request's token has been taken.
+	Admitted
+	// Undecided means that the quota may have room, but that this instance knows too
+	// little to use it. With newer levels, Take may decide. Without, the request is refused.
+	Undecided
+)
+
 // bucket is the state of one workspace at one instance.
 type bucket struct {
 	tokens     float64 // of the equal share
@@ -144,12 +172,14 @@
 	return s.share
 }
 
-// Take reports whether one more request of the workspace is admitted and takes its
-// token. If it is refused, the second result is the expected time until a token is
-// available.
-func (s *Limiter) Take(w *config.Workspace, now time.Duration) (bool, time.Duration) {
+// Take decides on one more request of the workspace and takes its token if it is admitted.
+// If not, the second result is the expected time until a token is available.
+func (s *Limiter) Take(w *config.Workspace, now time.Duration) (Verdict, time.Duration) {
 	if w.Rate <= 0 {
-		return true, 0
+		return Admitted, 0
+	}
+	if !s.hasDecided {
+		s.hasDecided, s.completeAt = true, max(s.completeAt, now)
 	}
 	share := s.currentShare(now)
 	rate, burst := w.Rate*share, max(float64(w.Burst)*share, 1)
@@ -161,25 +191,34 @@
 	b.tokens = min(b.tokens+rate*(now-b.refilledAt).Seconds(), burst)
 	b.refilledAt = now
 	if s.HasRecentLevels(now) && s.hubShare >= minReportingInstances*share {
-		if !s.takeFromLevel(b, w, share, now) {
-			return false, time.Duration((1 - min(s.levels[w.Name], 0)) / w.Rate * float64(time.Second))
+		if verdict := s.takeFromLevel(b, w, share, now); verdict != Admitted {
+			return verdict, time.Duration((1 - min(s.levels[w.Name], 0)) / w.Rate * float64(time.Second))
 		}
 		// If the hub falls silent, the equal share is granted on top of what the hub
 		// has granted, so at most one token is kept in its bucket meanwhile.
 		b.tokens = min(max(b.tokens-1, 0), 1)
-		return true, 0
+		return Admitted, 0
 	}
 	if b.tokens < 1 {
-		return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
+		return s.undecided(now), time.Duration((1 - b.tokens) / rate * float64(time.Second))
 	}
 	b.tokens--
 	b.admitted++
-	return true, 0
+	return Admitted, 0
+}
+
+// undecided returns the verdict on a request for which the equal share, or the levels of a
+// hub that knows few instances, have no token.
+func (s *Limiter) undecided(now time.Duration) Verdict {
+	if now-s.completeAt < maxAskTime {
+		return Undecided
+	}
+	return Exceeded
 }
 
 // takeFromLevel admits a request if it is within this instance's part of the level
 // of the workspace's bucket in the fleet.
-func (s *Limiter) takeFromLevel(b *bucket, w *config.Workspace, share float64, now time.Duration) bool {
+func (s *Limiter) takeFromLevel(b *bucket, w *config.Workspace, share float64, now time.Duration) Verdict {
 	left, listed := s.levels[w.Name]
 	if !listed {
 		left = float64(w.Burst) * s.hubShare
@@ -190,16 +229,23 @@
 		minSpend = minSpendTokens
 	}
 	part := left * max(share/max(s.hubShare, share)*idleUsageShare, s.part) * unevenUseFactor
-	if left < 1 || float64(b.admitted-b.reported)+1 > max(part, minSpend) {
-		return false
+	taken := float64(b.admitted - b.reported)
+	if left < 1 || taken+1 > max(part, minSpend) {
+		switch {
+		case left-taken > float64(w.Burst)*s.hubShare*askFill && left-taken >= 1:
+			return Undecided
+		case s.hubShare < completeShare:
+			return s.undecided(now)
+		}
+		return Exceeded
 	}
 	// If every instance admitted one more request, a level that is almost used up
 	// would be exceeded, so the probability falls with what is left.
 	if reserve := w.Rate * s.hubShare * reserveTime.Seconds(); part < 1 && left < reserve && s.pseudoRandom(b, now) > left/reserve {
-		return false
+		return Exceeded
 	}
 	b.admitted++
-	return true
+	return Admitted
 }
 
 // Status is the state of a workspace's quota that a decision was based on, for logs.
@@ -271,6 +317,9 @@
 		return
 	}
 	s.levelsAt, s.hasLevels, s.hubShare, s.part = sentAt, true, l.Share, l.Part
+	if l.Share >= completeShare {
+		s.completeAt = sentAt
+	}
 	s.levels = make(map[string]float64, len(l.Levels))
 	for _, u := range r.Usages {
 		if b := s.buckets[u.Workspace]; b != nil {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,7 +34,14 @@
 	pending      []delivery
 	aggregators  []*Aggregator // one per zone in a large fleet; none in a small one
 	// uneven sends half of the requests to the first two instances.
-	uneven bool
+	uneven  bool
+	waiting []waitingRequest
+}
+
+// waitingRequest waits for newer levels of its instance.
+type waitingRequest struct {
+	instance int
+	until    time.Duration
 }
 
 // delivery is the arrival of a message.
@@ -71,6 +79,7 @@
 				f.pending = append(f.pending, d)
 			}
 		}
+		f.decideWaiting()
 		for i, s := range f.limiters {
 			if !f.disconnected[i] && (f.now+time.Duration(i)*7*time.Millisecond)%ReportInterval == 0 {
 				f.report(i, s)
@@ -87,10 +96,38 @@
 			if f.uneven && f.random.IntN(2) == 0 {
 				at %= 2
 			}
-			if ok, _ := f.limiters[at].Take(f.workspace, f.now); ok {
-				f.admitted = append(f.admitted, f.now)
-			}
+			f.decide(waitingRequest{at, f.now + askTime})
+		}
+	}
+}
+
+// askTime is how long a request waits for newer levels.
+const askTime = 150 * time.Millisecond
+
+// decide admits or refuses a request or lets it wait for newer levels, for which its
+// instance reports at once.
+func (f *fleet) decide(r waitingRequest) {
+	switch verdict, _ := f.limiters[r.instance].Take(f.workspace, f.now); {
+	case verdict == Admitted:
+		f.admitted = append(f.admitted, f.now)
+	case verdict == Undecided && f.now < r.until:
+		if !f.disconnected[r.instance] && !slices.ContainsFunc(f.waiting, func(w waitingRequest) bool { return w.instance == r.instance }) {
+			f.report(r.instance, f.limiters[r.instance])
+		}
+		f.waiting = append(f.waiting, r)
+	}
+}
+
+// decideWaiting decides again on the requests whose instances have new levels.
+func (f *fleet) decideWaiting() {
+	waiting := f.waiting
+	f.waiting = nil
+	for _, r := range waiting {
+		if s := f.limiters[r.instance]; f.now < r.until && f.now-s.levelsAt > 3*oneWayDelay {
+			f.waiting = append(f.waiting, r)
+			continue
 		}
+		f.decide(r)
 	}
 }
 
@@ -212,6 +249,32 @@
 	f.checkWindows()
 }
 
+// A hub that has just started may get reports before it knows the configuration. What was
+// admitted before it knew a workspace must not be charged to the workspace's bucket.
+func TestHubChargesNothingFromBeforeItKnewTheWorkspace(t *testing.T) {
+	for _, n := range []int{7, 25, 118, 300} {
+		h := NewHub()
+		h.SetInstances(n)
+		w := &config.Workspace{Name: "w", Rate: 50, Burst: 50}
+		report := func(admitted uint64) (left float64) {
+			for i := range n {
+				l := h.Handle(Report{Instance: fmt.Sprint(i), Started: 1, Usages: []Usage{{"w", admitted}}}, time.Second)
+				left = float64(w.Burst) * l.Share
+				for _, level := range l.Levels {
+					left = level.Left
+				}
+			}
+			return left
+		}
+		report(100)
+		report(101)
+		h.SetWorkspaces(map[string]*config.Workspace{"w": w})
+		if left := report(101); left < float64(w.Burst)*initialFill {
+			t.Errorf("%d instances: %.0f tokens are left of a burst of %d, although nothing was admitted since", n, left, w.Burst)
+		}
+	}
+}
+
 // The levels of a hub that only one instance reports to are no better than the equal
 // share.
 func TestHubWithOneReporterIsNotUsed(t *testing.T) {
@@ -219,7 +282,7 @@
 	s.SetInstances(24, 0)
 	w := &config.Workspace{Name: "w", Rate: 15, Burst: 15}
 	s.SetLevels(Report{}, Levels{Levels: []Level{{"w", 0.6}}, Share: 1.0 / 24}, time.Second)
-	if ok, _ := s.Take(w, time.Second); !ok {
+	if verdict, _ := s.Take(w, time.Second); verdict != Admitted {
 		t.Error("refused although the equal share has a token")
 	}
 }
