gateway: reset the connection of an HTTP/1.0 caller whose answer is cut

Cause: a target's answer in chunks, or without a length, is passed on to a caller by HTTP/1.0 as a body that ends with the connection. When the target broke off, the connection was closed, which such a caller takes for the end of the body: half an answer as a complete success.

Change: such a connection is reset.

--- a/internal/gateway/cut_answer_test.go
+++ b/internal/gateway/cut_answer_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -155,6 +158,60 @@
 	}
 }
 
+// A caller by HTTP/1.0 takes the close of the connection for the end of a body without a
+// length. A cut answer must therefore reach it as a reset.
+func TestCutAnswerLooksCutToCallersOfHTTP10(t *testing.T) {
+	t.Parallel()
+	body := strings.Repeat("0123456789abcdef", maxBufferedResponse/16+1000)
+	const head = "HTTP/1.1 200 OK\r\nId: b\r\nProof: p\r\n"
+	inChunks := head + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 0x2000)
+	withLength := head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	for name, c := range map[string]struct {
+		answer string
+		reset  bool
+		whole  bool
+	}{
+		"in chunks":               {inChunks, false, true},
+		"in chunks, cut":          {inChunks[:len(inChunks)-100], false, false},
+		"in chunks, reset":        {inChunks[:len(inChunks)-100], true, false},
+		"with length":             {withLength, false, true},
+		"with length, cut":        {withLength[:len(withLength)-1], false, false},
+		"without length":          {head + "\r\n" + body, false, true},
+		"without length, reset":   {head + "\r\n" + body, true, false},
+		"short, without length":   {head + "\r\nshort", false, true},
+		"short, in chunks":        {head + "Transfer-Encoding: chunked\r\n\r\n" + chunked("short", 5), false, true},
+		"short, in chunks, cut":   {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort", false, false},
+		"short, no length, reset": {head + "\r\nshort", true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			call := newCaller(t, newRawTarget(t, func(conn *net.TCPConn, _ received) bool {
+				write(conn, c.answer)
+				if c.reset {
+					return endings["reset"](conn)
+				}
+				return false
+			}))
+			conn, err := net.Dial("tcp4", call.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			fmt.Fprint(conn, "POST /once/1 HTTP/1.0\r\nHost: h\r\n"+testHeaders.RequestID+": b\r\nContent-Length: 0\r\n\r\n")
+			got, err := io.ReadAll(conn)
+			_, gotBody, headComplete := strings.Cut(string(got), "\r\n\r\n")
+			success := err == nil && headComplete && strings.HasPrefix(string(got), "HTTP/1.0 200")
+			length := regexp.MustCompile(`(?i)\r\ncontent-length: (\d+)\r\n`).FindStringSubmatch(string(got))
+			if success && len(length) > 1 && length[1] != strconv.Itoa(len(gotBody)) {
+				success = false // the caller notices that bytes are missing
+			}
+			if success != c.whole {
+				t.Errorf("success %v, want %v: %d bytes, %v", success, c.whole, len(got), err)
+			}
+		})
+	}
+}
+
 func TestSwitchOfProtocolsIsNoAnswer(t *testing.T) {
 	t.Parallel()
 	call := newCaller(t, newRawTarget(t, func(c *net.TCPConn, r received) bool {
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -90,11 +91,28 @@
 	c.recordAnswered(response.StatusCode, err)
 	if err != nil {
 		x.discard()
-		panic(http.ErrAbortHandler) // aborts the connection, so that the cut response does not look complete
+		c.abortResponse()
+		return
 	}
 	c.finish(x)
 }
 
+// abortResponse ends the caller's connection so that a cut response does not look complete.
+// Callers by HTTP/1.0 take the close of a connection for the end of a response without a
+// length, so theirs is reset.
+func (c *call) abortResponse() {
+	if !c.request.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(c.writer).Hijack(); err == nil {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // fails only if the connection has ended already
+			}
+			_ = conn.Close() // nobody can be told of an error
+			return
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // recordAnswered logs and counts a response returned to the caller; err is set
 // if it was cut off.
 func (c *call) recordAnswered(status int, err error) {
