--- a/internal/quota/lost_test.go
+++ b/internal/quota/lost_test.go
@@ -18,10 +18,10 @@
 	maxFailovers = 4                      // receivers that one report tries
 )
 
-// lossyFleet simulates in virtual time a fleet whose instances are killed and start again,
+// unstableFleet simulates in virtual time a fleet whose instances are killed and start again,
 // with hubs, aggregators and the choice between them.
-type lossyFleet struct {
-	nodes      []*lossyNode
+type unstableFleet struct {
+	nodes      []*unstableNode
 	workspaces []*config.Workspace
 	callers    [][]int // by workspace: the instances that its callers use
 	random     *rand.Rand
@@ -50,8 +50,8 @@
 	return true
 }
 
-type lossyNode struct {
-	fleet            *lossyFleet
+type unstableNode struct {
+	fleet            *unstableFleet
 	index, zone      int
 	started          uint64
 	up               bool
@@ -63,25 +63,27 @@
 	toHub            Failover
 	reporting        bool
 	reportedAt       time.Duration
-	waiting          []waitingIn
+	waiting          []pendingRequest
 	workspacesByName map[string]*config.Workspace
 }
 
-type waitingIn struct {
+type pendingRequest struct {
 	workspace int
 	within    bool // the quota
 	until     time.Duration
 }
 
+// event is an action at a point in virtual time.
 type event struct {
 	at time.Duration
-	n  int
+	n  int // order of events at the same time
 	do func()
 }
 
+// eventHeap is a heap.Interface of events, the earliest first.
 type eventHeap struct {
 	list []event
-	n    int
+	n    int // of the last event
 }
 
 func (h *eventHeap) Len() int { return len(h.list) }
@@ -97,15 +99,15 @@
 	return last
 }
 
-func (f *lossyFleet) after(d time.Duration, do func()) {
+func (f *unstableFleet) after(d time.Duration, do func()) {
 	f.events.n++
 	heap.Push(&f.events, event{f.now + d, f.events.n, do})
 }
 
-// newLossyFleet returns a fleet of n instances in nine zones with workspaces of different
+// newUnstableFleet returns a fleet of n instances in nine zones with workspaces of different
 // sizes, the callers of each of which use a few instances.
-func newLossyFleet(n int, seed uint64) *lossyFleet {
-	f := &lossyFleet{random: rand.New(rand.NewPCG(seed, 9))}
+func newUnstableFleet(n int, seed uint64) *unstableFleet {
+	f := &unstableFleet{random: rand.New(rand.NewPCG(seed, 9))}
 	byName := map[string]*config.Workspace{}
 	for i, rate := range []float64{8, 19, 49, 200} {
 		w := &config.Workspace{Name: fmt.Sprint("w", i), Rate: rate, Burst: int(rate)}
@@ -118,7 +120,7 @@
 	}
 	f.admitted = make([][]time.Duration, len(f.workspaces))
 	for i := range n {
-		node := &lossyNode{fleet: f, index: i, zone: i % testZones, workspacesByName: byName}
+		node := &unstableNode{fleet: f, index: i, zone: i % testZones, workspacesByName: byName}
 		f.nodes = append(f.nodes, node)
 		node.start()
 	}
@@ -126,7 +128,7 @@
 }
 
 // start starts the instance's process, which knows nothing of an earlier one.
-func (n *lossyNode) start() {
+func (n *unstableNode) start() {
 	n.started++
 	name := fmt.Sprint("i", n.index)
 	n.up, n.silent, n.reporting, n.reportedAt, n.waiting = true, false, false, -time.Second, nil
@@ -140,7 +142,7 @@
 }
 
 // ticker reports every ReportInterval until the process ends.
-func (n *lossyNode) ticker(started uint64) func() {
+func (n *unstableNode) ticker(started uint64) func() {
 	return func() {
 		if n.up && n.started == started {
 			n.report()
@@ -150,17 +152,15 @@
 }
 
 // kill ends a process for a time.
-func (n *lossyNode) kill(d time.Duration, silent bool) {
+func (n *unstableNode) kill(d time.Duration, silent bool) {
 	n.up, n.silent = false, silent
-	n.fleet.refuseWaiting(n)
+	n.waiting = nil // their callers ask elsewhere
 	n.fleet.after(d, n.start)
 }
 
-func (f *lossyFleet) refuseWaiting(n *lossyNode) { n.waiting = nil } // their callers ask elsewhere
-
 // zoneMember returns the instance of a rank in a zone.
-func (f *lossyFleet) zoneMember(zone, rank int) *lossyNode {
-	var members []*lossyNode
+func (f *unstableFleet) zoneMember(zone, rank int) *unstableNode {
+	var members []*unstableNode
 	for _, n := range f.nodes {
 		if n.zone == zone {
 			members = append(members, n)
@@ -171,7 +171,7 @@
 
 // report sends the reports of one round, unless the last round has not ended or begun
 // just before.
-func (n *lossyNode) report() {
+func (n *unstableNode) report() {
 	f := n.fleet
 	if n.reporting || f.now-n.reportedAt < askPause {
 		return
@@ -179,16 +179,16 @@
 	n.reporting, n.reportedAt = true, f.now
 	done := func() { n.reporting = false }
 	own := func(done func()) {
-		n.sendTo(&n.toAggregator, func(rank int) *lossyNode { return f.zoneMember(n.zone, rank) }, n.limiter.Report, func(to *lossyNode, r Report) (Levels, bool) {
+		n.sendTo(&n.toAggregator, func(rank int) *unstableNode { return f.zoneMember(n.zone, rank) }, n.limiter.Report, func(to *unstableNode, r Report) (Levels, bool) {
 			l, _ := to.aggregator.Handle(r, f.now)
 			return l, true
 		}, n.takeLevels, done)
 	}
-	atHub := func(to *lossyNode, r Report) (Levels, bool) {
+	atHub := func(to *unstableNode, r Report) (Levels, bool) {
 		to.hub.SetInstances(len(f.nodes))
 		return to.hub.Handle(r, f.now), true
 	}
-	hub := func(rank int) *lossyNode { return f.nodes[rank%len(f.nodes)] }
+	hub := func(rank int) *unstableNode { return f.nodes[rank%len(f.nodes)] }
 	switch {
 	case len(f.nodes) <= flatFleet:
 		n.sendTo(&n.toHub, hub, n.limiter.Report, atHub, n.takeLevels, done)
@@ -200,12 +200,12 @@
 }
 
 // sendTo sends a report, as the shell does.
-func (n *lossyNode) sendTo(choice *Failover, member func(rank int) *lossyNode, report func() Report, handle func(*lossyNode, Report) (Levels, bool), onLevels func(Report, Levels, time.Duration), done func()) {
+func (n *unstableNode) sendTo(choice *Failover, member func(rank int) *unstableNode, report func() Report, handle func(*unstableNode, Report) (Levels, bool), onLevels func(Report, Levels, time.Duration), done func()) {
 	f, started := n.fleet, n.started
 	var try func(left int)
 	try = func(left int) {
 		r, sentAt := report(), f.now
-		n.call(member(choice.Rank()), reportLimit, func(to *lossyNode) (Levels, bool) { return handle(to, r) }, func(l Levels, ok, gone bool) {
+		n.call(member(choice.Rank()), reportLimit, func(to *unstableNode) (Levels, bool) { return handle(to, r) }, func(l Levels, ok, gone bool) {
 			if n.started != started || !n.up {
 				return
 			}
@@ -225,7 +225,7 @@
 				done()
 				return
 			}
-			n.call(member(rank), TrialTimeout, func(to *lossyNode) (Levels, bool) { return handle(to, report()) }, func(_ Levels, ok, _ bool) {
+			n.call(member(rank), TrialTimeout, func(to *unstableNode) (Levels, bool) { return handle(to, report()) }, func(_ Levels, ok, _ bool) {
 				if ok {
 					choice.TrialSucceeded(rank)
 				}
@@ -236,11 +236,11 @@
 	try(maxFailovers)
 }
 
-// empty reports whether an aggregator had no levels.
+// empty reports whether an aggregator had no levels to respond with.
 func empty(l Levels) bool { return l.Share == 0 }
 
 // call calls another instance, and tells the result or that it failed.
-func (n *lossyNode) call(to *lossyNode, limit time.Duration, handle func(*lossyNode) (Levels, bool), result func(l Levels, ok, gone bool)) {
+func (n *unstableNode) call(to *unstableNode, limit time.Duration, handle func(*unstableNode) (Levels, bool), result func(l Levels, ok, gone bool)) {
 	f, delay := n.fleet, oneWayDelay
 	if n.zone == to.zone {
 		delay = zoneDelay
@@ -259,7 +259,7 @@
 }
 
 // takeLevels stores levels and decides on the waiting requests.
-func (n *lossyNode) takeLevels(r Report, l Levels, sentAt time.Duration) {
+func (n *unstableNode) takeLevels(r Report, l Levels, sentAt time.Duration) {
 	n.limiter.SetLevels(r, l, sentAt)
 	waiting := n.waiting
 	n.waiting = nil
@@ -269,7 +269,7 @@
 }
 
 // decide decides on a request or lets it wait for levels.
-func (n *lossyNode) decide(w waitingIn) {
+func (n *unstableNode) decide(w pendingRequest) {
 	f := n.fleet
 	verdict, _ := n.limiter.Take(f.workspaces[w.workspace], f.now)
 	switch {
@@ -284,7 +284,7 @@
 }
 
 // arrive schedules the requests of a workspace, at a fraction of its rate.
-func (f *lossyFleet) arrive(workspace int, load float64, until time.Duration) {
+func (f *unstableFleet) arrive(workspace int, load float64, until time.Duration) {
 	w := f.workspaces[workspace]
 	f.after(time.Duration(f.random.ExpFloat64()/(w.Rate*load)*float64(time.Second)), func() {
 		if f.now >= until {
@@ -297,14 +297,14 @@
 		}
 		if n.up { // otherwise nobody takes the request
 			f.asked = append(f.asked, f.now)
-			n.decide(waitingIn{workspace, f.ideal[workspace].take(w, f.now), f.now + askTime})
+			n.decide(pendingRequest{workspace, f.ideal[workspace].take(w, f.now), f.now + askTime})
 		}
 		f.arrive(workspace, load, until)
 	})
 }
 
 // run simulates until a time, deciding at it on requests that still wait.
-func (f *lossyFleet) run(until time.Duration) {
+func (f *unstableFleet) run(until time.Duration) {
 	for f.events.Len() > 0 && f.events.list[0].at <= until {
 		e := heap.Pop(&f.events).(event)
 		f.now = e.at
@@ -320,8 +320,8 @@
 	f.now = until
 }
 
-// inWindows returns the largest fraction of refused requests in any two seconds from a time on.
-func (f *lossyFleet) worstRefusals(from time.Duration) (worst float64, at time.Duration) {
+// worstRefusals returns the largest fraction of refused requests in any two seconds from a time on.
+func (f *unstableFleet) worstRefusals(from time.Duration) (worst float64, at time.Duration) {
 	count := func(list []time.Duration, begin time.Duration) (n int) {
 		for _, t := range list {
 			if t >= begin && t < begin+2*time.Second {
@@ -339,7 +339,7 @@
 }
 
 // checkQuotas fails the test if more was admitted in any window than a quota allows.
-func (f *lossyFleet) checkQuotas(t *testing.T, name string) {
+func (f *unstableFleet) checkQuotas(t *testing.T, name string) {
 	t.Helper()
 	for i, w := range f.workspaces {
 		bound := (w.Rate*window.Seconds()+float64(w.Burst))*(1+excess) + slack
@@ -358,15 +358,15 @@
 // two seconds while a part of the fleet is lost.
 const maxWrongRefusals = 0.001
 
-// lossyCase is a loss of instances: the hub, or a fraction of all, for a time.
-type lossyCase struct {
+// lossCase is a loss of instances: the hub, or a fraction of all, for a time.
+type lossCase struct {
 	hub    bool
 	share  float64
 	down   time.Duration
 	silent bool
 }
 
-var lossyCases = map[string]lossyCase{
+var lossCases = map[string]lossCase{
 	"none lost":           {},
 	"hub killed":          {hub: true, down: time.Second},
 	"hub without power":   {hub: true, down: 3 * time.Second, silent: true},
@@ -375,7 +375,7 @@
 }
 
 // lose takes the instances of a case down.
-func (f *lossyFleet) lose(c lossyCase) {
+func (f *unstableFleet) lose(c lossCase) {
 	if c.hub {
 		f.nodes[0].kill(c.down, c.silent)
 	}
@@ -385,13 +385,13 @@
 }
 
 func TestRequestsWithinTheQuotaAreAdmittedWhileInstancesAreLost(t *testing.T) {
-	for name, c := range lossyCases {
+	for name, c := range lossCases {
 		for _, n := range []int{7, 25, 118, 300} {
 			t.Run(fmt.Sprintf("%s of %d", name, n), func(t *testing.T) {
 				t.Parallel()
 				worst, asked, refused := 0.0, 0, 0
 				for seed := range uint64(4) {
-					f := newLossyFleet(n, seed)
+					f := newUnstableFleet(n, seed)
 					f.run(time.Second)
 					for w := range f.workspaces {
 						f.arrive(w, 1/1.6, 14*time.Second)
@@ -417,12 +417,12 @@
 
 // Whatever is lost, and however often, no workspace may get more than its quota.
 func TestNoQuotaIsExceededWhileInstancesAreLost(t *testing.T) {
-	for name, c := range lossyCases {
+	for name, c := range lossCases {
 		for _, n := range []int{7, 25, 118, 300} {
 			t.Run(fmt.Sprintf("%s of %d", name, n), func(t *testing.T) {
 				t.Parallel()
 				for seed := range uint64(12) {
-					f := newLossyFleet(n, 100+seed)
+					f := newUnstableFleet(n, 100+seed)
 					f.run(time.Second)
 					for w := range f.workspaces {
 						f.arrive(w, 4, 16*time.Second)
