gateway: pass on answers to HEAD that tell a length

Cause: an answer to HEAD has the length that the one to GET would have and no body. The gateway waited for that many bytes, took the answer for one that had broken off, and gave the caller 502 although the target had answered. Longer than the buffer, it was passed on by chance.

Change: an answer to HEAD is whole with its head, and its length is passed on.

The next requests on the connection get their own answers, whatever bytes follow.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -201,10 +201,20 @@
 	}
 }
 
+// isHead reports whether the response is to HEAD, and so has no body whatever its headers
+// say.
+func (x *exchange) isHead() bool {
+	return x.response.Request != nil && x.response.Request.Method == http.MethodHead
+}
+
 // readBody reads a response body of up to limit bytes completely. Of a longer one
 // it reads nothing if its length is known, else the beginning.
 func (x *exchange) readBody(limit int64) error {
 	length := x.response.ContentLength
+	if x.isHead() {
+		x.bodyComplete = true // the length is that of the response to GET
+		return nil
+	}
 	if length > limit {
 		return nil
 	}
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -73,7 +73,12 @@
 		h.Set("Connection", "close")
 	}
 	if x.bodyComplete {
-		h.Set("Content-Length", strconv.Itoa(len(x.body)))
+		switch {
+		case !x.isHead():
+			h.Set("Content-Length", strconv.Itoa(len(x.body)))
+		case response.ContentLength >= 0:
+			h.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+		}
 		c.finish(x)
 		c.writer.WriteHeader(response.StatusCode)
 		_, err := c.writer.Write(x.body)
