--- a/review/cases/config/main.go
+++ b/review/cases/config/main.go
@@ -17,8 +17,8 @@
 	routes       = 3000
 	// lastVersion is the version that moves the routes; the first is 1.
 	lastVersion = 7
-	// gap is the time between two versions, without the time to build one.
-	gap = 40 * time.Millisecond
+	// gap is the time between two versions, the shortest between two changes in the site file.
+	gap = 100 * time.Millisecond
 	// calmGap is the same without the disruption.
 	calmGap = time.Second
 )
@@ -61,16 +61,22 @@
 	if !trouble {
 		pause = calmGap
 	}
+	var texts []string // built before, so that the versions come at the gap
 	for v := 2; v <= lastVersion; v++ {
 		service := "old"
 		if v == lastVersion {
 			service = "new"
 		}
-		text := harness.Configuration(v, routes, service)
-		time.Sleep(pause)
+		texts = append(texts, harness.Configuration(v, routes, service))
+	}
+	tick := time.NewTicker(pause)
+	defer tick.Stop()
+	for n, text := range texts {
+		<-tick.C
 		f.Store.Put("op/config", text)
-		f.Note("version %d confirmed, %d bytes, routes go to the service %q", v, len(text), service)
+		f.Note("version %d confirmed, %d bytes", n+2, len(text))
 	}
+	f.Note("version %d moves the routes to the service new", lastVersion)
 	moved := time.Now()
 	broken, n := 0, 0
 	for time.Since(moved) < observeUntil {
