affinity: limits for requests that give way to higher priorities

Cause: a target's queue is first come, first served, and how much of it a request fills follows from its own objective only. Kinds with a long objective crowd out those with a short one, whatever their priority. Change: Request.YieldTo and YieldShare shorten the acceptable wait, and have the load of the target's group count in full. A refusal as Full tells when the target is expected to have room. ExpectedWork tells a route's usual work.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -67,6 +67,11 @@
 	// Urgent marks a request of high priority, which may wait longer for a slot
 	// before it is refused.
 	Urgent bool
+	// YieldTo is the latency objective of requests of higher priority at the service, for
+	// which a part of the targets' queues stays free; 0 if there are none. YieldShare, 0 to 1,
+	// is by how much the wait that is acceptable approaches the one that leaves that room.
+	YieldTo    time.Duration
+	YieldShare float64
 	// HomeRegions is the set of regions that may run the request.
 	HomeRegions config.RegionSet
 	// TimeOfDay is the time since the Unix epoch, about the same at all instances. Which
@@ -107,6 +112,11 @@
 	// Wait is the expected time until a slot is free. If the request is refused as
 	// Unavailable it is the time until the earliest pause ends, 0 if all targets leave.
 	Wait time.Duration
+	// RoomIn is, if the request is refused as Full, the expected time until the target's
+	// queue is short enough for it, and QueueWait how long it then waits in that queue.
+	RoomIn, QueueWait time.Duration
+	// Interval is the expected time between two requests that leave the target.
+	Interval time.Duration
 	// At is when the target was chosen, on the clock of the caller's now arguments.
 	At time.Duration
 
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -56,7 +56,7 @@
 			}
 		}
 	}
-	return Grant{Target: first.Target, Reason: Full, Load: first.load(now), Wait: b.expectedWait(first, now)}, false
+	return b.full(first, r, now), false
 }
 
 // usable returns the first candidates that are neither ejected nor over the rate of
@@ -87,7 +87,7 @@
 			return b.grant(c.targetState, r, Forced, now), true
 		}
 		if g.Target.ID == "" {
-			g = Grant{Target: c.Target, Reason: Full, Load: c.load(now), Wait: b.expectedWait(c.targetState, now)}
+			g = b.full(c.targetState, r, now)
 		}
 	}
 	return g, false
@@ -102,7 +102,7 @@
 		s = usable[1]
 	}
 	if !b.waitAcceptable(s, r, now) {
-		return Grant{Target: s.Target, Reason: Full, Load: s.load(now), Wait: b.expectedWait(s, now)}, false
+		return b.full(s, r, now), false
 	}
 	return b.grant(s, r, Preferred, now), true
 }
@@ -130,19 +130,59 @@
 // certain: by that, a request that may run anywhere is refused only if it would wait
 // longer than the whole objective.
 func (b *Balancer) waitAcceptable(s *targetState, r Request, now time.Duration) bool {
+	acceptable := r.acceptableExcess(s)
+	if r.yields() && s.excess(s.loadInGroup(now)) > acceptable {
+		return false
+	}
+	return s.excess(r.loadAt(s, now)) <= acceptable && s.waitAt(s.loadInGroup(now)) <= r.objective()
+}
+
+// objective returns the latency objective, or a default if there is none.
+func (r Request) objective() time.Duration {
+	if r.Objective <= 0 {
+		return 2 * defaultLatency
+	}
+	return r.Objective
+}
+
+// acceptableExcess returns up to which excess at the target the request is sent there.
+func (r Request) acceptableExcess(s *targetState) float64 {
 	share := maxWaitShare
 	if r.Urgent {
 		share = maxUrgentWaitShare
 	}
-	objective := r.Objective
-	if objective <= 0 {
-		objective = 2 * defaultLatency
+	wait := share * r.objective().Seconds()
+	if left := maxWaitShare * r.YieldTo.Seconds(); r.yields() && left < wait {
+		wait += (left - wait) * r.YieldShare
 	}
-	acceptable := share * objective.Seconds() / s.group.expectedLatency() // in requests per slot, like the excess
+	acceptable := wait / s.group.expectedLatency() // in requests per slot, like the excess
 	if r.pressure > 0 {
 		acceptable += r.pressure * preference(r.key(), s, r.TimeOfDay)
 	}
-	return s.excess(r.loadAt(s, now)) <= acceptable && s.waitAt(s.loadInGroup(now)) <= objective
+	return acceptable
+}
+
+// yields reports whether the request gives way to others of higher priority.
+func (r Request) yields() bool { return r.YieldTo > 0 && r.YieldShare > 0 }
+
+// full returns the result of Choose if the request would have to wait too long at its
+// target.
+func (b *Balancer) full(s *targetState, r Request, now time.Duration) Grant {
+	perExcess := s.group.expectedLatency() * float64(time.Second)
+	acceptable := r.acceptableExcess(s)
+	over := max(s.excess(r.loadAt(s, now))-acceptable, s.excess(s.loadInGroup(now))-r.objective().Seconds()/s.group.expectedLatency(), 0)
+	return Grant{
+		Target: s.Target, Reason: Full, Load: s.load(now), Wait: b.expectedWait(s, now),
+		RoomIn: time.Duration(over * perExcess), QueueWait: time.Duration(max(acceptable, 0) * perExcess),
+		Interval: time.Duration(perExcess / float64(max(s.Slots, 1))),
+	}
+}
+
+// ExpectedWork returns the usual time that a target needs for a request of the route, and
+// false if none has been answered yet.
+func (b *Balancer) ExpectedWork(route string) (time.Duration, bool) {
+	median, ok := b.medianLatency[route]
+	return time.Duration(median * float64(time.Second)), ok
 }
 
 // loadAt returns the load of the target that counts for the request. One that is bound to
