admission: order requests that wait for room by what a refusal costs

Cause: when there is too little room, instances refused whoever came when a queue was full. Change: a core that keeps a line for each target, ordered by priority, work and time left; refuses at once what cannot be in time; has lower priorities give way as far as the higher ones need; and lets nobody starve.

--- /dev/null
+++ b/internal/admission/line_test.go
@@ -0,0 +1,191 @@
+package admission
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// equal fails the test if got is not want.
+func equal(t *testing.T, got, want any, what string) {
+	t.Helper()
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+const service = "s"
+
+// fullFor returns the offer of a target that has room after a time, then once in 100 ms.
+func fullFor(d time.Duration) Offer {
+	return Offer{Target: "t", RoomIn: d, Interval: 100 * time.Millisecond}
+}
+
+func request(priority int, work, left time.Duration) Request {
+	return Request{Priority: priority, Route: "r", Work: work, Left: left}
+}
+
+func TestRequestIsSentAtOnceIfTheTargetHasRoomAndNobodyWaits(t *testing.T) {
+	l := NewLine(10)
+	equal(t, l.Decide(service, request(1, 0, time.Second), Offer{Target: "t", Granted: true}, 0).Send, true, "l.Decide(service, request(1, 0, time.Second), Offer{Target: t, Granted: true}, 0).Send")
+	equal(t, l.Len() == 0, true, "no l.Len()")
+}
+
+func TestHigherPriorityGoesFirstThenLessWorkThenLessTime(t *testing.T) {
+	l := NewLine(10)
+	var tickets []Ticket
+	for _, r := range []Request{
+		request(2, 100*time.Millisecond, 5*time.Second),
+		request(1, 400*time.Millisecond, 5*time.Second),
+		request(1, 100*time.Millisecond, 5*time.Second),
+		request(1, 100*time.Millisecond, 4*time.Second),
+		request(0, 900*time.Millisecond, 5*time.Second),
+	} {
+		d := l.Decide(service, r, fullFor(0), 0)
+		equal(t, d.Ticket != 0, true, "has a ticket")
+		tickets = append(tickets, d.Ticket)
+	}
+	for _, i := range []int{4, 3, 2, 1, 0} {
+		equal(t, l.Next("t"), tickets[i], fmt.Sprint("next before request ", i))
+		l.Leave(tickets[i])
+	}
+	equal(t, l.Next("t") == 0, true, "no l.Next(t)")
+	equal(t, len(l.byTarget), 0, "number left")
+}
+
+func TestRequestThatCannotBeInTimeIsRefusedAtOnce(t *testing.T) {
+	l := NewLine(10)
+	for _, c := range []struct {
+		name string
+		r    Request
+		o    Offer
+	}{
+		{"room comes too late", request(0, 100*time.Millisecond, 500*time.Millisecond), fullFor(401 * time.Millisecond)},
+		{"more work than time", request(0, 600*time.Millisecond, 500*time.Millisecond), fullFor(0)},
+		{"wait in the target's queue", request(0, 100*time.Millisecond, 500*time.Millisecond), Offer{Target: "t", RoomIn: 200 * time.Millisecond, QueueWait: 201 * time.Millisecond}},
+		{"no objective", request(0, 0, 0), fullFor(0)},
+	} {
+		d := l.Decide(service, c.r, c.o, time.Hour)
+		equal(t, d, Decision{}, c.name)
+		equal(t, l.Len() == 0, true, c.name)
+	}
+}
+
+func TestLowestIsDisplacedWhenOnesBeforeItLeaveItNoTime(t *testing.T) {
+	l := NewLine(10)
+	low := l.Decide(service, request(2, 0, 250*time.Millisecond), fullFor(0), 0).Ticket
+	middle := l.Decide(service, request(1, 0, 250*time.Millisecond), fullFor(0), 0).Ticket
+	equal(t, len(l.Decide(service, request(0, 0, 150*time.Millisecond), fullFor(0), 0).Displaced), 0, "number left")
+	d := l.Decide(service, request(0, 0, 100*time.Millisecond), fullFor(0), 0)
+	equal(t, d.Ticket != 0, true, "has a ticket")
+	equal(t, d.Displaced, []Ticket{low}, "displaced")
+	equal(t, l.waiting[low] == nil, true, "the displaced request has left")
+	equal(t, l.byTarget["t"][2].ticket, middle, "last one")
+}
+
+func TestRoomGoesToTheWaitingRequestThatOutranksANewOne(t *testing.T) {
+	l := NewLine(10)
+	high := l.Decide(service, request(0, 0, time.Second), fullFor(100*time.Millisecond), 0).Ticket
+	d := l.Decide(service, request(1, 0, time.Second), Offer{Target: "t", Granted: true}, 0)
+	equal(t, d.Send, false, "d.Send")
+	equal(t, d.First, high, "first")
+	equal(t, d.Ticket != 0, true, "has a ticket")
+	equal(t, l.Decide(service, request(-1, 0, time.Second), Offer{Target: "t", Granted: true}, 0).Send, true, "l.Decide(service, request(-1, 0, time.Second), Offer{Target: t, Granted: true}, 0).Send")
+	equal(t, l.Decide(service, request(1, 0, time.Second), Offer{Target: "other", Granted: true}, 0).Send, true, "l.Decide(service, request(1, 0, time.Second), Offer{Target: other, Granted: true}, 0).Send")
+}
+
+func TestLineIsBounded(t *testing.T) {
+	l := NewLine(3)
+	var first Ticket
+	for range 3 {
+		d := l.Decide(service, request(1, 0, time.Hour), fullFor(0), 0)
+		if first == 0 {
+			first = d.Ticket
+		}
+	}
+	equal(t, l.Decide(service, request(1, 0, time.Hour), fullFor(0), 0), Decision{}, "not before any of those that wait")
+	d := l.Decide(service, request(0, 0, time.Hour), fullFor(0), 0)
+	equal(t, d.Ticket != 0, true, "has a ticket")
+	equal(t, len(d.Displaced), 1, "number")
+	equal(t, l.Len(), 3, "number of waiting requests")
+}
+
+func TestRouteOrWorkspaceWithLessThanAQuarterOfTheShareGoesFirst(t *testing.T) {
+	l := NewLine(10)
+	high := Request{Priority: 0, Workspace: "large", Route: "a", Left: time.Minute}
+	for _, low := range []Request{
+		{Priority: 3, Workspace: "large", Route: "b", Left: time.Minute},
+		{Priority: 3, Workspace: "small", Route: "a", Left: time.Minute},
+	} {
+		for range 40 {
+			l.Asked(service, high, 0)
+			l.Sent(service, high, 0)
+		}
+		for range 10 {
+			l.Asked(service, low, 0)
+		}
+		l.Sent(service, low, 0)
+		equal(t, l.Starving(service, low, 0), true, "l.Starving(service, low, 0)")
+		equal(t, l.Starving("other service", low, 0), false, "l.Starving(other service, low, 0)")
+		first := l.Decide(service, high, fullFor(0), 0).Ticket
+		second := l.Decide(service, low, fullFor(0), 0).Ticket
+		equal(t, l.Next("t"), second, "next")
+		l.Leave(first)
+		l.Leave(second)
+		equal(t, l.Starving(service, low, time.Minute), false, "counts are forgotten")
+	}
+}
+
+func TestCountersAreBounded(t *testing.T) {
+	l := NewLine(1)
+	for i := range 3 * maxCounters {
+		l.Asked(service, Request{Route: "r", Workspace: fmt.Sprint("w", i)}, time.Duration(i)*time.Millisecond)
+	}
+	equal(t, len(l.shares.counters) <= maxCounters, true, "bounded")
+}
+
+func TestRequestsAreRefusedAtOnceWhileWaitingDoesNotHelp(t *testing.T) {
+	l := NewLine(10)
+	waited := func(n int) (count int) {
+		for range n {
+			if d := l.Decide(service, request(0, 0, time.Second), fullFor(0), 0); d.Ticket != 0 {
+				l.Leave(d.Ticket)
+				count++
+			}
+		}
+		return count
+	}
+	equal(t, waited(16), 16, "waiting requests at first")
+	for range 20 {
+		l.Ended(service, 0, false)
+	}
+	equal(t, waited(64), 4, "waiting requests while waiting does not help")
+	for range 20 {
+		l.Ended(service, 0, true)
+	}
+	equal(t, waited(16), 16, "waiting requests once waiting helps again")
+}
+
+func TestLowerPrioritiesYieldToThoseThatCompeteForTheService(t *testing.T) {
+	l := NewLine(10)
+	ask := func(priority, n int, objective time.Duration) {
+		for range n {
+			l.Asked(service, Request{Priority: priority, Route: fmt.Sprint(priority), Objective: objective}, 0)
+		}
+	}
+	yieldTo := func(priority int, at time.Duration) time.Duration {
+		return l.Yield(service, Request{Priority: priority, Route: "another"}, at).Objective
+	}
+	ask(2, 200, 4*time.Second)
+	equal(t, yieldTo(2, 0), time.Duration(0), "alone")
+	ask(0, 5, time.Second)
+	equal(t, yieldTo(2, 0), time.Duration(0), "a few of higher priority")
+	ask(0, 20, time.Second)
+	equal(t, yieldTo(2, 0), 500*time.Millisecond, "below one")
+	ask(1, 40, 4*time.Second)
+	equal(t, yieldTo(1, 0), 500*time.Millisecond, "the next")
+	equal(t, yieldTo(2, 0), 250*time.Millisecond, "below two")
+	equal(t, yieldTo(0, 0), time.Duration(0), "the highest")
+	equal(t, yieldTo(2, time.Minute), time.Duration(0), "once they ask no more")
+}
--- /dev/null
+++ b/internal/admission/load_test.go
@@ -0,0 +1,241 @@
+package admission
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/turmericfield/turmericfield/internal/affinity"
+)
+
+// kind is a kind of request in a test of load.
+type kind struct {
+	name      string
+	priority  int
+	perSecond float64
+	work      time.Duration
+	objective time.Duration
+}
+
+// counts are numbers of requests by how they ended.
+type counts struct{ asked, inTime, late, refused int }
+
+func (c counts) served() float64 { return float64(c.inTime) / float64(max(c.asked, 1)) }
+
+// event is a moment of a play at which something happens.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+// play is a service whose targets are asked for more than they can run, in virtual time. Its
+// instances know the targets' loads only by their own requests and by responses.
+type play struct {
+	random    *rand.Rand
+	now       time.Duration
+	events    []event
+	ordered   bool // requests wait in lines; otherwise they are refused at once
+	balancers []*affinity.Balancer
+	lines     []*Line
+	waiting   []map[Ticket]func(displaced bool)
+	running   map[string]int
+	queued    map[string][]func()
+	results   map[string]*counts
+	slots     int
+	maxHeld   map[string]time.Duration // by kind, of refused requests
+}
+
+func newPlay(seed uint64, ordered bool, instances, targets, slots int) *play {
+	p := &play{
+		random: rand.New(rand.NewPCG(seed, 1)), ordered: ordered, running: map[string]int{}, queued: map[string][]func(){},
+		results: map[string]*counts{}, slots: slots, maxHeld: map[string]time.Duration{},
+	}
+	list := make([]affinity.Target, targets)
+	for i := range list {
+		id := fmt.Sprint("t", i)
+		list[i] = affinity.Target{ID: id, Service: service, Address: id, AvailabilityZone: "a", Region: "r", Slots: slots}
+	}
+	for i := range instances {
+		b := affinity.New(fmt.Sprint("i", i), "r", 1)
+		b.SetTargets(list, 0)
+		p.balancers, p.lines, p.waiting = append(p.balancers, b), append(p.lines, NewLine(512)), append(p.waiting, map[Ticket]func(bool){})
+	}
+	return p
+}
+
+func (p *play) at(d time.Duration, do func()) {
+	i, _ := slices.BinarySearchFunc(p.events, d, func(e event, at time.Duration) int { return cmp.Compare(e.at, at+1) })
+	p.events = slices.Insert(p.events, i, event{d, do})
+}
+
+// run plays the kinds' requests, which arrive by chance, for a time.
+func (p *play) run(kinds []kind, length time.Duration) {
+	for _, k := range kinds {
+		p.results[k.name] = &counts{}
+		var arrive func()
+		arrive = func() {
+			if p.now < length {
+				p.arrive(k)
+				p.at(p.now+time.Duration(p.random.ExpFloat64()/k.perSecond*float64(time.Second)), arrive)
+			}
+		}
+		p.at(0, arrive)
+	}
+	for len(p.events) > 0 {
+		e := p.events[0]
+		p.events, p.now = p.events[1:], e.at
+		e.do()
+	}
+}
+
+func (p *play) arrive(k kind) {
+	i, result := p.random.IntN(len(p.lines)), p.results[k.name]
+	result.asked++
+	arrived, line := p.now, p.lines[i]
+	id := fmt.Sprint(p.random.Uint64())
+	r := Request{Priority: k.priority, Route: k.name, Work: k.work, Objective: k.objective}
+	if p.ordered {
+		line.Asked(service, r, p.now)
+	}
+	waited := false
+	refuse := func() {
+		if waited {
+			line.Ended(service, k.priority, false)
+		}
+		result.refused++
+		p.maxHeld[k.name] = max(p.maxHeld[k.name], p.now-arrived)
+	}
+	var try func()
+	try = func() {
+		request := affinity.Request{Service: service, ID: id, Route: k.name, Objective: k.objective, Urgent: k.priority <= 1}
+		if p.ordered {
+			yield := line.Yield(service, r, p.now)
+			request.YieldTo, request.YieldShare = yield.Objective, yield.Share
+		}
+		g, ok := p.balancers[i].Choose(request, p.now)
+		r.Left = k.objective - (p.now - arrived)
+		var d Decision
+		if p.ordered {
+			d = line.Decide(service, r, Offer{Target: g.Target.ID, Granted: ok, RoomIn: g.RoomIn, QueueWait: g.QueueWait, Interval: g.Interval}, p.now)
+		} else {
+			d.Send = ok
+		}
+		if d.Send {
+			line.Sent(service, r, p.now)
+			if waited {
+				line.Ended(service, k.priority, true)
+			}
+			p.send(i, k, g, arrived)
+			return
+		}
+		if ok {
+			p.balancers[i].Done(g, affinity.Report{Outcome: affinity.Abandoned}, p.now)
+			p.wake(i, d.First)
+		}
+		for _, t := range d.Displaced {
+			p.waiting[i][t](true)
+		}
+		if d.Ticket == 0 {
+			refuse()
+			return
+		}
+		woken := false
+		wake := func(displaced bool) {
+			if woken {
+				return
+			}
+			woken, waited = true, true
+			delete(p.waiting[i], d.Ticket)
+			line.Leave(d.Ticket)
+			if displaced {
+				refuse()
+				return
+			}
+			p.at(p.now, try)
+		}
+		p.waiting[i][d.Ticket] = wake
+		p.at(p.now+max(d.RetryIn, 5*time.Millisecond), func() { wake(false) })
+	}
+	try()
+}
+
+func (p *play) wake(instance int, t Ticket) {
+	if f := p.waiting[instance][t]; f != nil {
+		f(false)
+	}
+}
+
+// send runs a request at its target, after those that wait there already.
+func (p *play) send(instance int, k kind, g affinity.Grant, arrived time.Duration) {
+	id, sent := g.Target.ID, p.now
+	start := func() {
+		p.running[id]++
+		work := time.Duration(float64(k.work) * (0.7 + 0.6*p.random.Float64()))
+		p.at(p.now+work, func() {
+			p.running[id]--
+			result := p.results[k.name]
+			if p.now-arrived <= k.objective {
+				result.inTime++
+			} else {
+				result.late++
+			}
+			load := p.running[id] + len(p.queued[id])
+			if len(p.queued[id]) > 0 {
+				next := p.queued[id][0]
+				p.queued[id] = p.queued[id][1:]
+				next()
+			}
+			p.balancers[instance].Done(g, affinity.Report{Outcome: affinity.Answered, HasLoad: true, Load: load, Elapsed: p.now - sent}, p.now)
+			p.wake(instance, p.lines[instance].Next(id))
+		})
+	}
+	if p.running[id] < p.slots {
+		start()
+		return
+	}
+	p.queued[id] = append(p.queued[id], start)
+}
+
+// The load that competes for too little room: three kinds of different priority, of which the
+// lowest may take longest, ask for twice what the targets can run.
+var competing = []kind{
+	{name: "payments", priority: 0, perSecond: 60, work: 100 * time.Millisecond, objective: 400 * time.Millisecond},
+	{name: "pages", priority: 1, perSecond: 200, work: 150 * time.Millisecond, objective: 500 * time.Millisecond},
+	{name: "exports", priority: 2, perSecond: 150, work: 400 * time.Millisecond, objective: 1500 * time.Millisecond},
+}
+
+func TestTooLittleRoomCostsTheLowestPriorityFirstAndStarvesNobody(t *testing.T) {
+	for _, fleet := range []struct{ instances, targets int }{{1, 8}, {7, 8}, {26, 8}} {
+		for seed := range uint64(3) {
+			before, after := newPlay(seed, false, fleet.instances, fleet.targets, 6), newPlay(seed, true, fleet.instances, fleet.targets, 6)
+			before.run(competing, 20*time.Second)
+			after.run(competing, 20*time.Second)
+			name := fmt.Sprintf("%d instances, seed %d", fleet.instances, seed)
+			var all counts
+			for _, k := range competing {
+				b, a := before.results[k.name], after.results[k.name]
+				t.Logf("%s: %s in time %.2f, before %.2f; late %.2f, before %.2f", name, k.name, a.served(), b.served(),
+					float64(a.late)/float64(a.asked), float64(b.late)/float64(b.asked))
+				all.asked, all.inTime = all.asked+a.asked, all.inTime+a.inTime
+			}
+			payments, pages, exports := after.results["payments"].served(), after.results["pages"].served(), after.results["exports"].served()
+			if payments < pages || pages < exports {
+				t.Errorf("%s: in time %.2f of the first priority, %.2f of the second, %.2f of the third", name, payments, pages, exports)
+			}
+			if first := after.results["payments"]; first.refused*20 > first.asked {
+				t.Errorf("%s: %d of %d requests of the first priority were refused", name, first.refused, first.asked)
+			}
+			if exports < minFairShare*all.served()*0.8 {
+				t.Errorf("%s: %.2f of the lowest priority in time, of all %.2f", name, exports, all.served())
+			}
+			for _, k := range competing {
+				if held := after.maxHeld[k.name]; held > k.objective {
+					t.Errorf("%s: a refused request of %s was held for %v", name, k.name, held)
+				}
+			}
+		}
+	}
+}
