gateway: requests wait at the instance, in the order of admission

Change: waiting.go holds requests that may still be in time, wakes the next one when an answer of the target ends or room is expected, and refuses at once what cannot be served.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -93,9 +93,11 @@
 	streamedBody io.Reader
 
 	grant              affinity.Grant
-	attempts           int // targets tried, including unreachable ones
-	withdrawnTargets   int // targets chosen but not tried
-	possibleDeliveries int // sends that may have reached a target
+	counted            bool          // in the shares by which starving requests are found
+	waited             time.Duration // for room at a target
+	attempts           int           // targets tried, including unreachable ones
+	withdrawnTargets   int           // targets chosen but not tried
+	possibleDeliveries int           // sends that may have reached a target
 	// unsentRetry is the service from whose budget a retry was taken that has not been
 	// sent; empty if there is none.
 	unsentRetry   string
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -7,9 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/turmericfield/turmericfield/internal/affinity"
-	"github.com/turmericfield/turmericfield/internal/clock"
 	"github.com/turmericfield/turmericfield/internal/metrics"
-	"github.com/turmericfield/turmericfield/internal/quota"
 )
 
 // dispatch sends the request to one target after another until one of them
@@ -83,43 +81,6 @@
 	return c.request.Context().Err() != nil
 }
 
-// chooseTarget asks the balancer for the target of the next attempt, and stores
-// its grant. The object makes requests for the same object prefer the same
-// target.
-func (c *call) chooseTarget(object string) *refusal {
-	if c.remaining() < minTimeForTarget {
-		return &refusal{http.StatusServiceUnavailable, "deadline", retryAfterNoTarget}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	grant, ok := c.balancer.Choose(affinity.Request{
-		Service: c.service, Object: object, ID: c.id, HomeRegions: c.homeRegions, Exclude: c.excluded,
-		Route: c.route.Name, Objective: c.route.LatencyObjective, Urgent: c.priority() <= urgentPriority,
-		TimeOfDay: time.Duration(time.Now().UnixNano()),
-	}, clock.SinceBoot())
-	c.grant = grant
-	switch {
-	case ok:
-		return nil
-	case grant.Reason == affinity.Unavailable:
-		return &refusal{http.StatusServiceUnavailable, string(grant.Reason), retryAfterPause(grant.Wait, c.remaining())}
-	}
-	return &refusal{http.StatusServiceUnavailable, string(grant.Reason), retryAfterNoTarget}
-}
-
-// urgentPriority is the largest priority value, and so the lowest priority,
-// that counts as urgent.
-const urgentPriority = 1
-
-// priority returns the priority of the workspace if it has one, else that of
-// the route; 0 is the highest.
-func (c *call) priority() int {
-	if c.workspace != nil && c.workspace.HasPriority {
-		return c.workspace.Priority
-	}
-	return c.route.Priority
-}
-
 // takeRetry reports whether one more attempt is allowed after one that failed.
 // If the failed one may have reached a target, the next one is taken from the
 // retry budget.
@@ -150,7 +111,7 @@
 	c.callerLeft = c.request.Context().Err() != nil
 	report := affinity.Report{Elapsed: time.Since(sent)}
 	refused := c.classify(x, err, &report)
-	c.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.Done(c.grant, report, now) })
+	c.done(report)
 	if refused != nil {
 		x.discard()
 		if report.Outcome == affinity.Unreachable || report.Outcome == affinity.AddressReused || report.Outcome == affinity.TimedOut {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,11 +72,12 @@
 	// was known to be current.
 	currentAsOf atomic.Int64
 
-	mu       sync.Mutex // guards the following four, which are not safe for concurrent use
+	mu       sync.Mutex // guards the following five, which are not safe for concurrent use
 	balancer *affinity.Balancer
 	limiter  *quota.Limiter
 	splitter *split.Splitter
 	retries  *retryBudget
+	waiting  *waitingRoom
 
 	pool     *pool
 	inFlight atomic.Int64
@@ -90,8 +91,9 @@
 func New(options Options, self string) *Gateway {
 	g := &Gateway{
 		Options: options, balancer: affinity.New(self, options.Region, options.RegionCount), limiter: quota.New(self, uint64(time.Now().UnixNano()), options.MaxKeyStaleness), splitter: split.New(rand.Uint64()),
-		retries: newRetryBudget(options.RetryRatio, options.RetryExtra), pool: newPool(),
+		retries: newRetryBudget(options.RetryRatio, options.RetryExtra), waiting: newWaitingRoom(), pool: newPool(),
 	}
+	options.Metrics.Gauge("requests_waiting", g.waitingRequests)
 	g.balancer.SetMaxShift(options.MaxShift)
 	return g
 }
@@ -149,6 +151,13 @@
 // InFlight returns the number of requests being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
+// waitingRequests returns the number of requests that wait for room at a target.
+func (g *Gateway) waitingRequests() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return int64(g.waiting.line.Len())
+}
+
 // CloseIdleConnections closes connections to targets that have been idle for
 // too long, once a second until the context ends.
 func (g *Gateway) CloseIdleConnections(ctx context.Context) {
