callerserver: requests that callers send ahead run at the same time

net/http serves one request of a connection at a time: callers that send further requests before the first response waited for each other, and with unread bytes net/http does not notice that a caller has left. The new package serves callers by net/http and cuts what arrives ahead of a response into requests, which run beside each other where the route allows it; responses leave in order.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 
 # Runs the tests of packages with concurrent code under the race detector.
 race:
-	$(GO) test -race -count=1 -skip '$(KNOWN_RED)' ./internal/logging ./internal/entry ./internal/server ./internal/peer ./internal/steering ./internal/idempotency ./internal/gateway ./internal/edge ./internal/load ./platform
+	$(GO) test -race -count=1 -skip '$(KNOWN_RED)' ./internal/logging ./internal/entry ./internal/server ./internal/peer ./internal/steering ./internal/idempotency ./internal/gateway ./internal/callerserver ./internal/edge ./internal/load ./platform
 
 # Runs a long simulation of a fleet's control logic with random events, for SEEDS seeds
 # from SEED on: make soak SEED=7 STEPS=2000
--- /dev/null
+++ b/internal/callerserver/server.go
@@ -0,0 +1,255 @@
+// Package callerserver is the HTTP/1 server of callers' connections. It is net/http, with
+// one difference: requests that a caller sends before it has the response to an earlier one
+// are read, and run at the same time where that is allowed. Responses leave in the order of
+// the requests.
+//
+// A connection on which no bytes arrive before the response is served by net/http as it is.
+// When some do, a goroutine takes over the reading. It cuts the stream into requests and
+// serves each that may run ahead of its turn on a connection of its own within the process,
+// whose output is kept until its turn.
+package callerserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmericfield/turmericfield/internal/metrics"
+)
+
+const (
+	// memoryShare is the part of the process's memory that may be held for callers'
+	// connections beyond the request that each is served with.
+	memoryShare = 8
+	// defaultMemoryBytes is the memory of a process without a limit.
+	defaultMemoryBytes = 512 << 20
+	// defaultHeaderBytes is net/http's bound of a request's head without a configured one.
+	defaultHeaderBytes = http.DefaultMaxHeaderBytes
+	// startBacklog bounds the requests that were started and not yet taken up.
+	startBacklog = 256
+)
+
+// Options configure a server.
+type Options struct {
+	Handler           http.Handler
+	ReadHeaderTimeout time.Duration // of net/http
+	MaxHeaderBytes    int           // of net/http
+	// Concurrent reports whether the request may run at the same time as others of its
+	// connection. It must not change the request or read its body.
+	Concurrent  func(r *http.Request) bool
+	MemoryBytes int64 // memory limit of the process; 0 for none
+	// ConnState is told when a connection is new, active, idle and closed, as by net/http.
+	ConnState func(net.Conn, http.ConnState)
+	Metrics   *metrics.Set
+}
+
+// Server serves callers' connections.
+type Server struct {
+	Options
+	http   http.Server
+	ahead  *aheadListener
+	once   sync.Once
+	piping atomic.Int64 // connections whose requests are read ahead
+	unsent atomic.Int64 // requests started ahead of their turn whose responses were not sent
+
+	// stopping is set once no further request may start ahead of its turn.
+	stopping atomic.Bool
+
+	mu        sync.Mutex // guards the following; taken after a connection's lock
+	budget    budget
+	listeners []net.Listener
+}
+
+// New returns a server that does not serve yet.
+func New(o Options) *Server {
+	memory := o.MemoryBytes
+	if memory <= 0 {
+		memory = defaultMemoryBytes
+	}
+	s := &Server{Options: o, ahead: &aheadListener{started: make(chan net.Conn, startBacklog), closed: make(chan struct{})}, budget: budget{limit: memory / memoryShare}}
+	s.http = http.Server{
+		Handler: s, ReadHeaderTimeout: o.ReadHeaderTimeout, MaxHeaderBytes: o.MaxHeaderBytes, ConnState: s.onConnState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, contextKey{}, c) },
+	}
+	o.Metrics.Gauge("caller_connections_read_ahead", s.piping.Load)
+	o.Metrics.Gauge("caller_bytes_held", s.held)
+	return s
+}
+
+// Serve accepts connections until Shutdown; it then returns http.ErrServerClosed.
+func (s *Server) Serve(l net.Listener) error {
+	s.once.Do(func() { go func() { _ = s.http.Serve(s.ahead) }() }) // it ends with the server
+	l = &listener{Listener: l, server: s}
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
+	err := s.http.Serve(l)
+	if s.stopping.Load() {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// Shutdown stops the server as http.Server.Shutdown does, after the requests that have been
+// started ahead of their turn have been answered: from its call on, net/http closes each
+// connection with the next response.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopping.Store(true)
+	s.mu.Lock()
+	for _, l := range s.listeners {
+		_ = l.Close() // closed again by net/http, which reports errors
+	}
+	s.mu.Unlock()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for s.unsent.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.CombineErrors(ctx.Err(), s.http.Shutdown(ctx))
+		case <-tick.C:
+		}
+	}
+	return s.http.Shutdown(ctx)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(contextKey{}).(*conn); ok {
+		c.enter(r)
+	}
+	s.Handler.ServeHTTP(w, r)
+}
+
+type contextKey struct{}
+
+// Age returns the time since the first byte of the request was read, which may have been
+// long before its handler was called. It is 0 for requests of other servers.
+func Age(r *http.Request) time.Duration {
+	switch c := r.Context().Value(contextKey{}).(type) {
+	case *conn:
+		return time.Since(c.arrival())
+	case *aheadConn:
+		return time.Since(c.arrival)
+	}
+	return 0
+}
+
+// Ahead reports whether the request was started before an earlier one of its connection
+// was answered.
+func Ahead(r *http.Request) bool {
+	_, ok := r.Context().Value(contextKey{}).(*aheadConn)
+	return ok
+}
+
+// MayClose reports whether the response may close the connection without cutting off a
+// request that has been started after this one. From then on, no further request of the
+// connection starts ahead of its turn. It is true for requests of other servers.
+func MayClose(r *http.Request) bool {
+	switch c := r.Context().Value(contextKey{}).(type) {
+	case *conn:
+		return c.mayClose(nil)
+	case *aheadConn:
+		return c.conn.mayClose(c)
+	}
+	return true
+}
+
+func (s *Server) onConnState(c net.Conn, state http.ConnState) {
+	switch c := c.(type) {
+	case *conn:
+		c.onState(state)
+	case *aheadConn:
+		if state == http.StateIdle {
+			c.end(false)
+		}
+	}
+}
+
+// held returns the bytes that are held for callers.
+func (s *Server) held() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.held
+}
+
+// listener makes net/http serve the connections it accepts by way of conn.
+type listener struct {
+	net.Listener
+	server *Server
+	once   sync.Once
+	err    error // of Close
+}
+
+// Close implements net.Listener. Both Server.Shutdown and net/http call it.
+func (l *listener) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c, l.server), nil
+}
+
+// aheadListener passes requests that start ahead of their turn to net/http.
+type aheadListener struct {
+	started chan net.Conn
+	closed  chan struct{}
+	mu      sync.Mutex // held while started is written to and while closed is closed
+}
+
+// start reports whether the connection was queued for Accept.
+func (l *aheadListener) start(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.closed:
+		return false
+	default:
+	}
+	select {
+	case l.started <- c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Accept implements net.Listener. Once the listener is closed, what was queued before is
+// closed unserved.
+func (l *aheadListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.started:
+		return c, nil
+	case <-l.closed:
+	}
+	for {
+		select {
+		case c := <-l.started:
+			_ = c.Close() // never fails
+		default:
+			return nil, net.ErrClosed
+		}
+	}
+}
+
+func (l *aheadListener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+func (l *aheadListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/turmericfield/turmericfield/internal/affinity"
+	"github.com/turmericfield/turmericfield/internal/callerserver"
 	"github.com/turmericfield/turmericfield/internal/clock"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/gateway"
@@ -288,17 +289,20 @@
 
 // newCallerServer returns the server of callers' requests, with the limits of the
 // configuration in force and a goroutine that closes idle connections.
-func (e *Edge) newCallerServer(ctx context.Context) *http.Server {
+func (e *Edge) newCallerServer(ctx context.Context) *callerserver.Server {
 	idle := &idleConns{limit: e.idleLimit, idleSince: map[net.Conn]time.Time{}}
 	go idle.sweep(ctx)
-	server := &http.Server{Handler: e.gateway, ReadHeaderTimeout: defaultHeaderTimeout, ConnState: idle.onConnState}
+	options := callerserver.Options{
+		Handler: e.gateway, Concurrent: e.gateway.RunsConcurrently, ReadHeaderTimeout: defaultHeaderTimeout,
+		MemoryBytes: e.MemoryBytes, ConnState: idle.onConnState, Metrics: e.metrics,
+	}
 	if t := e.gateway.Table(); t != nil {
-		server.MaxHeaderBytes = t.Limits.HeaderBytes
+		options.MaxHeaderBytes = t.Limits.HeaderBytes
 		if t.Limits.HeaderTimeout > 0 {
-			server.ReadHeaderTimeout = t.Limits.HeaderTimeout
+			options.ReadHeaderTimeout = t.Limits.HeaderTimeout
 		}
 	}
-	return server
+	return callerserver.New(options)
 }
 
 // homeRegions returns the home regions of each of the host's routes that has some, or
@@ -321,7 +325,7 @@
 // shutDown keeps serving while callers may still use cached lookup results that list
 // this instance, then stops the server. It returns ShutdownTimeout after its call at
 // the latest.
-func (e *Edge) shutDown(kill context.Context, server *http.Server) {
+func (e *Edge) shutDown(kill context.Context, server *callerserver.Server) {
 	begin := time.Now()
 	e.log.Info().Int64("in_flight", e.gateway.InFlight()).Msg("life: leaving")
 	end := begin.Add(e.ShutdownTimeout - shutdownMargin)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/turmericfield/turmericfield/internal/affinity"
+	"github.com/turmericfield/turmericfield/internal/callerserver"
 	"github.com/turmericfield/turmericfield/internal/clock"
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/quota"
@@ -71,7 +72,8 @@
 	writer  http.ResponseWriter
 	request *http.Request
 	ctx     context.Context
-	start   time.Time
+	start   time.Time     // arrival of the request's first byte
+	age     time.Duration // from then until the request was started
 	// startSinceBoot is the arrival on a clock that counts suspensions.
 	startSinceBoot time.Duration
 
@@ -116,10 +118,11 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.drainEnd.Load() != nil {
+	if g.drainEnd.Load() != nil && callerserver.MayClose(r) {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{Gateway: g, writer: w, request: r, startSinceBoot: clock.SinceBoot(), start: time.Now(), id: r.Header.Get(g.HeaderNames.RequestID)}
+	age := callerserver.Age(r)
+	c := &call{Gateway: g, writer: w, request: r, age: age, startSinceBoot: clock.SinceBoot() - age, start: time.Now().Add(-age), id: r.Header.Get(g.HeaderNames.RequestID)}
 	if refused := c.admit(); refused != nil {
 		c.writeRefusal(*refused)
 		return
@@ -134,6 +137,17 @@
 	c.dispatch()
 }
 
+// RunsConcurrently reports whether a request may run at the same time as others of its
+// connection, which are those that may be repeated.
+func (g *Gateway) RunsConcurrently(r *http.Request) bool {
+	t := g.Table()
+	if t == nil {
+		return false
+	}
+	route := t.Route(r.Host, r.URL.EscapedPath())
+	return route != nil && route.Repeatable
+}
+
 // remaining returns the time until the deadline. Unlike package time, it counts the
 // suspensions since the request's arrival.
 func (c *call) remaining() time.Duration {
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/affinity"
+	"github.com/turmericfield/turmericfield/internal/callerserver"
 	"github.com/turmericfield/turmericfield/internal/hopbyhop"
 	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/metrics"
@@ -108,7 +108,7 @@
 func (c *call) abortResponse() {
 	if !c.request.ProtoAtLeast(1, 1) {
 		if conn, _, err := http.NewResponseController(c.writer).Hijack(); err == nil {
-			if tcp, ok := conn.(*net.TCPConn); ok {
+			if tcp, ok := conn.(interface{ SetLinger(int) error }); ok {
 				_ = tcp.SetLinger(0) // fails only if the connection has ended already
 			}
 			_ = conn.Close() // nobody can be told of an error
@@ -206,6 +206,9 @@
 		line = line.Str("target", c.grant.Target.ID).Str("zone", c.grant.Target.AvailabilityZone).Str("region", c.grant.Target.Region).
 			Str("placement", string(c.grant.Reason)).Float64("load", c.grant.Load).Int("attempt", c.attempts)
 	}
+	if callerserver.Ahead(c.request) || c.age >= time.Millisecond {
+		line = line.Bool("ahead", callerserver.Ahead(c.request)).Int64("age_ms", c.age.Milliseconds())
+	}
 	line.Int64("elapsed_ms", time.Since(c.start).Milliseconds()).Msg("request: decided")
 }
 
