--- a/internal/callerserver/ahead.go
+++ b/internal/callerserver/ahead.go
@@ -56,7 +56,7 @@
 	defer c.mu.Unlock()
 	for {
 		switch {
-		case a.ended, a.dropped, c.readErr != nil:
+		case a.ended, a.dropped, len(a.data) == 0 && c.readErr != nil:
 			return 0, io.EOF
 		case !a.deadline.IsZero() && !time.Now().Before(a.deadline):
 			return 0, os.ErrDeadlineExceeded
@@ -76,7 +76,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	waits := false
-	for !a.turn && !a.dropped && c.readErr == nil {
+	for !a.turn && !a.dropped {
 		if !waits && c.allowed(int64(len(p))) {
 			a.output = append(a.output, p...)
 			a.reserve(int64(len(p)))
@@ -93,7 +93,7 @@
 		}
 		a.writable.Wait()
 	}
-	if a.dropped || c.readErr != nil {
+	if a.dropped {
 		return 0, errors.Wrap(net.ErrClosed, "caller left before the turn of its response")
 	}
 	c.mu.Unlock()
--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -263,7 +263,7 @@
 			return 0, os.ErrDeadlineExceeded
 		case c.framer.done() && !c.serving:
 			return 0, io.EOF // net/http expects more of the request than there is
-		case c.readErr != nil && (c.framer.done() || len(c.unread) == 0 || fresh):
+		case c.readErr != nil && (c.framer.done() || len(c.unread) == 0 || fresh && !c.lastOfStream()):
 			return 0, c.readErr // a caller that left gets no further requests served
 		case !c.framer.done() && len(c.unread) > 0 && (!fresh || len(c.queue) == 0):
 			n := copy(p, c.unread)
@@ -289,6 +289,14 @@
 	}
 }
 
+// lastOfStream reports whether the unread bytes are at most one request, before an orderly
+// end of the stream. net/http serves such a request, whose caller may be reading still.
+func (c *conn) lastOfStream() bool {
+	f := newFramer()
+	used, _ := f.feed(c.unread) // net/http reports errors
+	return used == len(c.unread) && errors.Is(c.readErr, io.EOF)
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -348,7 +356,7 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.serving && !c.closed && c.readErr == nil && len(c.queue) > 0 {
+	if !c.serving && !c.closed && len(c.queue) > 0 {
 		c.closeAtEnd, c.order.stopped = true, true
 		c.readable.Broadcast()
 		return nil
@@ -429,14 +437,16 @@
 	}
 }
 
-// fail ends all requests of a caller that has left.
+// fail ends the contexts of all requests of a caller that has left, or that has ended its
+// stream, which net/http takes for the same.
 func (c *conn) fail(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readErr, c.order.stopped = err, true
-	if !c.serving || c.closed {
-		// net/http reads its next request, which tells it, or has closed the connection.
-		c.release()
+	if !errors.Is(err, io.EOF) {
+		c.dropFrom(0) // no response can be sent any more
+	}
+	if c.closed {
 		_ = c.Conn.Close() // nobody can be told of an error
 		return
 	}
