--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -27,6 +27,9 @@
 	// requestCost is what a request that runs ahead of its turn holds beside its bytes:
 	// the buffers and stacks of its goroutines, and its connection to a target.
 	requestCost = 24 << 10
+	// overlapTime is how long the next request may overlap with the end of a response that
+	// its caller has received, without the connection counting as one with requests ahead.
+	overlapTime = time.Millisecond
 	// leaveInterval is the interval at which a connection that is not read is asked whether
 	// its caller has closed it.
 	leaveInterval = 200 * time.Millisecond
@@ -150,18 +153,27 @@
 	if whole && !c.serving {
 		return 0, io.EOF // net/http expects more of the request than there is
 	}
+	early := 0
+	if !whole && len(c.unread) > 0 && len(p) > 1 {
+		early = copy(p, c.unread)
+		c.firstAt = c.take(early)
+	}
 	c.mu.Unlock()
-	n, err := c.Conn.Read(p)
+	n, err := c.Conn.Read(p[early:])
 	c.mu.Lock()
-	if n == 0 {
+	if n += early; n == 0 {
 		return n, err
 	}
 	now := time.Now()
 	if whole {
-		c.takeOver(p[:n], now)
+		c.receive(p[:n], now)
+		if c.responseEnds() {
+			return 0, os.ErrDeadlineExceeded
+		}
+		c.takeOver(nil, now)
 		return c.readPiped(p)
 	}
-	if !c.framer.begun() {
+	if !c.framer.begun() && early == 0 {
 		c.firstAt = now
 	}
 	used, malformed := c.framer.feed(p[:n])
@@ -174,6 +186,23 @@
 	return used, err
 }
 
+// responseEnds waits for the end of the response and reports whether it came within
+// overlapTime. net/http then ends the read that waits for the caller's leaving.
+func (c *conn) responseEnds() bool {
+	end := time.Now().Add(overlapTime)
+	c.wakeAfter(overlapTime)
+	defer c.timer.Stop()
+	for {
+		switch now := time.Now(); {
+		case !c.deadline.IsZero() && !now.Before(c.deadline):
+			return true
+		case !now.Before(end) || c.closed:
+			return false
+		}
+		c.readable.Wait()
+	}
+}
+
 // refuse answers a request whose end is ambiguous, unless it is being served, and returns
 // the error for net/http's read.
 func (c *conn) refuse() error {
@@ -187,13 +216,17 @@
 	return io.EOF
 }
 
-// takeOver makes pump read the connection, of which the given bytes were read.
+// takeOver makes pump read the connection, of which the given bytes were read beside those
+// in unread.
 func (c *conn) takeOver(p []byte, at time.Time) {
 	c.piping = true
 	c.wake = make(chan struct{}, 1)
+	c.hold(int64(len(c.unread)))
 	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection has ended, which the read tells
 	c.setTimer()
-	c.receive(p, at)
+	if len(p) > 0 {
+		c.receive(p, at)
+	}
 	c.server.piping.Add(1)
 	c.start()
 	go c.pump()
@@ -217,15 +250,31 @@
 	c.marks = slices.Delete(c.marks, 0, first)
 	c.offset += int64(n)
 	if c.unread = c.unread[n:]; len(c.unread) == 0 {
-		c.unread, c.marks = nil, nil
+		c.marks = c.marks[:0]
+		if c.unread = c.unread[:0]; cap(c.unread) > readSize {
+			c.unread = nil
+		}
 	}
 	c.hold(int64(-n))
 	c.poke()
 	return at
 }
 
-// hold changes what the connection holds of the budget.
+// holdFor changes what the connection holds of the budget for the sake of a handler.
+func (c *conn) holdFor(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held += n
+	c.server.mu.Lock()
+	c.server.budget.change(n)
+	c.server.mu.Unlock()
+}
+
+// hold changes what the connection holds of the budget once pump reads it.
 func (c *conn) hold(n int64) {
+	if !c.piping {
+		return // at most a byte
+	}
 	c.held += n
 	c.server.mu.Lock()
 	c.server.budget.change(n)
@@ -302,11 +351,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
+	c.readable.Broadcast()
 	if !c.piping {
 		return c.Conn.SetReadDeadline(t)
 	}
 	c.setTimer()
-	c.readable.Broadcast()
 	return nil
 }
 
@@ -321,14 +370,23 @@
 		c.timer.Stop()
 	}
 	if wait := time.Until(c.deadline); !c.deadline.IsZero() && wait > 0 {
-		c.timer = time.AfterFunc(wait, func() {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.readable.Broadcast()
-		})
+		c.wakeAfter(wait)
 	}
 }
 
+// wakeAfter wakes the reader once, unless the timer is set again or stopped before.
+func (c *conn) wakeAfter(wait time.Duration) {
+	if c.timer != nil {
+		c.timer.Reset(wait)
+		return
+	}
+	c.timer = time.AfterFunc(wait, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.readable.Broadcast()
+	})
+}
+
 // ReadFrom implements io.ReaderFrom, by which net/http writes long bodies past its buffers.
 func (c *conn) ReadFrom(r io.Reader) (int64, error) { return io.Copy(c.Conn, r) }
 
--- a/internal/callerserver/nethttp_test.go
+++ b/internal/callerserver/nethttp_test.go
@@ -187,7 +187,7 @@
 
 // benchmarkRequests measures requests of one caller that waits for each response, or that
 // sends some before it reads the responses to all of them.
-func benchmarkRequests(b *testing.B, ours bool, ahead int) {
+func benchmarkRequests(b *testing.B, ours bool, ahead int, think time.Duration) {
 	plain, own := pair(b, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain")
 		w.Header().Set("Content-Length", "5")
@@ -206,6 +206,9 @@
 	buffer := make([]byte, 64<<10)
 	b.ReportAllocs()
 	for b.Loop() {
+		for begin := time.Now(); time.Since(begin) < think; {
+			continue // a sleep would take longer
+		}
 		if _, err := c.Write(request); err != nil {
 			b.Fatal(err)
 		}
@@ -220,7 +223,11 @@
 	}
 }
 
-func BenchmarkNetHTTP(b *testing.B)      { benchmarkRequests(b, false, 1) }
-func BenchmarkServer(b *testing.B)       { benchmarkRequests(b, true, 1) }
-func BenchmarkNetHTTPAhead(b *testing.B) { benchmarkRequests(b, false, 8) }
-func BenchmarkServerAhead(b *testing.B)  { benchmarkRequests(b, true, 8) }
+// The next request follows each response at once, so that it overlaps with the end of the
+// response at the server; or some time later, as over a network.
+func BenchmarkAtOnceNetHTTP(b *testing.B) { benchmarkRequests(b, false, 1, 0) }
+func BenchmarkAtOnceServer(b *testing.B)  { benchmarkRequests(b, true, 1, 0) }
+func BenchmarkLaterNetHTTP(b *testing.B)  { benchmarkRequests(b, false, 1, 100*time.Microsecond) }
+func BenchmarkLaterServer(b *testing.B)   { benchmarkRequests(b, true, 1, 100*time.Microsecond) }
+func BenchmarkAheadNetHTTP(b *testing.B)  { benchmarkRequests(b, false, 8, 0) }
+func BenchmarkAheadServer(b *testing.B)   { benchmarkRequests(b, true, 8, 0) }
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -30,6 +30,8 @@
 	defaultMemoryBytes = 512 << 20
 	// defaultHeaderBytes is net/http's bound of a request's head without a configured one.
 	defaultHeaderBytes = http.DefaultMaxHeaderBytes
+	// minHold is the number of bytes from which on Hold counts.
+	minHold = 4 << 10
 	// startBacklog bounds the requests that were started and not yet taken up.
 	startBacklog = 256
 )
@@ -159,6 +161,21 @@
 	return true
 }
 
+// Hold counts bytes that a handler holds for the request, as of its body or response, against
+// the bound of all callers until the returned function is called. Then less is read ahead,
+// from the same connection first. Few bytes, and those of other servers, are not counted.
+func Hold(r *http.Request, bytes int) (release func()) {
+	c, _ := r.Context().Value(contextKey{}).(*conn)
+	if a, ok := r.Context().Value(contextKey{}).(*aheadConn); ok {
+		c = a.conn
+	}
+	if c == nil || bytes < minHold {
+		return func() {}
+	}
+	c.holdFor(int64(bytes))
+	return func() { c.holdFor(int64(-bytes)) }
+}
+
 func (s *Server) onConnState(c net.Conn, state http.ConnState) {
 	switch c := c.(type) {
 	case *conn:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -134,6 +134,7 @@
 		c.writeRefusal(*refused)
 		return
 	}
+	defer callerserver.Hold(r, len(c.bufferedBody))()
 	c.dispatch()
 }
 
--- a/internal/gateway/pipeline_test.go
+++ b/internal/gateway/pipeline_test.go
@@ -192,6 +192,40 @@
 	}
 }
 
+// A caller does not read its answer, whose bytes count among those held for callers.
+func TestAnswersThatAreNotReadAreCounted(t *testing.T) {
+	t.Parallel()
+	body := strings.Repeat("x", maxBufferedResponse-1)
+	call := newCaller(t, newRawTarget(t, func(c *net.TCPConn, r received) bool { return write(c, success(r.id, body)) }))
+	conn, reader := call.pipeline(strings.Split(strings.Repeat(" /once/1", 200)[1:], " ")...)
+	counted := func() bool { return !strings.Contains(call.gateway.Metrics.Text(), "caller_bytes_held 0\n") }
+	held := func() bool {
+		var n int
+		for line := range strings.Lines(call.gateway.Metrics.Text()) {
+			if _, err := fmt.Sscanf(line, "turmericfield_caller_bytes_held %d", &n); err == nil {
+				return n >= maxBufferedResponse-1
+			}
+		}
+		return false
+	}
+	for end := time.Now().Add(testTimeout); !held(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not counted")
+		}
+	}
+	for range 200 {
+		if _, got, err := readAnswer(reader); err != nil || len(got) != len(body) {
+			t.Fatalf("%d bytes, %v", len(got), err)
+		}
+	}
+	_ = conn.Close()
+	for end := time.Now().Add(testTimeout); counted(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("still counted")
+		}
+	}
+}
+
 func TestAgeOfAPipelinedRequestCountsTowardItsDeadline(t *testing.T) {
 	t.Parallel()
 	target := newRawTarget(t, func(c *net.TCPConn, r received) bool {
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -59,6 +59,7 @@
 // writeResponse returns a target's response to the caller.
 func (c *call) writeResponse(x *exchange) {
 	response := x.response
+	defer callerserver.Hold(c.request, len(x.body))()
 	h := c.writer.Header()
 	ownConnection := h.Get("Connection")
 	hopbyhop.CopyEndToEnd(h, response.Header)
