--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -586,6 +586,23 @@
 	c.expect("/safe/1", "/safe/2", "/safe/3")
 }
 
+func TestReadingAheadIsBounded(t *testing.T) {
+	s := newTestServer(t, nil)
+	for _, first := range []string{"/safe/1", "/once/1"} {
+		c := s.dial()
+		c.send(get(first))
+		go func() { _, _ = io.WriteString(c, strings.Repeat(get("/once/2"), 300000)) }()
+	}
+	s.waitStarted("/safe/1", "/once/1")
+	time.Sleep(300 * time.Millisecond)
+	if held := s.server.held(); held < maxUnread || held > 2*(maxUnread+readSize) {
+		t.Errorf("%d bytes are read ahead on two connections", held)
+	}
+	if started := s.startedNow(); len(started) != 2 {
+		t.Errorf("started %v", started)
+	}
+}
+
 func TestSlowReaderGetsAll(t *testing.T) {
 	s := newTestServer(t, func(o *Options) { o.MemoryBytes = 4 << 20 })
 	s.release("*")
