gateway: read a target's pace in the fourth figure of its load

Cause: a load header with a fourth figure could not be read, so the load of such targets was unknown. Change: the header may have three or four figures; the fourth, in percent, becomes affinity.Report.Pace and is logged. Any other number of figures is unreadable, as before.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -154,6 +154,9 @@
 	HasLoad bool
 	// Load is the number of requests at the target that it reported.
 	Load int
+	// Pace is how long work takes at the target at this moment, by its response, as a factor
+	// on what is usual; 0 if it did not tell.
+	Pace float64
 	// Elapsed is the time from sending to the response.
 	Elapsed time.Duration
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -95,6 +95,7 @@
 	streamedBody io.Reader
 
 	grant              affinity.Grant
+	pace               float64       // of the target at its last response; see affinity.Report
 	counted            bool          // in the shares by which starving requests are found
 	waited             time.Duration // for room at a target
 	attempts           int           // targets tried, including unreachable ones
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -59,8 +59,9 @@
 		if x.readBody(maxBufferedResponse) == nil && x.bodyComplete && x.response.ContentLength >= 0 && int64(len(x.body)) != x.response.ContentLength {
 			t.Errorf("read %d of %d body bytes", len(x.body), x.response.ContentLength)
 		}
-		if load, ok := parseLoad(x.response.Header.Get(testHeaders.Load)); ok && load < 0 {
-			t.Errorf("negative load %d", load)
+		var report affinity.Report
+		if parseLoad(x.response.Header.Get(testHeaders.Load), &report); report.Load < 0 {
+			t.Errorf("negative load %d", report.Load)
 		}
 		if n := notice.Parse(x.response.StatusCode, x.response.Header, testHeaders.Leaving); n.Pause < 0 || n.Pause > notice.MaxPause {
 			t.Errorf("pause of %v", n.Pause)
@@ -122,12 +123,13 @@
 
 // A load header must never give a negative load, also where the sum overflows.
 func FuzzLoadHeader(f *testing.F) {
-	for _, s := range []string{"3,0,8", "", "-3,0,8", "1,2", "9223372036854775807,1,1", " 1 , 2 , 3 "} {
+	for _, s := range []string{"3,0,8", "", "-3,0,8", "1,2", "9223372036854775807,1,1", " 1 , 2 , 3 ", "3,0,8,250", "3,0,8,-1", "3,0,8,99999999999999999999"} {
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, s string) {
-		if load, ok := parseLoad(s); ok && load < 0 {
-			t.Errorf("%q: negative load %d", s, load)
+		var report affinity.Report
+		if parseLoad(s, &report); report.Load < 0 || report.Pace < 0 || report.Pace > maxPace/100 || report.Pace > 0 && !report.HasLoad {
+			t.Errorf("%q: %+v", s, report)
 		}
 	})
 }
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -69,7 +69,8 @@
 	}
 	status := x.response.StatusCode
 	if x.evidence != unproven {
-		report.Load, report.HasLoad = parseLoad(x.response.Header.Get(c.HeaderNames.Load))
+		parseLoad(x.response.Header.Get(c.HeaderNames.Load), report)
+		c.pace = report.Pace
 	}
 	switch verdict := c.verdict(x); {
 	case verdict == rejected:
@@ -123,14 +124,27 @@
 	return false
 }
 
-// parseLoad returns the sum of running and waiting requests from a load header
-// "running,waiting,slots". The second result is false if the header is invalid.
-func parseLoad(s string) (int, bool) {
+// parseLoad reads a load header "running,waiting,slots" or "running,waiting,slots,pace" into
+// a report. The pace is how long work takes at the target at this moment, in percent of
+// what is usual. A header that cannot be read leaves the report as it is.
+func parseLoad(s string, report *affinity.Report) {
 	parts := strings.Split(s, ",")
-	if len(parts) != 3 {
-		return 0, false
+	if len(parts) < 3 || len(parts) > 4 {
+		return
 	}
 	running, err1 := strconv.Atoi(strings.TrimSpace(parts[0]))
 	waiting, err2 := strconv.Atoi(strings.TrimSpace(parts[1]))
-	return running + waiting, err1 == nil && err2 == nil && running >= 0 && waiting >= 0 && running+waiting >= 0
+	if err1 != nil || err2 != nil || running < 0 || waiting < 0 || running+waiting < 0 {
+		return
+	}
+	report.Load, report.HasLoad = running+waiting, true
+	if len(parts) == 3 {
+		return
+	}
+	if pace, err := strconv.Atoi(strings.TrimSpace(parts[3])); err == nil && pace > 0 && pace <= maxPace {
+		report.Pace = float64(pace) / 100
+	}
 }
+
+// maxPace is the largest pace that is believed, in percent.
+const maxPace = 10_000
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -187,6 +187,9 @@
 	if c.workspace != nil {
 		line = line.Str("workspace", c.workspace.Name)
 	}
+	if c.pace > 0 {
+		line = line.Float64("pace", c.pace)
+	}
 	if c.waited > 0 {
 		line = line.Int64("waited_ms", c.waited.Milliseconds())
 	}
