affinity: choose by the expected time while a target is slow for a moment

Cause: an object's requests go to the target that has it cached, also while that says that work takes several times as long there. Change: a reported pace fades within 0.6 s. While the preferred target is slow, a request goes to the next one that has the object if the expected time there is at most three quarters, or teaches one if it would be late anyway.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -38,6 +38,9 @@
 	// maxSpillTargets is the number of targets, after the preferred one, that an
 	// object's requests may spill to.
 	maxSpillTargets = 2
+	// maxFasterShare is the expected time at another target, as a fraction of that at the
+	// preferred one, up to which a request goes there because the preferred one is slow.
+	maxFasterShare = 0.75
 	// minRegionWeight is the least weight per slot of a region whose capacity is not
 	// needed. It is above 0 so that the region's targets still rank, after all
 	// others, in an order that is the same at all instances.
@@ -87,11 +90,12 @@
 // Reason says why a target was chosen or why the request was refused.
 type Reason string
 
-// The first four say why a target was chosen, the others why none was.
+// The first five say why a target was chosen, the others why none was.
 const (
 	Preferred Reason = "preferred" // the highest-ranked target, or the less loaded of two if there is no object
 	Spilled   Reason = "spilled"   // a higher-ranked target was full
 	Evaded    Reason = "evaded"    // a higher-ranked target was ejected, cold, or paused
+	Faster    Reason = "faster"    // a higher-ranked target works slowly at this moment
 	Forced    Reason = "forced"    // every eligible target was ejected or over its cold rate
 	NoTarget  Reason = "no-target" // no target may run the request
 	Full      Reason = "full"      // the wait would be too long
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -40,25 +40,61 @@
 	if first != candidates[0].targetState || refusing.topScore > candidates[0].score {
 		reason = Evaded
 	}
+	others := usable[1:min(len(usable), 1+maxSpillTargets)]
+	if s := b.faster(first, others, candidates, r, key, now); s != nil {
+		return b.grant(s, r, Faster, now), true
+	}
 	if b.waitAcceptable(first, r, now) {
 		return b.grant(first, r, reason, now), true
 	}
-	others := usable[1:min(len(usable), 1+maxSpillTargets)]
 	for _, s := range others {
 		if s.hasCached(key) && b.waitAcceptable(s, r, now) {
 			return b.grant(s, r, Spilled, now), true
 		}
 	}
-	if utilization(candidates, r, now) < maxSpillUtilization {
-		for _, s := range others {
-			if r.loadAt(s, now) < maxSpillTargetUtilization*float64(s.Slots) && b.waitAcceptable(s, r, now) {
-				return b.grant(s, r, Spilled, now), true
-			}
-		}
+	if s := b.withRoomToTeach(others, candidates, r, now); s != nil {
+		return b.grant(s, r, Spilled, now), true
 	}
 	return b.full(first, r, now), false
 }
 
+// withRoomToTeach returns the first target with spare capacity for a request whose object it
+// has not cached, if those that may run the request have spare capacity, or nil.
+func (b *Balancer) withRoomToTeach(others []*targetState, candidates []candidate, r Request, now time.Duration) *targetState {
+	if utilization(candidates, r, now) >= maxSpillUtilization {
+		return nil
+	}
+	for _, s := range others {
+		if r.loadAt(s, now) < maxSpillTargetUtilization*float64(s.Slots) && b.waitAcceptable(s, r, now) {
+			return s
+		}
+	}
+	return nil
+}
+
+// faster returns a target that is expected to answer much sooner than the first one, which
+// has said that it works slowly at this moment: one that has the object cached, or, if the
+// first one would be late, one that can learn it for the next time. It returns nil if there
+// is none.
+func (b *Balancer) faster(first *targetState, others []*targetState, candidates []candidate, r Request, key uint64, now time.Duration) *targetState {
+	usual := b.medianLatency[r.Route]
+	if usual == 0 || first.paceNow(now) <= 1 {
+		return nil
+	}
+	expected := func(s *targetState) float64 { return b.expectedWait(s, now).Seconds() + usual*s.paceNow(now) }
+	atFirst := expected(first)
+	for _, s := range others {
+		if s.hasCached(key) && expected(s) <= maxFasterShare*atFirst && b.waitAcceptable(s, r, now) {
+			return s
+		}
+	}
+	if r.Objective <= 0 || atFirst <= r.Objective.Seconds() {
+		return nil
+	}
+	usualPace := slices.DeleteFunc(slices.Clone(others), func(s *targetState) bool { return s.paceNow(now) > 1 })
+	return b.withRoomToTeach(usualPace, candidates, r, now)
+}
+
 // usable returns the first candidates that are neither ejected nor over the rate of
 // a cold target, at most 1+maxSpillTargets. Those that return from a pause and do not
 // yet get the request back are among them only if returning is true.
--- a/internal/affinity/learn.go
+++ b/internal/affinity/learn.go
@@ -18,12 +18,15 @@
 		s.reportedLoad, s.reportedAt, s.inFlightAtReport = r.Load, now, s.inFlight
 		s.group.recordLoad(s.reportedOthers()/float64(max(s.Slots, 1)), now)
 	}
+	if r.Pace > 0 {
+		s.pace, s.paceAt = r.Pace, now
+	}
 	// A target with more requests than slots rejects and delays requests although it
 	// is healthy, so that does not count against it.
 	atCapacity := g.Load+1 > float64(s.Slots) || r.HasLoad && r.Load >= s.Slots
 	switch r.Outcome {
 	case Answered:
-		b.learnFromResponse(s, g, r.Elapsed, now)
+		b.learnFromResponse(s, g, r, now)
 	case Rejected:
 		s.process.RecordRejection(now)
 		if !atCapacity {
@@ -61,16 +64,17 @@
 }
 
 // learnFromResponse updates the target's state and the latency estimates after a good
-// response. Responses of cold targets do not count for latency.
-func (b *Balancer) learnFromResponse(s *targetState, g Grant, elapsed time.Duration, now time.Duration) {
+// response. Responses of cold targets do not count for latency, and those of a target that
+// is slow for a moment, by its own word, as if it had been as usual.
+func (b *Balancer) learnFromResponse(s *targetState, g Grant, r Report, now time.Duration) {
 	s.process.RecordSuccess(now)
 	if g.object != 0 {
 		s.markCached(g.object, now)
 	}
-	if g.Cold || elapsed <= 0 {
+	if g.Cold || r.Elapsed <= 0 {
 		return
 	}
-	took := max(elapsed-g.Wait, time.Millisecond).Seconds()
+	took := max(r.Elapsed-g.Wait, time.Millisecond).Seconds() / min(max(r.Pace, 1), maxPace)
 	median := b.medianLatency[g.route]
 	if median == 0 {
 		median = took
--- a/internal/affinity/target.go
+++ b/internal/affinity/target.go
@@ -50,6 +50,12 @@
 const (
 	// reportedLoadTTL is the time over which a load reported by a target fades to 0.
 	reportedLoadTTL = 2 * time.Second
+	// paceTTL is the time over which a reported pace fades: targets share their machines with
+	// others, and their pace changes several times a second.
+	paceTTL = 600 * time.Millisecond
+	// maxPace bounds the pace that is believed. A target is never taken for faster than usual,
+	// so that none draws requests by what it says.
+	maxPace = 10.0
 	// maxCachedObjects is the number of objects that a target is assumed to have
 	// cached at most.
 	maxCachedObjects = 32
@@ -69,6 +75,9 @@
 	reportedAt       time.Duration
 	inFlightAtReport int
 
+	pace   float64 // last one reported, as a factor on the usual time; 0 if none
+	paceAt time.Duration
+
 	// The end of the cold start, and the token bucket that limits this instance's
 	// requests until then.
 	coldUntil      time.Duration
@@ -87,6 +96,16 @@
 	return float64(s.inFlight) + reportWeight(s.reportedAt, now)*s.reportedOthers()
 }
 
+// paceNow returns by which factor work at the target is expected to take longer than usual
+// at this moment. A report counts less as it ages.
+func (s *targetState) paceNow(now time.Duration) float64 {
+	fresh := 1 - float64(now-s.paceAt)/float64(paceTTL)
+	if s.pace <= 1 || fresh <= 0 {
+		return 1
+	}
+	return 1 + (min(s.pace, maxPace)-1)*fresh
+}
+
 // reportedOthers returns the number of other instances' requests by the last report.
 func (s *targetState) reportedOthers() float64 {
 	return max(float64(s.reportedLoad-s.inFlightAtReport), 0)
