affinity: senders to a cold target change only when the former part is over

Cause: each instance took the three senders from its list of the moment. At each change of the list a successor began at once and with a full bucket, while an instance that had left the list, or had an old one, went on.

Change: an instance that leaves the list counts as a sender for a settle time. An instance sends only while its list is current, has been for that time and has named it by one entry for as long. A turn begins without tokens. The bucket holds 1.5 requests in place of 2, so that the sum is within 1.5 x rate + 5 for any rate.

The calls of SetInstances in the tests name the time, as the method now does; what they check is unchanged.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -9,13 +9,6 @@
 )
 
 const (
-	// maxColdSenders is the number of instances that may send to one cold target,
-	// which is a target in its cold-start period. They share equally the rate that
-	// the target gets during that period (see Balancer.SetColdStart).
-	maxColdSenders = 3
-	// coldBurst is the token bucket size, in requests, of one instance for one cold
-	// target.
-	coldBurst = 2.0
 	// defaultLatency is the assumed mean latency of a group of targets that has not
 	// answered yet.
 	defaultLatency = 300 * time.Millisecond
@@ -160,7 +153,7 @@
 	services    map[string][]*targetState
 	closedZones map[string]bool // availability zones that get no requests
 	coldLimits  map[string]coldLimit
-	instances   []string // names of the live instances, which share the cold rates
+	senders     coldSenders
 
 	groups        map[groupKey]*targetGroup
 	medianLatency map[string]float64 // route → estimated median latency, seconds
@@ -187,7 +180,7 @@
 		self: self, region: region, regionCount: regionCount,
 		groups: map[groupKey]*targetGroup{}, medianLatency: map[string]float64{},
 		regionMixes: map[string]*regionMix{}, targets: map[string]*targetState{}, services: map[string][]*targetState{},
-		closedZones: map[string]bool{}, coldLimits: map[string]coldLimit{}, instances: []string{self},
+		closedZones: map[string]bool{}, coldLimits: map[string]coldLimit{}, senders: newColdSenders(self),
 		selfHash: xxhash.Sum64String(self), processes: map[string]*process{},
 	}
 }
@@ -267,11 +260,6 @@
 	b.markRegionsChanged()
 }
 
-// SetInstances sets the names of the live instances.
-func (b *Balancer) SetInstances(instances []string) {
-	b.instances = instances
-}
-
 // StillValid reports whether the granted target may still be sent to. It is for a
 // check right before sending, since the target may have left, restarted, moved or asked
 // for a pause, or its service or zone been corrected or its zone closed, after the
--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -245,7 +245,7 @@
 			b := New(name, "r0", 3)
 			b.SetColdStart(service, rate, 3*time.Second)
 			b.SetTargets(targets, 0)
-			b.SetInstances(names)
+			b.SetInstances(names, 0)
 			all = append(all, b)
 		}
 		var sent []time.Duration
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -280,34 +280,3 @@
 	s.inFlight++
 	return g
 }
-
-// takeColdToken reports whether this instance may send one more request to a cold
-// target, and takes a token if consume is true. The maxColdSenders instances that
-// rank highest by a hash of target and instance share the target's cold rate, so that
-// all instances agree on them without communicating.
-func (b *Balancer) takeColdToken(s *targetState, now time.Duration, consume bool) bool {
-	limit := b.coldLimits[s.Service]
-	if limit.rate <= 0 {
-		return true
-	}
-	rank := 0
-	ownHash := xxhash.Sum64String(s.ID + "/" + b.self)
-	for _, name := range b.instances {
-		if name != b.self && xxhash.Sum64String(s.ID+"/"+name) > ownHash {
-			rank++
-		}
-	}
-	if rank >= maxColdSenders {
-		return false
-	}
-	share := limit.rate / float64(min(maxColdSenders, max(len(b.instances), 1)))
-	s.coldTokens = min(s.coldTokens+share*(now-s.coldRefilledAt).Seconds(), coldBurst)
-	s.coldRefilledAt = now
-	if s.coldTokens < 1 {
-		return false
-	}
-	if consume {
-		s.coldTokens--
-	}
-	return true
-}
--- a/internal/affinity/target.go
+++ b/internal/affinity/target.go
@@ -74,6 +74,7 @@
 	coldUntil      time.Duration
 	coldTokens     float64
 	coldRefilledAt time.Duration
+	coldTurn       coldTurn
 
 	countedSlots float64 // slots counted in regionMix.slots; 0 if the target was not usable then
 	pauseCounted bool    // whether its present pause has counted; see regionMix.countsAsPaused
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -218,6 +218,10 @@
 	e.follower = newFollower(e)
 	set.Gauge("store_revision", func() int64 { return int64(e.follower.revision()) })
 	set.Gauge("store_revision_heard_of", e.follower.heardOf.Load)
+	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, _ time.Duration) {
+		maxAge := s.maxConfigurationStaleness()
+		b.ShareColdTargets(maxAge, 2*maxAge+registrationGrace)
+	})
 	e.members = newMembers(s, func() bool { return e.gateway.Staleness() < maxSelfListingStaleness }, e.homeRegions)
 	return e
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -219,6 +219,7 @@
 	f.feed.Replace(a.entries, a.revision)
 	f.apply(f.mirror, f.mirror.Replace(a.entries, a.revision, now()))
 	f.confirmConfiguration() // not before the changes are in force
+	f.confirmInstances(f.currentAsOf)
 	f.notifyFollowers()
 	return nil
 }
@@ -240,6 +241,7 @@
 	hasNew := f.feed.Apply(changes, revision)
 	f.apply(f.mirror, f.mirror.Apply(changes, revision, now()))
 	f.confirmConfiguration() // not before the changes are in force
+	f.confirmInstances(f.currentAsOf)
 	if hasNew || regained {
 		f.notifyFollowers()
 	}
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -111,14 +111,19 @@
 // and what depends on it: the quota shares and the choice of a source.
 func (e *Edge) applyMembers(m *mirror.Mirror) {
 	var list []member
+	self := uint64(0) // revision of this instance's entry
 	m.Each(e.storeKeys.OwnPrefix+instancePrefix, func(entry platform.Entry) {
 		instance, err := decodeMember(entry.Value)
 		if err != nil {
 			e.log.Warn().Err(err).Str("key", entry.Key).Msg("instance: entry cannot be used")
 			return
 		}
+		if instance.Name == e.Name {
+			self = entry.Revision
+		}
 		list = append(list, instance)
 	})
+	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.SetRegistration(self, now) })
 	names, changed := e.members.replace(list)
 	if !changed {
 		return
@@ -128,3 +133,8 @@
 	e.follower.chooser.SetLiveInstances(e.Name, region, otherRegions, slices.Concat(departed, e.PeerSeeds))
 	e.log.Info().Uint64("revision", m.Revision()).Strs("instances", names).Msg("instances: changed")
 }
+
+// confirmInstances tells the balancer as of when the instances in the copy were current.
+func (e *Edge) confirmInstances(currentAsOf time.Duration) {
+	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.SetInstancesCurrentAsOf(currentAsOf, now) })
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,8 +137,9 @@
 func (g *Gateway) SetInstances(names []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.balancer.SetInstances(names)
-	g.limiter.SetInstances(len(names), clock.SinceBoot())
+	now := clock.SinceBoot()
+	g.balancer.SetInstances(names, now)
+	g.limiter.SetInstances(len(names), now)
 	g.retries.setInstances(len(names))
 }
 
