--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -168,20 +168,21 @@
 // view of the fleet and its part in the fleet's quotas.
 type Edge struct {
 	Settings
-	adapter    Adapter
-	storeKeys  StoreKeys
-	store      platform.Store
-	gateway    *gateway.Gateway
-	members    *members
-	hub        *hubServer
-	levels     *levelUpdates
-	follower   *follower
-	targets    map[string]registration // given to the balancer, by store key
-	decoded    map[string]registration // newest decoded ones, by store key
-	metrics    *metrics.Set
-	logs       *logging.Log
-	log        *log.Logger
-	configured chan struct{} // closed when the first configuration is in force
+	adapter         Adapter
+	storeKeys       StoreKeys
+	store           platform.Store
+	gateway         *gateway.Gateway
+	members         *members
+	hub             *hubServer
+	levels          *levelUpdates
+	follower        *follower
+	targets         map[string]registration // given to the balancer, by store key
+	decoded         map[string]registration // newest decoded ones, by store key
+	unusableMembers map[string]error        // why instances' entries cannot be used, by store key
+	metrics         *metrics.Set
+	logs            *logging.Log
+	log             *log.Logger
+	configured      chan struct{} // closed when the first configuration is in force
 	// configurationApplied says that the configuration in force is the one in the copy
 	// of the store. The follower's lock guards it.
 	configurationApplied bool
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -67,18 +68,35 @@
 	return min(linkMbps/fullWeightLinkMbps, 1)
 }
 
-// decodeMember decodes an instance's entry and checks that it can be used.
-func decodeMember(value []byte) (member, error) {
-	var m member
-	if err := json.Unmarshal(value, &m); err != nil {
-		return m, errors.Wrap(err, "instance")
+// decodeMember decodes the entry of the instance with the given name and checks that it
+// can be used. Instances write all fields.
+func decodeMember(name string, value []byte) (member, error) {
+	var entry struct {
+		member
+		Weight *float64 `json:"weight"` // nil if missing
 	}
-	if m.Name == "" || m.Address == "" {
-		return m, errors.New("instance entry has no name or no address")
+	if err := json.Unmarshal(value, &entry); err != nil {
+		return member{}, errors.Wrap(err, "instance")
 	}
-	if m.Weight < 0 || m.Weight > 1 {
-		return m, errors.Newf("instance's weight %g is not between 0 and 1", m.Weight)
+	m := entry.member
+	switch {
+	case m.Name != name:
+		return m, errors.Newf("entry names another instance, %q", m.Name)
+	case m.Address == "" || m.PeerAddress == "":
+		return m, errors.New("address or peer_address is missing")
+	case m.AvailabilityZone == "" || m.Region == "":
+		return m, errors.New("availability_zone or region is missing")
+	case entry.Weight == nil:
+		return m, errors.New("weight is missing")
+	case *entry.Weight < 0 || *entry.Weight > 1:
+		return m, errors.Newf("weight %g is not between 0 and 1", *entry.Weight)
 	}
+	for _, address := range []string{m.Address, m.PeerAddress} {
+		if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
+			return m, errors.Newf("%q is not an IP address and port", address)
+		}
+	}
+	m.Weight = *entry.Weight
 	return m, nil
 }
 
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -30,9 +30,6 @@
 	r := registration{revision: entry.Revision}
 	r.target, r.err = e.adapter.Target(strings.TrimPrefix(entry.Key, e.storeKeys.TargetPrefix), entry.Value)
 	r.target.Region = e.RegionByZone[r.target.AvailabilityZone]
-	if r.err != nil && (!ok || known.err == nil) {
-		e.log.Warn().Err(r.err).Uint64("revision", entry.Revision).Msg("target: registration cannot be used")
-	}
 	e.decoded[entry.Key] = r
 	return r
 }
@@ -69,6 +66,12 @@
 		r := e.decodeTarget(entry)
 		seen[entry.Key] = r
 		old, ok := e.targets[entry.Key]
+		switch {
+		case r.err != nil && !sameError(old.err, r.err):
+			e.log.Warn().Err(r.err).Uint64("revision", r.revision).Msg("target: registration cannot be used")
+		case r.err == nil && old.err != nil:
+			e.log.Info().Str("target", r.target.ID).Uint64("revision", r.revision).Msg("target: registration can be used again")
+		}
 		changed = changed || !ok || !sameTarget(old.target, r.target) || (old.err == nil) != (r.err == nil)
 		if r.err != nil || table == nil || table.Services[r.target.Service] == nil {
 			return
@@ -94,6 +97,9 @@
 	e.log.Info().Uint64("revision", m.Revision()).Int("targets", len(targets)).Int("leaving", leaving).Msg("targets: changed")
 }
 
+// sameError reports whether two entries cannot be used for the same reason.
+func sameError(old, next error) bool { return old != nil && old.Error() == next.Error() }
+
 // endedTargets returns the sorted ids of the targets whose processes are in the old
 // registrations but not in the next.
 func endedTargets(old, next map[string]registration) []string {
@@ -112,10 +118,14 @@
 func (e *Edge) applyMembers(m *mirror.Mirror) {
 	var list []member
 	self := uint64(0) // revision of this instance's entry
+	unusable := map[string]error{}
 	m.Each(e.storeKeys.OwnPrefix+instancePrefix, func(entry platform.Entry) {
-		instance, err := decodeMember(entry.Value)
+		instance, err := decodeMember(strings.TrimPrefix(entry.Key, e.storeKeys.OwnPrefix+instancePrefix), entry.Value)
 		if err != nil {
-			e.log.Warn().Err(err).Str("key", entry.Key).Msg("instance: entry cannot be used")
+			unusable[entry.Key] = err
+			if !sameError(e.unusableMembers[entry.Key], err) {
+				e.log.Warn().Err(err).Str("key", entry.Key).Msg("instance: entry cannot be used")
+			}
 			return
 		}
 		if instance.Name == e.Name {
@@ -123,6 +133,7 @@
 		}
 		list = append(list, instance)
 	})
+	e.unusableMembers = unusable
 	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.SetRegistration(self, now) })
 	names, changed := e.members.replace(list)
 	if !changed {
@@ -136,5 +147,7 @@
 
 // confirmInstances tells the balancer as of when the instances in the copy were current.
 func (e *Edge) confirmInstances(currentAsOf time.Duration) {
-	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.SetInstancesCurrentAsOf(currentAsOf, now) })
+	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) {
+		b.SetInstancesCurrentAsOf(currentAsOf, now)
+	})
 }
