gateway, entry: a response with a status that is none is no answer

Cause: net/http reads any three characters that make a number as a status, and any version of HTTP. edge took 000 to 099 for informational responses and the body for the next head; it and serve passed on 600 to 999; serve broke the caller's connection for 000 to 099.

Change: internal/statusline judges each head that net/http has read, for both: versions 1.0 and 1.1, status 100 to 599, no 101. Anything else counts as a broken exchange: 502, or another target if the request may run again; the connection is closed.

--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/turmericfield/turmericfield/internal/attempt"
+	"github.com/turmericfield/turmericfield/internal/statusline"
 )
 
 const (
@@ -81,6 +82,10 @@
 		err = errors.Mark(err, errHeaderTimeout)
 	}
 	if err == nil {
+		if _, err := statusline.Final(response); err != nil {
+			_ = response.Body.Close()
+			return nil, e, err
+		}
 		e.repeatsTryID = response.Header.Get(TryHeader) == r.Header.Get(TryHeader)
 		if e.repeatsTryID {
 			t.withoutTryID.Delete(r.URL.Host)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/turmericfield/turmericfield/internal/statusline"
 )
 
 const (
@@ -44,9 +46,6 @@
 var (
 	errTooManyBytes        = errors.New("response has too many bytes")
 	errMismatchedResponses = errors.New("responses on the connection belong to other requests")
-	// errSwitchedProtocols is returned for status 101: no request asks for
-	// another protocol, as Upgrade headers are not forwarded.
-	errSwitchedProtocols = errors.New("target switched to another protocol")
 )
 
 // evidence is what proves that a response answers the request that was sent.
@@ -190,13 +189,11 @@
 func readResponse(reader *bufio.Reader, r *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(reader, r)
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, err
-		case response.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errSwitchedProtocols
-		case response.StatusCode >= 200:
-			return response, nil
+		}
+		if final, err := statusline.Final(response); err != nil || final {
+			return response, err
 		}
 	}
 }
--- /dev/null
+++ b/internal/standin/statuslines/statuslines.go
@@ -0,0 +1,63 @@
+// Package statuslines lists first lines of responses, valid and not, with which targets
+// are played in tests.
+package statuslines
+
+// Line is the first line of a response, without its end.
+type Line struct {
+	Name, Text string
+	// Valid says that callers get the response, with status 200.
+	Valid bool
+	// Repeated says that the line comes again and again, as the head of a response
+	// without headers, before another one.
+	Repeated bool
+}
+
+// Lines returns the lines.
+func Lines() []Line {
+	return []Line{
+		{Name: "three zeros", Text: "HTTP/1.1 000 X"},
+		{Name: "three zeros, no reason", Text: "HTTP/1.1 000"},
+		{Name: "one", Text: "HTTP/1.1 001 X"},
+		{Name: "zero first", Text: "HTTP/1.1 020 X"},
+		{Name: "zero first, below 100", Text: "HTTP/1.1 099 X"},
+		{Name: "600", Text: "HTTP/1.1 600 X"},
+		{Name: "700", Text: "HTTP/1.1 700 X"},
+		{Name: "999", Text: "HTTP/1.1 999 X"},
+		{Name: "two digits", Text: "HTTP/1.1 20 X"},
+		{Name: "four digits", Text: "HTTP/1.1 2000 X"},
+		{Name: "four digits, zero first", Text: "HTTP/1.1 0200 X"},
+		{Name: "plus", Text: "HTTP/1.1 +20 X"},
+		{Name: "plus and three digits", Text: "HTTP/1.1 +200 X"},
+		{Name: "minus", Text: "HTTP/1.1 -20 X"},
+		{Name: "minus zero", Text: "HTTP/1.1 -00 X"},
+		{Name: "letters", Text: "HTTP/1.1 OK X"},
+		{Name: "hexadecimal", Text: "HTTP/1.1 0xC X"},
+		{Name: "digits of another script", Text: "HTTP/1.1 ２ X"},
+		{Name: "space in the status", Text: "HTTP/1.1 2 00 X"},
+		{Name: "space before the line", Text: " HTTP/1.1 200 X"},
+		{Name: "tab for a space", Text: "HTTP/1.1\t200 X"},
+		{Name: "tab after the status", Text: "HTTP/1.1 200\tX"},
+		{Name: "no status", Text: "HTTP/1.1"},
+		{Name: "no status but a space", Text: "HTTP/1.1 "},
+		{Name: "no version", Text: "200 OK"},
+		{Name: "HTTP/0.9", Text: "HTTP/0.9 200 X"},
+		{Name: "HTTP/1.2", Text: "HTTP/1.2 200 X"},
+		{Name: "HTTP/2.0", Text: "HTTP/2.0 200 X"},
+		{Name: "HTTP/2", Text: "HTTP/2 200 X"},
+		{Name: "HTTP/3.0", Text: "HTTP/3.0 200 X"},
+		{Name: "HTTP/1.10", Text: "HTTP/1.10 200 X"},
+		{Name: "lower case", Text: "http/1.1 200 X"},
+		{Name: "another protocol", Text: "RTSP/1.1 200 X"},
+		{Name: "101 that nobody asked for", Text: "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x"},
+		{Name: "101 without headers", Text: "HTTP/1.1 101 X"},
+		{Name: "100 without end", Text: "HTTP/1.1 100 X", Repeated: true},
+		{Name: "102 without end", Text: "HTTP/1.1 102 X", Repeated: true},
+		{Name: "199 without end", Text: "HTTP/1.1 199 X", Repeated: true},
+
+		{Name: "no reason", Text: "HTTP/1.1 200", Valid: true},
+		{Name: "no reason but a space", Text: "HTTP/1.1 200 ", Valid: true},
+		{Name: "two spaces before the status", Text: "HTTP/1.1  200 X", Valid: true},
+		{Name: "reason with spaces and digits", Text: "HTTP/1.1 200  000 X", Valid: true},
+		{Name: "103 before it", Text: "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 X", Valid: true},
+	}
+}
