--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -169,20 +169,21 @@
 // view of the fleet and its part in the fleet's quotas.
 type Edge struct {
 	Settings
-	adapter    Adapter
-	storeKeys  StoreKeys
-	store      platform.Store
-	gateway    *gateway.Gateway
-	members    *members
-	hub        *hubServer
-	levels     *levelUpdates
-	follower   *follower
-	targets    map[string]registration // given to the balancer, by store key
-	decoded    map[string]registration // newest decoded ones, by store key
-	metrics    *metrics.Set
-	logs       *logging.Log
-	log        *log.Logger
-	configured chan struct{} // closed when the first configuration is in force
+	adapter         Adapter
+	storeKeys       StoreKeys
+	store           platform.Store
+	gateway         *gateway.Gateway
+	members         *members
+	hub             *hubServer
+	levels          *levelUpdates
+	follower        *follower
+	targets         map[string]registration // given to the balancer, by store key
+	decoded         map[string]registration // newest decoded ones, by store key
+	unusableMembers map[string]error        // why instances' entries cannot be used, by store key
+	metrics         *metrics.Set
+	logs            *logging.Log
+	log             *log.Logger
+	configured      chan struct{} // closed when the first configuration is in force
 	// configurationApplied says that the configuration in force is the one in the copy
 	// of the store. The follower's lock guards it.
 	configurationApplied bool
@@ -219,6 +220,10 @@
 	e.follower = newFollower(e)
 	set.Gauge("store_revision", func() int64 { return int64(e.follower.revision()) })
 	set.Gauge("store_revision_heard_of", e.follower.heardOf.Load)
+	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, _ time.Duration) {
+		maxAge := s.maxConfigurationStaleness()
+		b.ShareColdTargets(maxAge, 2*maxAge+registrationGrace)
+	})
 	e.members = newMembers(s, func() bool { return e.gateway.Staleness() < maxSelfListingStaleness }, e.homeRegions)
 	return e
 }
