edge: bound what is held for followers in bytes

Cause: the log of changes was bounded by count (4096) and not by bytes, so that 265 configurations of 1 MB filled 284 MB; copies for followers that do not read had no bound at all, and each part of 32 KiB took a buffer of 1 MiB in gRPC. Change: changefeed.Budget, an eighth of the memory limit, covers the log, the serialized copies in transfer and the answers being sent. Changes of over 128 KiB are not logged; a follower behind them is told at once to take a whole copy. Who asks beyond the limit is refused at once and asks another source. Copies that are not taken for a second are broken off. Parts fit gRPC's buffers of 32 KiB. TestCopyIsSentWithTheAgeOfItsProof calls openCopy in place of serialize.

--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -1,8 +1,8 @@
 // Package changefeed lets the instances of a region receive the changes of the
 // platform's key-value store through one of them. It contains the parts that
 // need neither network nor clock: Feed, the changes that an instance can pass
-// on to its followers, and SourceChooser, which decides whom an instance
-// follows.
+// on to its followers, Budget, which bounds the memory held for them, and
+// SourceChooser, which decides whom an instance follows.
 //
 // It exists for fleets with many instances and many targets: the store serves
 // only a few calls per second, each heartbeat of a target is a change, and if
@@ -20,8 +20,8 @@
 )
 
 // maxLoggedChanges bounds the changes that are kept for followers; a follower
-// that is further behind must list the store. It covers some seconds in which
-// every entry of the fleet changes.
+// that is further behind needs a whole copy. It covers some seconds in which every entry
+// of the fleet changes. The log is bounded in bytes as well, see Budget.
 const maxLoggedChanges = 4096
 
 // maxBatchChanges is the number of changes that are sent to a follower at once,
@@ -39,6 +39,7 @@
 
 	entries       map[string]platform.Entry // newest known, by key
 	log           []loggedChange            // ordered by position
+	budget        *Budget                   // bounds and records the bytes of the log
 	completeSince uint64                    // log holds all changes after this revision
 	revision      uint64                    // all changes up to this revision were applied
 	gaps          []Gap
@@ -57,11 +58,18 @@
 	change   platform.Change
 }
 
+func (c loggedChange) size() int64 {
+	return int64(len(c.change.Entry.Key)+len(c.change.Entry.Value)) + changeOverheadBytes
+}
+
 // NewFeed returns an empty feed.
 func NewFeed(equivalent func(old, next platform.Entry) bool) *Feed {
-	return &Feed{equivalent: equivalent, entries: map[string]platform.Entry{}}
+	return &Feed{equivalent: equivalent, entries: map[string]platform.Entry{}, budget: NewBudget(0)}
 }
 
+// SetBudget sets what bounds the log in bytes. It must be called before the first change.
+func (f *Feed) SetBudget(b *Budget) { f.budget = b }
+
 // Replace takes a whole copy of the store at a revision, not older than that of the
 // feed, and reports whether there is anything to pass on. Followers that are not ahead of
 // the copy before receive the difference to it. The first copy shows no difference, so
@@ -101,6 +109,9 @@
 	return changes
 }
 
+// Revision returns the revision up to which the entries are complete.
+func (f *Feed) Revision() uint64 { return f.revision }
+
 // Entries returns all entries, in no particular order, and the revision up to which they
 // are complete.
 func (f *Feed) Entries() ([]platform.Entry, uint64) {
@@ -119,23 +130,49 @@
 // Apply takes changes, after which the copy is complete up to the revision, and
 // reports whether there is anything to pass on.
 func (f *Feed) Apply(changes []platform.Change, revision uint64) bool {
-	before, position := len(f.log), f.revision
+	hasNew, position := false, f.revision
 	for _, c := range changes {
 		position = max(position, c.Entry.Revision)
 		if f.update(c) {
-			f.log = append(f.log, loggedChange{position, c})
+			hasNew = true
+			f.appendToLog(loggedChange{position, c})
 		}
 	}
 	f.revision = max(position, revision)
-	hasNew := len(f.log) > before
-	if excess := len(f.log) - maxLoggedChanges; excess > 0 {
-		f.completeSince = f.log[excess-1].position
-		f.log = slices.Clone(f.log[excess:])
-		f.gaps = slices.DeleteFunc(f.gaps, func(g Gap) bool { return g.To <= f.completeSince })
-	}
 	return hasNew
 }
 
+// appendToLog logs a change. A large one is not kept, so that followers behind it need a
+// whole copy, and nor are the changes before it, which nobody can use then. Otherwise the
+// oldest changes make room for it.
+func (f *Feed) appendToLog(c loggedChange) {
+	if c.size() > MaxChangeBytes {
+		f.log = nil
+		f.budget.log = 0
+		f.forgetUntil(c.position)
+		return
+	}
+	f.log = append(f.log, c)
+	f.budget.log += c.size()
+	excess := 0
+	for len(f.log)-excess > maxLoggedChanges || f.budget.log > f.budget.LogLimit() && excess < len(f.log) {
+		f.budget.log -= f.log[excess].size()
+		excess++
+	}
+	if excess > 0 {
+		position := f.log[excess-1].position
+		clear(f.log[:excess]) // the array lives on until append replaces it
+		f.log = f.log[excess:]
+		f.forgetUntil(position)
+	}
+}
+
+// forgetUntil records that the log no longer has all changes up to a revision.
+func (f *Feed) forgetUntil(revision uint64) {
+	f.completeSince = revision
+	f.gaps = slices.DeleteFunc(f.gaps, func(g Gap) bool { return g.To <= revision })
+}
+
 // update updates an entry and reports whether followers need the change. A
 // change that a listing already contained, because it happened while the
 // listing was read, may be new to them.
--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/turmericfield/turmericfield/api/fleetpb"
@@ -15,10 +17,14 @@
 
 const (
 	// copyPartBytes is the size of a part of a copy in bytes, which a narrow link
-	// transfers in a fraction of copyPartTimeout.
-	copyPartBytes = 32 << 10
+	// transfers in a fraction of copyPartTimeout. The encoded part is not larger than
+	// smallBufferBytes.
+	copyPartBytes = smallBufferBytes - 64
 	// copyPartTimeout bounds the time until the next part of a copy arrives.
 	copyPartTimeout = 500 * time.Millisecond
+	// sendStallTimeout bounds the time until a part of a copy is taken. The receiver gives
+	// up after copyPartTimeout.
+	sendStallTimeout = 2 * copyPartTimeout
 	// maxCopyBytes bounds a copy in bytes, as maxListBytes bounds a listing of the store.
 	maxCopyBytes = 64 << 20
 )
@@ -31,15 +37,45 @@
 type serializedCopy struct {
 	revision uint64
 	entries  []byte // a FollowResponse with all entries and nothing else
+	users    int    // transfers that send it
 }
 
-// Copy implements fleetpb.FleetServer: it sends the whole copy of the store in parts.
+// Copy implements fleetpb.FleetServer: it sends the whole copy of the store in parts. It
+// fails if that exceeds what may be held for followers, or if a part is not taken in time.
 func (f fleetServer) Copy(_ *fleetpb.CopyRequest, to grpc.ServerStreamingServer[fleetpb.CopyPart]) error {
 	f.metrics.Add("copies_total", 1)
-	entries, state, err := f.follower.serialize()
+	call := f.follower.beginCall(to.Context())
+	defer f.follower.endCall(call)
+	c, state, err := f.follower.openCopy(call)
 	if err != nil {
 		return err
 	}
+	sent, done := make(chan struct{}, 1), make(chan error, 1)
+	go func() {
+		// A send that is not taken ends with the stream, after Copy has returned.
+		defer f.follower.closeCopy(c)
+		done <- sendCopy(c.entries, state, to, sent)
+	}()
+	stalled := time.NewTimer(sendStallTimeout)
+	defer stalled.Stop()
+	for {
+		select {
+		case err := <-done:
+			if err == nil {
+				f.follower.copyTaken(call)
+			}
+			return err
+		case <-sent:
+			stalled.Reset(sendStallTimeout)
+		case <-stalled.C:
+			f.metrics.Add("copies_stalled_total", 1)
+			return status.Error(codes.DeadlineExceeded, "a part of the copy was not taken in time")
+		}
+	}
+}
+
+// sendCopy sends a copy in parts and tells of each part that was taken.
+func sendCopy(entries, state []byte, to grpc.ServerStreamingServer[fleetpb.CopyPart], sent chan<- struct{}) error {
 	part := &fleetpb.CopyPart{Size: uint64(len(entries) + len(state))}
 	for len(entries) > 0 {
 		n := min(len(entries), copyPartBytes)
@@ -47,34 +83,69 @@
 		if err := to.Send(part); err != nil {
 			return err
 		}
+		select {
+		case sent <- struct{}{}:
+		default:
+		}
 		part = &fleetpb.CopyPart{}
 	}
 	part.Data = state
 	return to.Send(part)
 }
 
-// serialize returns a FollowResponse in two parts: one with all entries, and one with the
+// openCopy returns a FollowResponse in two parts: one with all entries, and one with the
 // revision and age of the copy. Messages that follow one another are merged when they are
-// read as one.
-func (f *follower) serialize() (entries, state []byte, err error) {
+// read as one. The first part is held until closeCopy.
+func (f *follower) openCopy(call *followerCall) (c *serializedCopy, state []byte, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.reserve(&call.conn.copies, copyBufferBytes); err != nil {
+		return nil, nil, err
+	}
 	list, revision := f.feed.Entries()
-	if f.serialized.revision != revision || f.serialized.entries == nil {
+	if f.serialized == nil || f.serialized.revision != revision {
+		f.dropSerialized()
 		out := &fleetpb.FollowResponse{Changes: make([]*fleetpb.Change, len(list))}
 		for i, e := range list {
 			out.Changes[i] = &fleetpb.Change{Key: e.Key, Value: e.Value, Revision: e.Revision}
 		}
+		size := int64(proto.Size(out))
+		if !f.budget.Reserve(size) {
+			return nil, nil, f.refuse(size)
+		}
 		data, err := proto.Marshal(out)
 		if err != nil {
+			f.budget.Release(size)
 			return nil, nil, errors.Wrap(err, "copy of the store")
 		}
-		f.serialized = serializedCopy{revision, data}
+		f.serialized = &serializedCopy{revision: revision, entries: data}
 	}
 	state, err = proto.Marshal(&fleetpb.FollowResponse{
 		Revision: revision, Via: f.via, Lost: f.lost || f.currentAsOf == 0, AgeNs: int64(now() - f.currentAsOf),
 	})
-	return f.serialized.entries, state, errors.Wrap(err, "copy of the store")
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "copy of the store")
+	}
+	f.serialized.users++
+	return f.serialized, state, nil
+}
+
+// closeCopy ends one use of a serialized copy.
+func (f *follower) closeCopy(c *serializedCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.users--; c.users == 0 && f.serialized != c {
+		f.budget.Release(int64(len(c.entries)))
+	}
+}
+
+// dropSerialized forgets the newest serialized copy, which may still be being sent. The
+// caller holds the lock.
+func (f *follower) dropSerialized() {
+	if c := f.serialized; c != nil && c.users == 0 {
+		f.budget.Release(int64(len(c.entries)))
+	}
+	f.serialized = nil
 }
 
 // askCopy asks another instance for its whole copy. The age that the instance tells is
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/turmericfield/turmericfield/internal/changefeed"
 	"github.com/turmericfield/turmericfield/internal/mirror"
@@ -31,14 +33,17 @@
 	currentAsOf time.Duration // time since boot at which the copy was known to be current; 0 if never
 	lost        bool          // a search has not found a current source yet; sent to followers
 	updated     chan struct{} // closed and replaced when there is something to tell followers
-	serialized  serializedCopy
+	serialized  *serializedCopy
+	budget      *changefeed.Budget // of what is held for followers
+	refusedAt   time.Duration      // time since boot of the last log line of a refusal; 0 if none
 
 	heardOf atomic.Int64 // newest store revision that a source has told of, current or not
 }
 
 func newFollower(e *Edge) *follower {
 	f := &follower{
-		Edge: e, timing: changefeed.Timing{WatchWait: e.WatchWait()},
+		budget: changefeed.NewBudget(e.MemoryBytes),
+		Edge:   e, timing: changefeed.Timing{WatchWait: e.WatchWait()},
 		chooser: changefeed.NewSourceChooser(), feed: changefeed.NewFeed(e.sameEntry), updated: make(chan struct{}),
 		mirror: mirror.New(mirror.Options{
 			LeasedPrefixes: []string{e.storeKeys.TargetPrefix, e.storeKeys.OwnPrefix}, Grace: registrationGrace, OutageThreshold: outageThreshold,
@@ -46,6 +51,8 @@
 		}),
 	}
 	f.chooser.SetLiveInstances(e.Name, nil, nil, e.PeerSeeds)
+	f.feed.SetBudget(f.budget)
+	f.registerMetrics()
 	return f
 }
 
@@ -291,6 +298,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.apply(f.mirror, f.mirror.Expire(now()))
+	if f.serialized != nil && f.serialized.revision != f.feed.Revision() {
+		f.dropSerialized()
+	}
 }
 
 // revision returns the store revision of the copy.
@@ -325,7 +335,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if errors.Is(err, errNotCurrent) {
+	if errors.Is(err, errNotCurrent) || status.Code(err) == codes.ResourceExhausted {
 		f.chooser.MarkBehind(source, now())
 	} else {
 		f.chooser.MarkFailed(source, now())
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -112,11 +113,11 @@
 	} {
 		f := newTestFollower(t, 5, entryAt("targets/t", "s", 4))
 		c.change(f)
-		entries, state, err := f.serialize()
+		sent, state, err := f.openCopy(f.beginCall(t.Context()))
 		if err != nil {
 			t.Fatal(err)
 		}
-		r, err := decodeCopy(append(entries, state...))
+		r, err := decodeCopy(slices.Concat(sent.entries, state))
 		if err != nil {
 			t.Fatalf("%s: %v", name, err)
 		}
--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -119,6 +119,7 @@
 func (e *Edge) servePeers(ctx context.Context, l net.Listener) {
 	server := grpc.NewServer(
 		grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes), grpc.MaxRecvMsgSize(maxPeerRequestBytes),
+		grpc.StatsHandler(followerConns{e.follower}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 5 * time.Second, Timeout: 2 * time.Second}))
 	fleetpb.RegisterFleetServer(server, fleetServer{Edge: e})
 	context.AfterFunc(ctx, server.Stop)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -19,7 +19,7 @@
 	// maxFollowBytes is the size of the changes in bytes above which a follower gets a
 	// whole copy in parts instead. A response of that size arrives within a call's timeout
 	// also on a narrow link.
-	maxFollowBytes = 128 << 10
+	maxFollowBytes = changefeed.MaxChangeBytes
 	// maxPeerResponseBytes is the maximum size of a response of another instance: a
 	// full log of changes with some large configurations among them.
 	maxPeerResponseBytes = 16 << 20
@@ -32,22 +32,25 @@
 var errNotCurrent = errors.New("the followed instance's copy of the store is not current")
 
 // Follow implements fleetpb.FleetServer: it returns the changes after a store revision,
-// and waits for some if there are none yet.
+// and waits for some if there are none yet. It fails if the response exceeds what may be
+// held for followers.
 func (f fleetServer) Follow(ctx context.Context, r *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
 	f.metrics.Add("follows_total", 1)
+	call := f.follower.beginCall(ctx)
+	defer f.follower.endCall(call)
 	arrivedAt := now()
 	end := time.NewTimer(time.Duration(r.GetWaitMs()) * time.Millisecond)
 	defer end.Stop()
 	for {
 		response, updated := f.follower.response(r.GetAfter(), arrivedAt)
 		if len(response.GetChanges()) > 0 || response.GetList() || response.GetLost() {
-			return response, nil
+			return f.follower.reserveResponse(call, response)
 		}
 		select {
 		case <-updated:
 		case <-end.C:
 			response, _ = f.follower.response(r.GetAfter(), arrivedAt)
-			return response, nil
+			return f.follower.reserveResponse(call, response)
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
