platform: list the store where a watch cannot be read

Cause: a watch whose response exceeds 4 MiB failed for good at the same revision, while a read of one key proved that the store answers; an entry above the store's limit made each page and each watch with it fail. Change: a response that cannot be read is marked so, and the next contact is a listing, not a read of one key. A value above the limit is left out while the response is read: its entry has its size, no value, and an error line; the others advance.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -23,6 +23,10 @@
 	timing changefeed.Timing
 	peer   peerConn // to the followed instance
 
+	// listedForSize says that no watch has succeeded since one whose response was too
+	// large. Only watch uses it.
+	listedForSize bool
+
 	mu          sync.Mutex // guards the fields below and keeps their effects in order
 	mirror      *mirror.Mirror
 	feed        *changefeed.Feed
@@ -141,8 +145,10 @@
 	}
 }
 
-// askStore asks the store for a listing if the copy cannot be completed otherwise. Else
-// it only makes sure that the store responds, as a watch returns changes at once.
+// askStore asks the store for a listing if the copy cannot be completed otherwise, which
+// includes that the response of a watch could not be read: that another call succeeds does
+// not show that the next watch will. Else it only makes sure that the store responds, as a
+// watch returns changes at once.
 func (f *follower) askStore(ctx context.Context) answer {
 	a := answer{source: changefeed.StoreSource, currentAsOf: now()}
 	if !f.needsCopy() {
@@ -169,6 +175,7 @@
 	askedAt := now()
 	err := f.store.Watch(watching, "", f.revision(), func(changes []platform.Change, revision uint64) {
 		f.applyCurrent(changes, revision, askedAt, nil)
+		f.listedForSize = false
 		if f.betterDue(changefeed.StoreSource) {
 			cancel()
 			return
@@ -183,7 +190,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.historyGone = errors.Is(err, platform.ErrHistoryGone)
+	f.historyGone = errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, platform.ErrUnreadable)
+	if errors.Is(err, platform.ErrTooLarge) && !f.listedForSize {
+		f.listedForSize = true
+		return errors.Mark(err, platform.ErrHistoryGone) // the store has not failed
+	}
 	return err
 }
 
@@ -223,6 +234,9 @@
 	f.markCurrent(a.source, a.via, a.currentAsOf)
 	f.log.Info().Str("source", sourceName(a.source)).Uint64("revision", a.revision).Int("entries", len(a.entries)).
 		Int64("source_age_ms", (now() - a.currentAsOf).Milliseconds()).Msg("store: copied")
+	for _, e := range a.entries {
+		f.logOmitted(e)
+	}
 	f.feed.Replace(a.entries, a.revision)
 	f.apply(f.mirror, f.mirror.Replace(a.entries, a.revision, now()))
 	f.confirmConfiguration() // not before the changes are in force
@@ -244,6 +258,9 @@
 	f.noteRevision(revision)
 	f.markCurrent(source, via, currentAsOf)
 	changes = f.unknownChanges(changes)
+	for _, c := range changes {
+		f.logOmitted(c.Entry)
+	}
 	hasNew := f.feed.Apply(changes, revision)
 	f.apply(f.mirror, f.mirror.Apply(changes, revision, now()))
 	f.confirmConfiguration() // not before the changes are in force
@@ -330,7 +347,7 @@
 // logs it unless a search goes on without result.
 func (f *follower) noteFailure(source string, err error) {
 	if errors.Is(err, platform.ErrHistoryGone) {
-		f.log.Info().Str("source", sourceName(source)).Uint64("revision", f.revision()).Msg("store: history is gone, a whole copy is needed")
+		f.log.Info().Str("source", sourceName(source)).Uint64("revision", f.revision()).AnErr("reason", err).Msg("store: history is gone, a whole copy is needed")
 		return
 	}
 	f.mu.Lock()
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -22,8 +22,14 @@
 	// ErrUnknownOutcome means that a write may or may not have taken effect: read
 	// the key before trying again.
 	ErrUnknownOutcome = errors.New("platform store gave no answer; the write may have taken effect")
-	ErrLeaseExpired   = errors.New("lease does not exist or has expired")
-	ErrValueTooLarge  = errors.New("value exceeds the store's limit")
+	// ErrUnreadable means that a response came which cannot be read, or which ends
+	// early. It shows nothing of what the store holds, also if another call succeeds.
+	ErrUnreadable = errors.New("platform store's response cannot be read")
+	// ErrTooLarge means that a response is larger than what is read at once: list the
+	// keys instead.
+	ErrTooLarge      = errors.New("platform store's response is too large")
+	ErrLeaseExpired  = errors.New("lease does not exist or has expired")
+	ErrValueTooLarge = errors.New("value exceeds the store's limit")
 	// ErrHistoryGone means that a watch cannot continue from its revision because
 	// the changes after it are no longer kept: list the keys again.
 	ErrHistoryGone = errors.New("the store no longer has this history")
@@ -35,6 +41,9 @@
 	Value    []byte
 	Revision uint64 // store revision that wrote it; 0: the key does not exist
 	LeaseID  uint64 // lease whose end deletes the key; 0: none
+	// OmittedBytes is the size of the value if it exceeds MaxValueBytes. Value is empty
+	// then.
+	OmittedBytes int
 }
 
 // Write is one compare-and-swap.
@@ -68,7 +77,8 @@
 // watch counts as one call for as long as it is open.
 //
 // Errors are marked with those above (see errors.Is). Reads and watches fail with
-// ErrUnavailable, and a watch also with ErrHistoryGone.
+// ErrUnavailable, and with ErrUnreadable or ErrTooLarge if there was a response. A watch
+// also fails with ErrHistoryGone.
 type Store interface {
 	// Get returns the entry of a key, with Revision 0 if the key does not exist.
 	Get(ctx context.Context, key string) (Entry, error)
