edge: keep room for answers beside copies

Change: copies leave an eighth of the budget to answers, so that followers in calm are not refused because of stuck ones.

--- a/internal/changefeed/budget.go
+++ b/internal/changefeed/budget.go
@@ -6,6 +6,9 @@
 	budgetShare = 8
 	// logShare is the fraction 1/logShare of the budget that the log of changes may take.
 	logShare = 4
+	// answerShare is the fraction 1/answerShare of the budget that copies leave free for
+	// answers, so that those who follow in calm are not refused because of some that copy.
+	answerShare = 8
 	// defaultMemoryBytes is the memory of an instance whose settings give no limit.
 	defaultMemoryBytes = 512 << 20
 	// MaxChangeBytes is the size in bytes of key and value above which a change is not
@@ -51,9 +54,16 @@
 // Refused returns how many reservations were refused.
 func (b *Budget) Refused() int64 { return b.refused }
 
-// Reserve takes bytes for something to send and reports whether they were free.
-func (b *Budget) Reserve(bytes int64) bool {
-	if b.sending+bytes > b.limit-b.LogLimit() {
+// Reserve takes bytes for an answer and reports whether they were free.
+func (b *Budget) Reserve(bytes int64) bool { return b.reserve(bytes, b.limit-b.LogLimit()) }
+
+// ReserveCopy takes bytes for a whole copy and reports whether they were free.
+func (b *Budget) ReserveCopy(bytes int64) bool {
+	return b.reserve(bytes, b.limit-b.LogLimit()-b.limit/answerShare)
+}
+
+func (b *Budget) reserve(bytes, limit int64) bool {
+	if b.sending+bytes > limit {
 		b.refused++
 		return false
 	}
--- a/internal/changefeed/budget_test.go
+++ b/internal/changefeed/budget_test.go
@@ -51,6 +51,14 @@
 		t.Errorf("held %d of %d, refused %d", b.Held(), b.Limit(), b.Refused())
 	}
 	b.Release(room)
+	copies := 0
+	for b.ReserveCopy(1 << 20) {
+		copies++
+	}
+	if copies == 0 || !b.Reserve(b.Limit()/answerShare) {
+		t.Errorf("%d copies leave no room for answers", copies)
+	}
+	b.Release(b.Held())
 	if b.Held() != 0 || !b.Reserve(1) {
 		t.Errorf("held %d after the release", b.Held())
 	}
--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -99,9 +99,10 @@
 func (f *follower) openCopy(call *followerCall) (c *serializedCopy, state []byte, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err := f.reserve(&call.conn.copies, copyBufferBytes); err != nil {
-		return nil, nil, err
+	if !f.budget.ReserveCopy(copyBufferBytes) {
+		return nil, nil, f.refuse(copyBufferBytes)
 	}
+	call.conn.copies += copyBufferBytes
 	list, revision := f.feed.Entries()
 	if f.serialized == nil || f.serialized.revision != revision {
 		f.dropSerialized()
@@ -110,7 +111,7 @@
 			out.Changes[i] = &fleetpb.Change{Key: e.Key, Value: e.Value, Revision: e.Revision}
 		}
 		size := int64(proto.Size(out))
-		if !f.budget.Reserve(size) {
+		if !f.budget.ReserveCopy(size) {
 			return nil, nil, f.refuse(size)
 		}
 		data, err := proto.Marshal(out)
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -101,16 +101,6 @@
 	c.conn.answers += copyBufferBytes
 }
 
-// reserve reserves bytes and adds them to those of a connection. The error is set if they
-// are not free. The caller holds the lock.
-func (f *follower) reserve(held *int64, bytes int64) error {
-	if !f.budget.Reserve(bytes) {
-		return f.refuse(bytes)
-	}
-	*held += bytes
-	return nil
-}
-
 // release releases bytes of a connection. The caller holds the lock.
 func (f *follower) release(held *int64) {
 	f.budget.Release(*held)
@@ -131,9 +121,10 @@
 	if size > smallBufferBytes {
 		size = max(size, largeBufferBytes)
 	}
-	if err := f.reserve(&c.conn.answers, size); err != nil {
-		return nil, err
+	if !f.budget.Reserve(size) {
+		return nil, f.refuse(size)
 	}
+	c.conn.answers += size
 	return r, nil
 }
 
