edge: the test of held bytes copies on connections of their own

Cause: followers in the product end the connection of a copy; those of the test did not, so that with the race detector broken-off copies stayed reserved.

--- a/internal/edge/held_test.go
+++ b/internal/edge/held_test.go
@@ -40,7 +40,7 @@
 	return e.follower, l.Addr().String()
 }
 
-// dialFollower returns a client with a connection of its own, which ends with the test.
+// dialFollower returns a client with a connection of its own.
 func dialFollower(t *testing.T, address string) (client fleetpb.FleetClient, hangUp func()) {
 	t.Helper()
 	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -49,7 +49,6 @@
 		t.Fatal(err)
 	}
 	hangUp = func() { _ = conn.Close() }
-	t.Cleanup(hangUp)
 	return fleetpb.NewFleetClient(conn), hangUp
 }
 
@@ -67,8 +66,11 @@
 	time.Sleep(copyPartTimeout)
 }
 
-// readWholeCopy reads a copy and keeps its last part only, which has its revision.
-func readWholeCopy(ctx context.Context, client fleetpb.FleetClient) (uint64, error) {
+// readWholeCopy reads a copy on a connection of its own, as followers do. It keeps the last
+// part only, which has the copy's revision.
+func readWholeCopy(ctx context.Context, t *testing.T, address string) (uint64, error) {
+	client, hangUp := dialFollower(t, address)
+	defer hangUp()
 	stream, err := client.Copy(ctx, &fleetpb.CopyRequest{})
 	if err != nil {
 		return 0, err
@@ -113,12 +115,13 @@
 			})
 			continue
 		}
-		client, _ := dialFollower(t, address)
 		running.Go(func() {
+			client, hangUp := dialFollower(t, address)
+			defer hangUp()
 			for ctx.Err() == nil {
 				r, err := client.Follow(ctx, &fleetpb.FollowRequest{After: reached[i].Load(), WaitMs: 350})
 				if err == nil && r.GetList() {
-					if revision, err := readWholeCopy(ctx, client); err == nil {
+					if revision, err := readWholeCopy(ctx, t, address); err == nil {
 						reached[i].Store(max(reached[i].Load(), revision))
 					}
 				}
@@ -178,10 +181,11 @@
 		t.Fatal("the budget is not free")
 	}
 	f.mu.Unlock()
-	client, _ := dialFollower(t, address)
+	client, hangUp := dialFollower(t, address)
+	defer hangUp()
 	asked := time.Now()
 	for name, err := range map[string]error{
-		"copy":    second(readWholeCopy(t.Context(), client)),
+		"copy":    second(readWholeCopy(t.Context(), t, address)),
 		"changes": second(client.Follow(t.Context(), &fleetpb.FollowRequest{After: 4})),
 	} {
 		if status.Code(err) != codes.ResourceExhausted {
@@ -208,7 +212,7 @@
 	f.mu.Lock()
 	f.budget.Release(free)
 	f.mu.Unlock()
-	if revision, err := readWholeCopy(t.Context(), client); err != nil || revision != 5 {
+	if revision, err := readWholeCopy(t.Context(), t, address); err != nil || revision != 5 {
 		t.Errorf("once there is room: revision %d, %v", revision, err)
 	}
 }
