edge: list the store after two watches without a response

Cause: a watch whose changes the store cannot return in time failed again and again, while reads of one key succeeded. Change: after two failed watches in a row that the store did not refuse, the next contact is a listing.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -23,9 +23,9 @@
 	timing changefeed.Timing
 	peer   peerConn // to the followed instance
 
-	// listedForSize says that no watch has succeeded since one whose response was too
-	// large. Only watch uses it.
-	listedForSize bool
+	// failedWatches counts the failed watches, other than refused ones, since the last
+	// response of one. Only watch uses it.
+	failedWatches int
 
 	mu          sync.Mutex // guards the fields below and keeps their effects in order
 	mirror      *mirror.Mirror
@@ -175,7 +175,7 @@
 	askedAt := now()
 	err := f.store.Watch(watching, "", f.revision(), func(changes []platform.Change, revision uint64) {
 		f.applyCurrent(changes, revision, askedAt, nil)
-		f.listedForSize = false
+		f.failedWatches = 0
 		if f.betterDue(changefeed.StoreSource) {
 			cancel()
 			return
@@ -190,9 +190,12 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.historyGone = errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, platform.ErrUnreadable)
-	if errors.Is(err, platform.ErrTooLarge) && !f.listedForSize {
-		f.listedForSize = true
+	if !errors.Is(err, platform.ErrRefused) {
+		f.failedWatches++
+	}
+	// A store that answers reads of one key may still be too slow for what has changed.
+	f.historyGone = errors.IsAny(err, platform.ErrHistoryGone, platform.ErrUnreadable) || f.failedWatches > 1
+	if errors.Is(err, platform.ErrTooLarge) && f.failedWatches == 1 {
 		return errors.Mark(err, platform.ErrHistoryGone) // the store has not failed
 	}
 	return err
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -22,6 +22,9 @@
 	// ErrUnknownOutcome means that a write may or may not have taken effect: read
 	// the key before trying again.
 	ErrUnknownOutcome = errors.New("platform store gave no answer; the write may have taken effect")
+	// ErrRefused means that the platform refused a read or watch, as it does above its
+	// limits or while it is down.
+	ErrRefused = errors.New("platform store refused the call")
 	// ErrUnreadable means that a response came which cannot be read, or which ends
 	// early. It shows nothing of what the store holds, also if another call succeeds.
 	ErrUnreadable = errors.New("platform store's response cannot be read")
@@ -77,7 +80,7 @@
 // watch counts as one call for as long as it is open.
 //
 // Errors are marked with those above (see errors.Is). Reads and watches fail with
-// ErrUnavailable, and with ErrUnreadable or ErrTooLarge if there was a response. A watch
+// ErrUnavailable, and with ErrRefused, ErrUnreadable or ErrTooLarge if there was a response. A watch
 // also fails with ErrHistoryGone.
 type Store interface {
 	// Get returns the entry of a key, with Revision 0 if the key does not exist.
