--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/turmericfield/turmericfield/internal/changefeed"
 	"github.com/turmericfield/turmericfield/internal/mirror"
@@ -21,6 +23,10 @@
 	timing changefeed.Timing
 	peer   peerConn // to the followed instance
 
+	// failedWatches counts the failed watches, other than refused ones, since the last
+	// response of one. Only watch uses it.
+	failedWatches int
+
 	mu          sync.Mutex // guards the fields below and keeps their effects in order
 	mirror      *mirror.Mirror
 	feed        *changefeed.Feed
@@ -31,14 +37,17 @@
 	currentAsOf time.Duration // time since boot at which the copy was known to be current; 0 if never
 	lost        bool          // a search has not found a current source yet; sent to followers
 	updated     chan struct{} // closed and replaced when there is something to tell followers
-	serialized  serializedCopy
+	serialized  *serializedCopy
+	budget      *changefeed.Budget // of what is held for followers
+	refusedAt   time.Duration      // time since boot of the last log line of a refusal; 0 if none
 
 	heardOf atomic.Int64 // newest store revision that a source has told of, current or not
 }
 
 func newFollower(e *Edge) *follower {
 	f := &follower{
-		Edge: e, timing: changefeed.Timing{WatchWait: e.WatchWait()},
+		budget: changefeed.NewBudget(e.MemoryBytes),
+		Edge:   e, timing: changefeed.Timing{WatchWait: e.WatchWait()},
 		chooser: changefeed.NewSourceChooser(), feed: changefeed.NewFeed(e.sameEntry), updated: make(chan struct{}),
 		mirror: mirror.New(mirror.Options{
 			LeasedPrefixes: []string{e.storeKeys.TargetPrefix, e.storeKeys.OwnPrefix}, Grace: registrationGrace, OutageThreshold: outageThreshold,
@@ -46,6 +55,8 @@
 		}),
 	}
 	f.chooser.SetLiveInstances(e.Name, nil, nil, e.PeerSeeds)
+	f.feed.SetBudget(f.budget)
+	f.registerMetrics()
 	return f
 }
 
@@ -134,8 +145,10 @@
 	}
 }
 
-// askStore asks the store for a listing if the copy cannot be completed otherwise. Else
-// it only makes sure that the store responds, as a watch returns changes at once.
+// askStore asks the store for a listing if the copy cannot be completed otherwise, which
+// includes that the response of a watch could not be read: that another call succeeds does
+// not show that the next watch will. Else it only makes sure that the store responds, as a
+// watch returns changes at once.
 func (f *follower) askStore(ctx context.Context) answer {
 	a := answer{source: changefeed.StoreSource, currentAsOf: now()}
 	if !f.needsCopy() {
@@ -162,6 +175,7 @@
 	askedAt := now()
 	err := f.store.Watch(watching, "", f.revision(), func(changes []platform.Change, revision uint64) {
 		f.applyCurrent(changes, revision, askedAt, nil)
+		f.failedWatches = 0
 		if f.betterDue(changefeed.StoreSource) {
 			cancel()
 			return
@@ -176,7 +190,14 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.historyGone = errors.Is(err, platform.ErrHistoryGone)
+	if !errors.Is(err, platform.ErrRefused) {
+		f.failedWatches++
+	}
+	// A store that answers reads of one key may still be too slow for what has changed.
+	f.historyGone = errors.IsAny(err, platform.ErrHistoryGone, platform.ErrUnreadable) || f.failedWatches > 1
+	if errors.Is(err, platform.ErrTooLarge) && f.failedWatches == 1 {
+		return errors.Mark(err, platform.ErrHistoryGone) // the store has not failed
+	}
 	return err
 }
 
@@ -216,6 +237,9 @@
 	f.markCurrent(a.source, a.via, a.currentAsOf)
 	f.log.Info().Str("source", sourceName(a.source)).Uint64("revision", a.revision).Int("entries", len(a.entries)).
 		Int64("source_age_ms", (now() - a.currentAsOf).Milliseconds()).Msg("store: copied")
+	for _, e := range a.entries {
+		f.logOmitted(e)
+	}
 	f.feed.Replace(a.entries, a.revision)
 	f.apply(f.mirror, f.mirror.Replace(a.entries, a.revision, now()))
 	f.confirmConfiguration() // not before the changes are in force
@@ -238,6 +262,9 @@
 	f.noteRevision(revision)
 	f.markCurrent(source, via, currentAsOf)
 	changes = f.unknownChanges(changes)
+	for _, c := range changes {
+		f.logOmitted(c.Entry)
+	}
 	hasNew := f.feed.Apply(changes, revision)
 	f.apply(f.mirror, f.mirror.Apply(changes, revision, now()))
 	f.confirmConfiguration() // not before the changes are in force
@@ -293,6 +320,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.apply(f.mirror, f.mirror.Expire(now()))
+	if f.serialized != nil && f.serialized.revision != f.feed.Revision() {
+		f.dropSerialized()
+	}
 }
 
 // revision returns the store revision of the copy.
@@ -322,12 +352,12 @@
 // logs it unless a search goes on without result.
 func (f *follower) noteFailure(source string, err error) {
 	if errors.Is(err, platform.ErrHistoryGone) {
-		f.log.Info().Str("source", sourceName(source)).Uint64("revision", f.revision()).Msg("store: history is gone, a whole copy is needed")
+		f.log.Info().Str("source", sourceName(source)).Uint64("revision", f.revision()).AnErr("reason", err).Msg("store: history is gone, a whole copy is needed")
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if errors.Is(err, errNotCurrent) {
+	if errors.Is(err, errNotCurrent) || status.Code(err) == codes.ResourceExhausted {
 		f.chooser.MarkBehind(source, now())
 	} else {
 		f.chooser.MarkFailed(source, now())
