soak: a quarter of the clients send requests ahead

They send up to four requests at once, also ones that may not be repeated, and in one of ten times leave without reading the answers.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -119,6 +121,7 @@
 	homes        int           // how often the home regions have moved
 	keys         []string      // valid key of each workspace
 	stop         chan struct{} // closed to end the clients
+	quiet        atomic.Bool   // set once there are no more faults
 	requestCount atomic.Int64
 	ipPrefix     string // first three numbers of all addresses, with a dot
 	defect       string // name of the defect of all instances; "" for none
@@ -294,15 +297,80 @@
 			return
 		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
 		}
-		w, route, in := random.IntN(len(f.keys)), routes[random.IntN(len(routes))], f.instances[(n+random.IntN(2))%len(f.instances)]
-		r := request{
-			id: fmt.Sprintf("%016x", f.requestCount.Add(1)), method: http.MethodGet, uri: fmt.Sprintf("/%s/%d?n=%d", route, random.IntN(30), n),
-			route: route, workspace: fmt.Sprint("w", w), key: fmt.Sprint("key-", w), instance: in.name, sent: time.Now(),
+		in := f.instances[(n+random.IntN(2))%len(f.instances)]
+		f.send(c, in.address, f.randomRequest(n, in, random))
+	}
+}
+
+// randomRequest returns a request of client n to the instance.
+func (f *fleet) randomRequest(n int, in *instance, random *rand.Rand) request {
+	w, route := random.IntN(len(f.keys)), routes[random.IntN(len(routes))]
+	r := request{
+		id: fmt.Sprintf("%016x", f.requestCount.Add(1)), method: http.MethodGet, uri: fmt.Sprintf("/%s/%d?n=%d", route, random.IntN(30), n),
+		route: route, workspace: fmt.Sprint("w", w), key: fmt.Sprint("key-", w), instance: in.name, sent: time.Now(),
+	}
+	if !repeatable(route) {
+		r.method, r.body = http.MethodPost, "body of "+r.id
+	}
+	return r
+}
+
+// runPipeliningClient is runClient with several requests at a time on a connection. In one
+// of ten times, but not in the quiet period, it leaves without reading the answers.
+func (f *fleet) runPipeliningClient(n int, random *rand.Rand) {
+	var conn net.Conn
+	var reader *bufio.Reader
+	drop := func() {
+		if conn != nil {
+			_ = conn.Close()
 		}
-		if !repeatable(route) {
-			r.method, r.body = http.MethodPost, "body of "+r.id
+		conn = nil
+	}
+	defer drop()
+	in := f.instances[n%len(f.instances)]
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(time.Duration(random.IntN(120)) * time.Millisecond):
+		}
+		if conn == nil {
+			in = f.instances[(n+random.IntN(2))%len(f.instances)]
+			c, err := net.DialTimeout("tcp", in.address, time.Second)
+			if err != nil {
+				continue
+			}
+			conn, reader = c, bufio.NewReader(c)
+		}
+		_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+		var batch []request
+		var text bytes.Buffer
+		for range 1 + random.IntN(4) {
+			r := f.randomRequest(n, in, random)
+			out := f.newRequest(in.address, r)
+			f.checks.recordSent(r)
+			if err := out.Write(&text); err != nil {
+				panic(err)
+			}
+			batch = append(batch, r)
+		}
+		if _, err := conn.Write(text.Bytes()); err != nil || random.IntN(10) == 0 && !f.quiet.Load() {
+			drop()
+			continue
+		}
+		for _, r := range batch {
+			answer, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				drop()
+				break
+			}
+			body, err := io.ReadAll(answer.Body)
+			f.checks.recordAnswer(r.id, answer.StatusCode, string(body), answer.Header.Get("Response-Seal"), err == nil)
+			if err != nil || answer.Close {
+				drop()
+				break
+			}
 		}
-		f.send(c, in.address, r)
 	}
 }
 
@@ -325,9 +393,9 @@
 	}
 }
 
-// send sends a request and records the answer. Headers that a caller must not be able
+// newRequest returns what is sent for a request. Headers that a caller must not be able
 // to set, such as the workspace name, are forged.
-func (f *fleet) send(c *http.Client, address string, r request) {
+func (f *fleet) newRequest(address string, r request) *http.Request {
 	out, err := http.NewRequest(r.method, "http://"+address+r.uri, strings.NewReader(r.body))
 	if err != nil {
 		panic(err)
@@ -336,8 +404,13 @@
 	for name, value := range map[string]string{"Attempt-Id": r.id, "Affinity-Key": r.uri, "Deadline-Ms": "2500", "Api-Key": r.key, "Tenant-Name": "forged"} {
 		out.Header.Set(name, value)
 	}
+	return out
+}
+
+// send sends a request and records the answer.
+func (f *fleet) send(c *http.Client, address string, r request) {
 	f.checks.recordSent(r)
-	answer, err := c.Do(out)
+	answer, err := c.Do(f.newRequest(address, r))
 	if err != nil {
 		return // a closed connection does not say whether the request ran
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -30,6 +30,8 @@
 	seedCount          = 3              // instances whose addresses each instance's settings name
 	firstTargetIP      = 100            // last number of the first target's IP
 	host               = "host.example" // hostname of all routes
+	// pipeliningClients is the number of clients of which one sends requests ahead.
+	pipeliningClients = 4
 	// quietPeriod is the time without faults at the end of a run. In its second half
 	// nearly every request must be served again.
 	quietPeriod = 6 * time.Second
@@ -80,7 +82,11 @@
 	var sending sync.WaitGroup
 	for n := range *clientCount {
 		random := rand.New(rand.NewPCG(uint64(n), f.random.Uint64()))
-		sending.Go(func() { f.runClient(n, random) })
+		if n%pipeliningClients == 0 {
+			sending.Go(func() { f.runPipeliningClient(n, random) })
+		} else {
+			sending.Go(func() { f.runClient(n, random) })
+		}
 	}
 	for _, in := range f.instances {
 		sending.Go(func() { f.probeVersion(in) })
@@ -96,6 +102,7 @@
 	}
 	j.pending.Wait()
 	f.note("no more faults")
+	f.quiet.Store(true)
 	for i := range f.keys {
 		// Clients know only these first keys, so the withdrawn ones become valid again.
 		f.keys[i] = fmt.Sprint("key-", i)
