admission, gateway: mend what a review of waiting found

Cause: a route whose answers once took longer than its new timeout was refused for good; requests without a target to wait for, and granted ones that gave way, chose again every 5 ms; a full line displaced the highest behind a new one and knew only one target's line; retries waited with their budget taken, and streamed requests while the server may not notice that their caller leaves; a woken request that was not sent kept its turn; waits that ended otherwise were not counted; services with one priority were not decided as before. Change: requests wait only while priorities compete; an empty target, a retry and a streamed body never wait; the lowest of all lines is displaced; a granted request gives way once; protection rises at once and falls slowly; the check of usual work against the time left is gone; the time until there is room counts what yielding asks; counters are swept once a second at most.

--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -23,8 +23,10 @@
 	// Objective is the route's latency objective; 0 if it has none.
 	Objective time.Duration
 	// Left is the time until the end of the latency objective or of the request's deadline,
-	// whichever is earlier; 0 or less if the request is not to wait.
+	// whichever is earlier; 0 or less if the request must not wait.
 	Left time.Duration
+	// HasWaited says that the request has waited before. It gives way to another one only once.
+	HasWaited bool
 }
 
 // Ticket identifies a waiting request. 0 is none.
@@ -38,7 +40,7 @@
 	last     Ticket
 	waiting  map[Ticket]*waiter
 	byTarget map[string][]*waiter // the next one to be sent first
-	shares   shares
+	shares   *shares
 	claims   claims
 	outcomes map[outcomeKey]*outcomes
 }
@@ -79,7 +81,7 @@
 
 // Offer is what a target has for a request.
 type Offer struct {
-	Target string
+	Target string // empty if there is none to wait for
 	// Granted says that the target has room.
 	Granted bool
 	// RoomIn is the expected time until the target has room for one more request.
@@ -98,10 +100,11 @@
 	// is room for it.
 	Ticket  Ticket
 	RetryIn time.Duration
-	// First is a waiting request whose turn it is, since it goes before this one.
+	// First is a waiting request that goes before this one, for which the target may have room
+	// too.
 	First Ticket
 	// Displaced are requests that cannot be sent in time any more because this one goes
-	// before them. They have left the line and are to be refused.
+	// before them, or for which the line has no room. They have left it and are to be refused.
 	Displaced []Ticket
 }
 
@@ -173,23 +176,30 @@
 	return l.shares.starving(service, r, now)
 }
 
-// Decide decides about a request that does not wait yet, or whose turn it was.
+// Decide decides about a request that does not wait yet, or whose turn it was. Requests wait
+// only while those of different priority compete for the service: others gain nothing by it
+// that a refusal at once does not give their callers sooner.
 func (l *Line) Decide(service string, r Request, o Offer, now time.Duration) Decision {
 	w := &waiter{Request: l.shares.promoted(service, r, now), target: o.Target, latestStart: now + r.Left - r.Work - o.QueueWait}
-	var first Ticket
 	if o.Granted {
 		line := l.byTarget[o.Target]
 		if len(line) == 0 || compare(line[0], w) >= 0 {
 			return Decision{Send: true}
 		}
-		first = line[0].ticket
+		first := line[0].ticket
+		if !r.HasWaited && r.Left > 0 {
+			o.RoomIn = o.Interval
+			if d := l.join(w, o, now); d.Ticket != 0 {
+				d.First = first
+				return d
+			}
+		}
+		return Decision{Send: true, First: first}
 	}
-	if first == 0 && !l.waitingHelps(service, r.Priority) {
+	if o.Target == "" || r.Left <= 0 || !l.claims.compete(service, now) || !l.waitingHelps(service, r.Priority) {
 		return Decision{}
 	}
-	d := l.join(w, o, now)
-	d.First = first
-	return d
+	return l.join(w, o, now)
 }
 
 // join adds a request to the line of its target if it can be sent in time.
@@ -202,17 +212,27 @@
 	startsAt := func(position int) time.Duration {
 		return now + o.RoomIn + time.Duration(position)*o.Interval
 	}
-	if w.Left <= 0 || startsAt(at) > w.latestStart || len(l.waiting) >= l.max && at == len(line) {
+	if startsAt(at) > w.latestStart {
 		return Decision{}
 	}
+	var d Decision
+	if len(l.waiting) >= l.max {
+		lowest := l.lowest()
+		if compare(lowest, w) <= 0 {
+			return Decision{}
+		}
+		l.Leave(lowest.ticket)
+		d.Displaced = append(d.Displaced, lowest.ticket)
+		line = l.byTarget[o.Target] // the lowest one goes after w, so w's place is the same
+	}
 	l.last++
 	w.ticket = l.last
 	l.waiting[w.ticket] = w
-	d := Decision{Ticket: w.ticket, RetryIn: startsAt(at) - now}
+	d.Ticket, d.RetryIn = w.ticket, max(startsAt(at)-now, o.Interval)
 	line = slices.Insert(line, at, w)
 	kept := line[:at+1]
 	for _, behind := range line[at+1:] {
-		if startsAt(len(kept)) > behind.latestStart || len(l.waiting) > l.max {
+		if startsAt(len(kept)) > behind.latestStart {
 			delete(l.waiting, behind.ticket)
 			d.Displaced = append(d.Displaced, behind.ticket)
 			continue
@@ -223,6 +243,17 @@
 	return d
 }
 
+// lowest returns the waiting request that goes after all others.
+func (l *Line) lowest() *waiter {
+	var lowest *waiter
+	for _, line := range l.byTarget {
+		if last := line[len(line)-1]; lowest == nil || compare(last, lowest) > 0 {
+			lowest = last
+		}
+	}
+	return lowest
+}
+
 // Next returns the request that is to be sent next to a target, or 0. It stays in the line.
 func (l *Line) Next(target string) Ticket {
 	if line := l.byTarget[target]; len(line) > 0 {
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -44,8 +44,10 @@
 	// protectedShare is the share of requests sent below which those of lower priority give
 	// way further.
 	protectedShare = 0.98
-	// protectionTime is the time in which protection changes from none to full or back.
-	protectionTime = 2 * time.Second
+	// protectTime is the time in which protection rises from none to full, and exposeTime that
+	// in which it falls: a queue that has filled meanwhile takes time to drain.
+	protectTime = 500 * time.Millisecond
+	exposeTime  = 10 * time.Second
 )
 
 // Yield is how far a request gives way to those of higher priority at the same service.
@@ -89,9 +91,10 @@
 
 // protect updates the protection by what the requests have got until now.
 func (e *claim) protect(now time.Duration) {
-	step := float64(max(now-e.at, 0)) / float64(protectionTime)
+	elapsed := float64(max(now-e.at, 0))
+	step := elapsed / float64(protectTime)
 	if e.counter.asked >= minCounted && e.share() >= protectedShare {
-		step = -step
+		step = -elapsed / float64(exposeTime)
 	}
 	e.protection = min(max(e.protection+step, 0), 1)
 	e.decay(now)
@@ -123,6 +126,22 @@
 	return y
 }
 
+// compete reports whether requests of different priority ask for a noticeable part of the
+// service each.
+func (c claims) compete(service string, now time.Duration) bool {
+	all, priorities := 0.0, 0
+	for _, e := range c[service] {
+		e.protect(now)
+		all += e.counter.asked
+	}
+	for _, e := range c[service] {
+		if e.counter.asked >= max(minClaim*all, minClaimed) {
+			priorities++
+		}
+	}
+	return priorities > 1
+}
+
 // counter counts requests, those of the past less the older they are.
 type counter struct {
 	asked, sent float64
@@ -144,9 +163,12 @@
 type counterKey struct{ service, route, workspace string }
 
 // shares tells which routes and workspaces get far less than their share of a service.
-type shares struct{ counters map[counterKey]*counter }
+type shares struct {
+	counters    map[counterKey]*counter
+	forgottenAt time.Duration // when negligible counters were last removed
+}
 
-func newShares() shares { return shares{counters: map[counterKey]*counter{}} }
+func newShares() *shares { return &shares{counters: map[counterKey]*counter{}} }
 
 // keys returns the counters that a request counts for; the first is the service's.
 func keys(service string, r Request) []counterKey {
@@ -158,11 +180,12 @@
 }
 
 // counter returns an aged counter, or nil if there is no room for another one.
-func (s shares) counter(key counterKey, now time.Duration) *counter {
+func (s *shares) counter(key counterKey, now time.Duration) *counter {
 	c := s.counters[key]
 	if c == nil {
-		if len(s.counters) >= maxCounters {
+		if len(s.counters) >= maxCounters && now-s.forgottenAt >= time.Second {
 			s.forget(now)
+			s.forgottenAt = now
 		}
 		if len(s.counters) >= maxCounters {
 			return nil
@@ -175,7 +198,7 @@
 }
 
 // forget removes the counters that have become negligible.
-func (s shares) forget(now time.Duration) {
+func (s *shares) forget(now time.Duration) {
 	for key, c := range s.counters {
 		if c.decay(now); c.asked < 1 {
 			delete(s.counters, key)
@@ -183,7 +206,7 @@
 	}
 }
 
-func (s shares) asked(service string, r Request, now time.Duration) {
+func (s *shares) asked(service string, r Request, now time.Duration) {
 	for _, key := range keys(service, r) {
 		if c := s.counter(key, now); c != nil {
 			c.asked++
@@ -191,7 +214,7 @@
 	}
 }
 
-func (s shares) sent(service string, r Request, now time.Duration) {
+func (s *shares) sent(service string, r Request, now time.Duration) {
 	for _, key := range keys(service, r) {
 		if c := s.counter(key, now); c != nil {
 			c.sent++
@@ -201,7 +224,7 @@
 
 // starving reports whether the request's route or workspace gets less than minFairShare of
 // the common share of the service.
-func (s shares) starving(service string, r Request, now time.Duration) bool {
+func (s *shares) starving(service string, r Request, now time.Duration) bool {
 	k := keys(service, r)
 	all := s.counter(k[0], now)
 	if all == nil {
@@ -216,7 +239,7 @@
 }
 
 // promoted returns the request, with the highest priority if it is starving.
-func (s shares) promoted(service string, r Request, now time.Duration) Request {
+func (s *shares) promoted(service string, r Request, now time.Duration) Request {
 	if s.starving(service, r, now) {
 		r.Priority = highest
 	}
--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -112,7 +112,8 @@
 	// RoomIn is, if the request is refused as Full, the expected time until the target's
 	// queue is short enough for it, and QueueWait how long it then waits in that queue.
 	RoomIn, QueueWait time.Duration
-	// Interval is the expected time between two requests that leave the target.
+	// Interval is the expected time between two requests that leave the target while it is
+	// full.
 	Interval time.Duration
 	// At is when the target was chosen, on the clock of the caller's now arguments.
 	At time.Duration
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -206,14 +206,24 @@
 func (b *Balancer) full(s *targetState, r Request, now time.Duration) Grant {
 	perExcess := s.group.expectedLatency() * float64(time.Second)
 	acceptable := r.acceptableExcess(s)
-	over := max(s.excess(r.loadAt(s, now))-acceptable, s.excess(s.loadInGroup(now))-r.objective().Seconds()/s.group.expectedLatency(), 0)
+	inGroup := r.objective().Seconds() / s.group.expectedLatency()
+	if r.yields() {
+		inGroup = min(inGroup, acceptable)
+	}
+	over := max(s.excess(r.loadAt(s, now))-acceptable, s.excess(s.loadInGroup(now))-inGroup, 0)
 	return Grant{
 		Target: s.Target, Reason: Full, Load: s.load(now), Wait: b.expectedWait(s, now),
 		RoomIn: time.Duration(over * perExcess), QueueWait: time.Duration(max(acceptable, 0) * perExcess),
-		Interval: time.Duration(perExcess / float64(max(s.Slots, 1))),
+		Interval: s.interval(),
 	}
 }
 
+// interval returns the expected time between two requests that leave the target while it is
+// full.
+func (s *targetState) interval() time.Duration {
+	return time.Duration(s.group.expectedLatency() * float64(time.Second) / float64(max(s.Slots, 1)))
+}
+
 // ExpectedWork returns the usual time that a target needs for a request of the route, and
 // false if none has been answered yet.
 func (b *Balancer) ExpectedWork(route string) (time.Duration, bool) {
@@ -344,7 +354,7 @@
 // grant returns a grant for the target and counts its request as in flight.
 func (b *Balancer) grant(s *targetState, r Request, reason Reason, now time.Duration) Grant {
 	g := Grant{
-		Target: s.Target, Reason: reason, Load: s.load(now), Cold: s.cold(now), Wait: b.expectedWait(s, now), At: now, route: r.Route,
+		Target: s.Target, Reason: reason, Load: s.load(now), Cold: s.cold(now), Wait: b.expectedWait(s, now), Interval: s.interval(), At: now, route: r.Route,
 	}
 	if r.Object != "" {
 		g.object = xxhash.Sum64String(r.Object)
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -15,12 +15,9 @@
 	// maxWaiting bounds the requests that wait at an instance. Their bodies take up to
 	// maxBufferedRequestBody each.
 	maxWaiting = 512
-	// minWait is the least time between two choices of a target for one waiting request.
-	minWait = 5 * time.Millisecond
-	// hopelessWork is the fraction of a route's usual work from which a request with less
-	// time left cannot be answered. It is well below 1, since a target that has the object
-	// cached needs a fraction of the usual work.
-	hopelessWork = 0.25
+	// minWait is the least time between two choices of a target for one waiting request,
+	// unless it is woken.
+	minWait = 10 * time.Millisecond
 )
 
 // waitingRoom holds the requests that wait for room at a target and wakes them. The
@@ -78,67 +75,88 @@
 }
 
 // chooseTarget asks the balancer for the target of the next attempt, and stores its grant.
-// If targets have no room, the request waits for some as long as it can still be answered
+// If targets have no room, the request may wait for some as long as it can still be answered
 // within its latency objective. The object makes requests for the same object prefer the
 // same target.
 func (c *call) chooseTarget(object string) *refusal {
+	var p *place
 	for {
-		p, refused := c.tryTarget(object)
-		if p == nil {
+		next, refused := c.tryTarget(object, p)
+		if next == nil {
+			c.endWait(p, refused)
 			return refused
 		}
-		if refused := c.await(p); refused != nil {
-			return refused
+		p = next
+		if refused = c.await(p); refused == nil {
+			refused = c.followConfiguration(object)
 		}
-		if refused := c.followConfiguration(object); refused != nil {
+		if refused != nil {
+			c.mu.Lock()
+			c.waiting.leave(p.ticket)
+			c.mu.Unlock()
+			c.endWait(p, refused)
 			return refused
 		}
 	}
 }
 
-// await waits until a request may choose a target again.
+// await waits until a request may choose a target again. Its place stays its own.
 func (c *call) await(p *place) *refusal {
 	began := clock.SinceBoot()
+	defer func() { c.waited += clock.SinceBoot() - began }()
 	timer := time.NewTimer(max(p.retryIn, minWait))
 	defer timer.Stop()
-	what := mayTry
 	select {
-	case what = <-p.turns:
+	case what := <-p.turns:
+		if what == displaced {
+			return &refusal{http.StatusServiceUnavailable, "outranked", retryAfterNoTarget}
+		}
 	case <-timer.C:
 	case <-c.ctx.Done():
+		return &refusal{http.StatusServiceUnavailable, "deadline", retryAfterNoTarget}
+	}
+	return nil
+}
+
+// endWait notes how the waiting of a request ended, if it has waited, and passes its turn on
+// unless it is sent to the target that it waited for.
+func (c *call) endWait(p *place, refused *refusal) {
+	if p == nil {
+		return
 	}
+	outcome := "sent"
+	switch {
+	case refused != nil && c.callerHasLeft():
+		outcome = "left"
+	case refused != nil && refused.reason == "outranked":
+		outcome = "outranked"
+	case refused != nil:
+		outcome = "too-late"
+	}
+	c.Metrics.Add(metrics.Label("waits_total", "outcome", outcome), 1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting.leave(p.ticket)
-	c.waited += clock.SinceBoot() - began
-	switch {
-	case what == displaced:
-		c.endWait("outranked")
-		return &refusal{http.StatusServiceUnavailable, "outranked", retryAfterNoTarget}
-	case c.ctx.Err() != nil:
-		c.waiting.wake(c.waiting.line.Next(p.target)) // the turn may have been this request's
-		return &refusal{http.StatusServiceUnavailable, "deadline", retryAfterNoTarget}
+	if outcome != "left" {
+		c.waiting.line.Ended(c.service, c.priority(), refused == nil)
+	}
+	if refused != nil || c.grant.Target.ID != p.target {
+		c.waiting.wake(c.waiting.line.Next(p.target))
 	}
-	return nil
 }
 
 // tryTarget asks the balancer for a target. It returns a place in the line if the request
-// is to wait for room.
-func (c *call) tryTarget(object string) (*place, *refusal) {
+// is to wait for room; p is the one that it has, or nil.
+func (c *call) tryTarget(object string, p *place) (*place, *refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := clock.SinceBoot()
-	work, known := c.balancer.ExpectedWork(c.route.Name)
-	if c.remaining() < max(minTimeForTarget, time.Duration(hopelessWork*float64(work))) {
-		return nil, &refusal{http.StatusServiceUnavailable, "deadline", retryAfterNoTarget}
+	if p != nil {
+		c.waiting.leave(p.ticket)
 	}
-	if !known {
-		work = c.route.LatencyObjective / 2
-	}
-	r := admission.Request{Priority: c.priority(), Route: c.route.Name, Work: work, Objective: c.route.LatencyObjective, Left: c.timeToAnswer()}
-	if c.workspace != nil {
-		r.Workspace = c.workspace.Name
+	if c.remaining() < minTimeForTarget {
+		return nil, &refusal{http.StatusServiceUnavailable, "deadline", retryAfterNoTarget}
 	}
+	now := clock.SinceBoot()
+	r := c.admissionRequest(p != nil)
 	line := c.waiting.line
 	if !c.counted {
 		c.counted = true
@@ -160,24 +178,40 @@
 	d := line.Decide(c.service, r, admission.Offer{
 		Target: grant.Target.ID, Granted: ok, RoomIn: grant.RoomIn, QueueWait: grant.QueueWait, Interval: grant.Interval,
 	}, now)
-	if d.Send {
+	c.waiting.wake(d.First)
+	switch {
+	case d.Send:
 		if c.attempts == 0 {
 			line.Sent(c.service, r, now)
 		}
-		c.endWait("sent")
 		return nil, nil
-	}
-	if ok {
+	case ok:
 		c.balancer.Done(grant, affinity.Report{Outcome: affinity.Abandoned}, now)
-		c.waiting.wake(d.First)
-	}
-	if d.Ticket == 0 {
-		c.endWait("too-late")
+	case d.Ticket == 0:
 		return nil, &refusal{http.StatusServiceUnavailable, string(affinity.Full), max(retryAfterNoTarget, grant.RoomIn)}
 	}
 	return c.waiting.enter(d, grant.Target.ID), nil
 }
 
+// admissionRequest returns what the request's place in the line depends on. The caller holds
+// the lock.
+func (c *call) admissionRequest(hasWaited bool) admission.Request {
+	work, known := c.balancer.ExpectedWork(c.route.Name)
+	if !known {
+		work = c.route.LatencyObjective / 2
+	}
+	r := admission.Request{Priority: c.priority(), Route: c.route.Name, Work: work, Objective: c.route.LatencyObjective, HasWaited: hasWaited}
+	if c.workspace != nil {
+		r.Workspace = c.workspace.Name
+	}
+	// A retry has its budget already, which is for now and not for later, and the server may
+	// not notice that the caller leaves while its body is unread.
+	if c.attempts == 0 && c.streamedBody == nil {
+		r.Left = c.timeToAnswer()
+	}
+	return r
+}
+
 // timeToAnswer returns the time until the end of the latency objective or of the deadline,
 // whichever is earlier; 0 if there is no objective.
 func (c *call) timeToAnswer() time.Duration {
@@ -187,15 +221,6 @@
 	return min(c.route.LatencyObjective-(clock.SinceBoot()-c.startSinceBoot), c.remaining())
 }
 
-// endWait notes how the waiting of a request ended, if it has waited. The caller holds the
-// lock.
-func (c *call) endWait(outcome string) {
-	if c.waited > 0 {
-		c.waiting.line.Ended(c.service, c.priority(), outcome == "sent")
-		c.Metrics.Add(metrics.Label("waits_total", "outcome", outcome), 1)
-	}
-}
-
 // done reports the end of a grant's request to the balancer and lets the next request that
 // waits for the target try.
 func (c *call) done(report affinity.Report) {
