edge: rewritten instances' entries are passed on

An instance that restarts writes its entry again with the same value. The feed did not pass that on, so that the next whole copy showed the entry at another revision, and a mirror that had been cut off for longer than outageThreshold took it for the sign of an outage of the store and kept targets that had left for 2 s.

TestEntriesWrittenAgainDoNotLookLikeAnOutage failed before: "a target that left while only this instance was cut off is kept". One change is passed on for each restart or new registration of an instance.

--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -40,7 +40,10 @@
 // sameEntry reports whether two versions of an entry are equivalent to all instances,
 // so that the change need not be passed on.
 func (e *Edge) sameEntry(old, next platform.Entry) bool {
-	if !strings.HasPrefix(next.Key, e.storeKeys.TargetPrefix) {
+	switch {
+	case strings.HasPrefix(next.Key, e.storeKeys.OwnPrefix+instancePrefix):
+		return false // mirrors compare the revisions of instances' entries after an outage
+	case !strings.HasPrefix(next.Key, e.storeKeys.TargetPrefix):
 		return bytes.Equal(old.Value, next.Value)
 	}
 	a, b := e.decodeTarget(old), e.decodeTarget(next)
