mirror, edge: what is believed of a store that came back as an older copy

The first listing of a higher era is judged by what is known: an older configuration, an earlier state of a target, a target that had gone are not taken, what is missing gets the grace of an outage, and the configuration proves nothing for 1.5 s or until it is written in the new era. Followers take a whole copy, instances register again at once, and also when their entry vanishes. store_revision shows the store's own number, store_era the era.

--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -80,6 +80,26 @@
 	return true
 }
 
+// Reset takes the whole copy of a store that has come back as an older one. Followers
+// behind it need a whole copy as well.
+func (f *Feed) Reset(entries []platform.Entry, revision uint64) {
+	f.entries, f.log, f.gaps = make(map[string]platform.Entry, len(entries)), nil, nil
+	for _, e := range entries {
+		f.entries[e.Key] = e
+	}
+	f.revision, f.completeSince = revision, revision
+}
+
+// Drop removes entries of a lower era that nobody has written again. Followers have
+// their own grace period for them.
+func (f *Feed) Drop(keys []string) {
+	for _, key := range keys {
+		if e, ok := f.entries[key]; ok && platform.RevisionEra(e.Revision) < platform.RevisionEra(f.revision) {
+			delete(f.entries, key)
+		}
+	}
+}
+
 // difference returns the changes, ordered by revision, that lead from the feed's entries
 // to those of a copy. An entry that the copy lacks was deleted at its revision at the
 // latest, unless it is newer than the copy.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,9 @@
 	// outageThreshold is the time without contact to the store after which leases
 	// may have expired during the gap. It is longer than a watch call waits.
 	outageThreshold = 2500 * time.Millisecond
+	// restoredProofDelay is how long after the store came back as an older copy the operator
+	// may still have to write the newest configuration again.
+	restoredProofDelay = 1500 * time.Millisecond
 	// lookupTTL is how long a caller may cache the result of a lookup.
 	lookupTTL = 2 * time.Second
 	// maxSelfListingStaleness is the time since API keys were last confirmed current
@@ -182,6 +186,11 @@
 	logs       *logging.Log
 	log        *log.Logger
 	configured chan struct{} // closed when the first configuration is in force
+	// reregister holds an element if this instance is to register again at once.
+	// entryLost says that its entry is gone from the copy of the store, whatever its lease.
+	reregister chan struct{}
+	entryLost  atomic.Bool
+	registered bool // the copy of the store has this instance's entry; guarded by the follower's lock
 	// configurationApplied says that the configuration in force is the one in the copy
 	// of the store. The follower's lock guards it.
 	configurationApplied bool
@@ -199,7 +208,8 @@
 	e := &Edge{
 		levels:   levels,
 		Settings: s, adapter: adapter, storeKeys: adapter.StoreKeys(), store: store, metrics: set, logs: logs, log: logs.Part("edge"), configured: make(chan struct{}),
-		targets: map[string]registration{}, decoded: map[string]registration{},
+		reregister: make(chan struct{}, 1),
+		targets:    map[string]registration{}, decoded: map[string]registration{},
 		gateway: gateway.New(gateway.Options{
 			HeaderNames: adapter.HTTPHeaders(), Region: s.Region, RegionCount: s.regionCount(),
 			MaxKeyStaleness: s.maxKeyStaleness(), MaxConfigurationStaleness: s.maxConfigurationStaleness(),
@@ -216,8 +226,9 @@
 	set.Gauge("evidence_age_ms", func() int64 { return e.gateway.Staleness().Milliseconds() })
 	e.hub = &hubServer{Edge: e, hub: quota.NewHub(), aggregator: quota.NewAggregator(zoneReporterPrefix+s.Name, uint64(time.Now().UnixNano()))}
 	e.follower = newFollower(e)
-	set.Gauge("store_revision", func() int64 { return int64(e.follower.revision()) })
-	set.Gauge("store_revision_heard_of", e.follower.heardOf.Load)
+	set.Gauge("store_revision", func() int64 { return int64(platform.RevisionNumber(e.follower.revision())) })
+	set.Gauge("store_revision_heard_of", func() int64 { return int64(platform.RevisionNumber(uint64(e.follower.heardOf.Load()))) })
+	set.Gauge("store_era", func() int64 { return int64(platform.RevisionEra(e.follower.revision())) })
 	e.members = newMembers(s, func() bool { return e.gateway.Staleness() < maxSelfListingStaleness }, e.homeRegions)
 	return e
 }
@@ -391,14 +402,14 @@
 	e.configurationApplied = false
 	entry, ok := m.Get(e.storeKeys.Configuration)
 	if !ok {
-		e.log.Error().Uint64("revision", m.Revision()).Msg("configuration: removed from the store, the old one stays")
+		e.log.Error().Uint64("revision", platform.RevisionNumber(m.Revision())).Msg("configuration: removed from the store, the old one stays")
 		return
 	}
 	source, err := e.adapter.Configuration(entry.Value)
 	old := e.gateway.Table()
 	switch {
 	case err != nil:
-		e.log.Error().Err(err).Uint64("revision", entry.Revision).Msg("configuration: cannot be read, the old one stays")
+		e.log.Error().Err(err).Uint64("revision", platform.RevisionNumber(entry.Revision)).Msg("configuration: cannot be read, the old one stays")
 		return
 	case old != nil && source.Version < old.Version:
 		e.log.Error().Uint64("version", source.Version).Uint64("in_force", old.Version).Msg("configuration: older than the one in force")
@@ -407,7 +418,7 @@
 	table := config.NewRoutingTable(source)
 	e.gateway.SetTable(table)
 	e.configurationApplied = true
-	e.log.Info().Uint64("version", table.Version).Uint64("revision", entry.Revision).
+	e.log.Info().Uint64("version", table.Version).Uint64("revision", platform.RevisionNumber(entry.Revision)).
 		Int("routes", len(source.Routes)).Int("workspaces", len(source.Workspaces)).Msg("configuration: in force")
 	if old == nil {
 		close(e.configured)
@@ -420,7 +431,7 @@
 	zones := map[string]bool{}
 	m.Each(e.storeKeys.ClosedZonePrefix, func(entry platform.Entry) { zones[strings.TrimPrefix(entry.Key, e.storeKeys.ClosedZonePrefix)] = true })
 	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.SetClosedZones(zones, now) })
-	e.log.Info().Uint64("revision", m.Revision()).Strs("zones", sortedKeys(zones)).Msg("zones: changed")
+	e.log.Info().Uint64("revision", platform.RevisionNumber(m.Revision())).Strs("zones", sortedKeys(zones)).Msg("zones: changed")
 }
 
 func sortedKeys(set map[string]bool) []string {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -32,6 +32,9 @@
 	lost        bool          // a search has not found a current source yet; sent to followers
 	updated     chan struct{} // closed and replaced when there is something to tell followers
 	serialized  serializedCopy
+	restoring   *mirror.Judgement // of the store that came back as an older copy, until restoreEnds; nil if it did not
+	restoreEnds time.Duration
+	dropped     int // entries that were not written again by then
 
 	heardOf atomic.Int64 // newest store revision that a source has told of, current or not
 }
@@ -43,6 +46,7 @@
 		mirror: mirror.New(mirror.Options{
 			LeasedPrefixes: []string{e.storeKeys.TargetPrefix, e.storeKeys.OwnPrefix}, Grace: registrationGrace, OutageThreshold: outageThreshold,
 			InstancePrefix: e.storeKeys.OwnPrefix + instancePrefix, SelfKey: e.storeKeys.OwnPrefix + instancePrefix + e.Name,
+			LastingKey: e.storeKeys.Configuration, IsOutdated: e.isOutdated, ProofDelay: restoredProofDelay,
 		}),
 	}
 	f.chooser.SetLiveInstances(e.Name, nil, nil, e.PeerSeeds)
@@ -208,21 +212,58 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if platform.RevisionEra(a.revision) < platform.RevisionEra(f.mirror.Revision()) {
+		return olderEraError(a.source, a.revision, f.mirror.Revision())
+	}
 	if a.revision < f.mirror.Revision() {
-		return errors.Wrapf(errNotCurrent, "%s has a copy of revision %d, which is older than this one's, %d", sourceName(a.source), a.revision, f.mirror.Revision())
+		return errors.Wrapf(errNotCurrent, "%s has a copy of revision %d, which is older than this one's, %d", sourceName(a.source), platform.RevisionNumber(a.revision), platform.RevisionNumber(f.mirror.Revision()))
 	}
 	f.historyGone = false
 	f.noteRevision(a.revision)
 	f.markCurrent(a.source, a.via, a.currentAsOf)
-	f.log.Info().Str("source", sourceName(a.source)).Uint64("revision", a.revision).Int("entries", len(a.entries)).
+	f.log.Info().Str("source", sourceName(a.source)).Uint64("revision", platform.RevisionNumber(a.revision)).Int("entries", len(a.entries)).
 		Int64("source_age_ms", (now() - a.currentAsOf).Milliseconds()).Msg("store: copied")
-	f.feed.Replace(a.entries, a.revision)
-	f.apply(f.mirror, f.mirror.Replace(a.entries, a.revision, now()))
+	f.apply(f.mirror, f.replace(a.entries, a.revision))
 	f.confirmConfiguration() // not before the changes are in force
 	f.notifyFollowers()
 	return nil
 }
 
+// olderEraError returns the error for a source whose copy is from before the store came
+// back as an older one.
+func olderEraError(source string, its, own uint64) error {
+	return errors.Wrapf(errNotCurrent, "%s has a copy of the store's era %d, this one is of %d", sourceName(source), platform.RevisionEra(its), platform.RevisionEra(own))
+}
+
+// replace replaces the copy by what is believed of a whole one, and returns the keys whose
+// entries changed. The caller holds the lock.
+func (f *follower) replace(listed []platform.Entry, revision uint64) []string {
+	restored := f.mirror.IsRestored(revision)
+	entries, judgement := f.mirror.Judge(listed, revision)
+	changed := f.mirror.Replace(entries, revision, now())
+	passOn := make([]platform.Entry, 0, len(entries))
+	for _, e := range entries {
+		if platform.RevisionEra(e.Revision) < platform.RevisionEra(revision) {
+			kept, ok := f.mirror.Get(e.Key)
+			if !ok {
+				continue
+			}
+			e = kept
+		}
+		passOn = append(passOn, e)
+	}
+	if !restored {
+		f.feed.Replace(passOn, revision)
+		return changed
+	}
+	f.feed.Reset(passOn, revision)
+	f.restoring, f.restoreEnds, f.dropped = &judgement, now()+registrationGrace, 0
+	f.log.Warn().Uint64("from_era", judgement.FromEra).Uint64("era", judgement.ToEra).Uint64("revision", platform.RevisionNumber(revision)).
+		Int("missing", judgement.Missing).Int("outdated", judgement.Outdated).Int("withheld", judgement.Withheld).Msg("store: restored")
+	f.registerAgain(false)
+	return changed
+}
+
 // applyCurrent applies changes that make the copy current as of a time since boot.
 // via lists the instances they came through, nearest first; it is empty if they came
 // from the store itself.
@@ -256,7 +297,7 @@
 // confirmConfiguration tells the gateway as of when its configuration was current, if
 // it is the one in the copy. The caller holds the lock.
 func (f *follower) confirmConfiguration() {
-	if f.configurationApplied {
+	if f.configurationApplied && f.mirror.IsProven(f.storeKeys.Configuration, now()) {
 		f.gateway.SetCurrentAsOf(f.currentAsOf)
 	}
 }
@@ -290,7 +331,21 @@
 func (f *follower) expire() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.apply(f.mirror, f.mirror.Expire(now()))
+	expired := f.mirror.Expire(now())
+	if len(expired) > 0 {
+		f.feed.Drop(expired)
+		f.serialized = serializedCopy{}
+	}
+	f.apply(f.mirror, expired)
+	if f.restoring == nil {
+		return
+	}
+	f.dropped += len(expired)
+	if now() >= f.restoreEnds {
+		f.log.Info().Uint64("from_era", f.restoring.FromEra).Uint64("era", f.restoring.ToEra).
+			Int("written_again", max(f.restoring.Missing+f.restoring.Outdated-f.dropped, 0)).Int("dropped", f.dropped).Msg("store: restore ended")
+		f.restoring = nil
+	}
 }
 
 // revision returns the store revision of the copy.
@@ -305,7 +360,7 @@
 func (f *follower) markCurrent(source string, via []string, currentAsOf time.Duration) {
 	f.chooser.MarkCurrent(source)
 	if source != f.source || f.currentAsOf == 0 {
-		f.log.Info().Str("source", sourceName(source)).Strs("via", via).Uint64("revision", f.mirror.Revision()).
+		f.log.Info().Str("source", sourceName(source)).Strs("via", via).Uint64("revision", platform.RevisionNumber(f.mirror.Revision())).
 			Int64("source_age_ms", (now() - currentAsOf).Milliseconds()).Msg("store: followed")
 	}
 	if f.lost {
@@ -320,7 +375,7 @@
 // logs it unless a search goes on without result.
 func (f *follower) noteFailure(source string, err error) {
 	if errors.Is(err, platform.ErrHistoryGone) {
-		f.log.Info().Str("source", sourceName(source)).Uint64("revision", f.revision()).Msg("store: history is gone, a whole copy is needed")
+		f.log.Info().Str("source", sourceName(source)).Uint64("revision", platform.RevisionNumber(f.revision())).Msg("store: history is gone, a whole copy is needed")
 		return
 	}
 	f.mu.Lock()
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -24,6 +24,9 @@
 	// lookup results. Leases are renewed every renewInterval, a third of leaseTTL.
 	leaseTTL      = 3 * time.Second
 	renewInterval = time.Second
+	// maxReregisterDelay spreads the registrations of all instances after the store came
+	// back as an older copy, since it takes a limited number of writes per second.
+	maxReregisterDelay = 250 * time.Millisecond
 	// deregisterTimeout bounds the removal of the instance's entry at shutdown. If the
 	// removal fails, the entry disappears when its lease expires.
 	deregisterTimeout = time.Second
@@ -321,6 +324,11 @@
 		select {
 		case <-ctx.Done():
 		case <-time.After(renewInterval):
+		case <-e.reregister:
+			time.Sleep(rand.N(maxReregisterDelay))
+		}
+		if e.entryLost.Swap(false) {
+			written = false
 		}
 	}
 	e.members.stopListingSelf()
@@ -334,6 +342,18 @@
 	}
 }
 
+// registerAgain makes this instance renew its registration at once, as the store came
+// back as an older copy. entryLost says that its entry is gone.
+func (e *Edge) registerAgain(entryLost bool) {
+	if entryLost {
+		e.entryLost.Store(true)
+	}
+	select {
+	case e.reregister <- struct{}{}:
+	default: // is about to
+	}
+}
+
 // renew renews the lease, and creates the lease and the entry if they do not exist or
 // have expired. lease is 0 if there is none; written tells whether the entry exists.
 func (e *Edge) renew(ctx context.Context, lease *uint64, written *bool) error {
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -31,7 +31,7 @@
 	r.target, r.err = e.adapter.Target(strings.TrimPrefix(entry.Key, e.storeKeys.TargetPrefix), entry.Value)
 	r.target.Region = e.RegionByZone[r.target.AvailabilityZone]
 	if r.err != nil && (!ok || known.err == nil) {
-		e.log.Warn().Err(r.err).Uint64("revision", entry.Revision).Msg("target: registration cannot be used")
+		e.log.Warn().Err(r.err).Uint64("revision", platform.RevisionNumber(entry.Revision)).Msg("target: registration cannot be used")
 	}
 	e.decoded[entry.Key] = r
 	return r
@@ -41,6 +41,8 @@
 // so that the change need not be passed on.
 func (e *Edge) sameEntry(old, next platform.Entry) bool {
 	switch {
+	case platform.RevisionEra(old.Revision) < platform.RevisionEra(next.Revision):
+		return false // written again after the store came back as an older copy
 	case strings.HasPrefix(next.Key, e.storeKeys.OwnPrefix+instancePrefix):
 		return false // mirrors compare the revisions of instances' entries after an outage
 	case !strings.HasPrefix(next.Key, e.storeKeys.TargetPrefix):
@@ -50,6 +52,30 @@
 	return a.err == nil && b.err == nil && sameTarget(a.target, b.target)
 }
 
+// isOutdated reports whether an entry that the store lists after it came back as an older
+// copy shows an earlier state than the known one: a lower version of the configuration, an
+// earlier process of a target, or one that does not leave yet.
+func (e *Edge) isOutdated(known, listed platform.Entry) bool {
+	if known.Key == e.storeKeys.Configuration {
+		old, err := e.adapter.Configuration(known.Value)
+		if err != nil {
+			return false
+		}
+		next, err := e.adapter.Configuration(listed.Value)
+		return err != nil || next.Version < old.Version
+	}
+	id, isTarget := strings.CutPrefix(known.Key, e.storeKeys.TargetPrefix)
+	if !isTarget {
+		return false
+	}
+	old, err := e.adapter.Target(id, known.Value)
+	if err != nil {
+		return false
+	}
+	next, err := e.adapter.Target(id, listed.Value)
+	return err == nil && (next.Started < old.Started || next.Started == old.Started && old.Leaving && !next.Leaving)
+}
+
 // sameTarget reports whether a target's registration has not changed, apart from the
 // remaining time in which the target is cold (recently started, with empty caches).
 // That time shrinks by itself. Its reaching 0 counts as a change, so that a later cold
@@ -87,14 +113,14 @@
 	changed = changed || len(seen) != len(e.targets)
 	if ended := endedTargets(e.targets, seen); len(ended) > 0 {
 		// Before the lines about the next processes of these targets.
-		e.log.Info().Uint64("revision", m.Revision()).Strs("ended", ended).Msg("targets: ended")
+		e.log.Info().Uint64("revision", platform.RevisionNumber(m.Revision())).Strs("ended", ended).Msg("targets: ended")
 	}
 	e.targets, e.decoded = seen, maps.Clone(seen)
 	if !changed {
 		return
 	}
 	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.SetTargets(targets, now) })
-	e.log.Info().Uint64("revision", m.Revision()).Int("targets", len(targets)).Int("leaving", leaving).Msg("targets: changed")
+	e.log.Info().Uint64("revision", platform.RevisionNumber(m.Revision())).Int("targets", len(targets)).Int("leaving", leaving).Msg("targets: changed")
 }
 
 // endedTargets returns the sorted ids of the targets whose processes are in the old
@@ -122,6 +148,11 @@
 		}
 		list = append(list, instance)
 	})
+	_, registered := m.Get(e.storeKeys.OwnPrefix + instancePrefix + e.Name)
+	if e.registered && !registered {
+		e.registerAgain(true)
+	}
+	e.registered = registered
 	names, changed := e.members.replace(list)
 	if !changed {
 		return
@@ -129,5 +160,5 @@
 	e.gateway.SetInstances(names)
 	region, otherRegions, departed := e.members.rankedNames()
 	e.follower.chooser.SetLiveInstances(e.Name, region, otherRegions, slices.Concat(departed, e.PeerSeeds))
-	e.log.Info().Uint64("revision", m.Revision()).Strs("instances", names).Msg("instances: changed")
+	e.log.Info().Uint64("revision", platform.RevisionNumber(m.Revision())).Strs("instances", names).Msg("instances: changed")
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -171,13 +171,17 @@
 // askChanges asks another instance for the changes that this copy lacks. If it needs a
 // whole copy, the error is platform.ErrHistoryGone.
 func (f *follower) askChanges(ctx context.Context, client fleetpb.FleetClient, name string, wait time.Duration) answer {
-	askedAt := now()
-	r, err := client.Follow(ctx, &fleetpb.FollowRequest{After: f.revision(), WaitMs: wait.Milliseconds()})
+	askedAt, after := now(), f.revision()
+	r, err := client.Follow(ctx, &fleetpb.FollowRequest{After: after, WaitMs: wait.Milliseconds()})
 	if err != nil {
 		return answer{source: name, err: errors.Wrap(err, "follow")}
 	}
 	a := answerFromProto(name, r, askedAt)
-	if r.GetList() {
+	switch era := platform.RevisionEra(after); {
+	case platform.RevisionEra(a.revision) < era:
+		a.err = olderEraError(name, a.revision, after)
+		return a
+	case r.GetList(), platform.RevisionEra(a.revision) > era && after > 0:
 		a.err = platform.ErrHistoryGone
 		return a
 	}
@@ -209,6 +213,9 @@
 // applyChanges applies the changes that another instance has passed on. The error is set
 // if they do not make this copy current.
 func (f *follower) applyChanges(a answer) error {
+	if own := f.revision(); platform.RevisionEra(a.revision) != platform.RevisionEra(own) {
+		return olderEraError(a.source, a.revision, own) // of a call from before this copy's era
+	}
 	f.addGaps(a.gaps)
 	if a.more {
 		f.applyUnconfirmed(a.changes, a.revision)
