A store that comes back as an older copy, played with whole instances and in the soak

The soak takes the store away and lets it come back, alone and beside other faults. The further fault in the list of all changes the order of faults in the seeds of TestSoakSeedsThatFailed.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -60,6 +60,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	batch, ok := f.feed.ChangesSince(after)
+	if !ok {
+		batch.Revision = f.mirror.Revision() // by which a follower ahead of it asks for no copy
+	}
 	at := now()
 	out := &fleetpb.FollowResponse{
 		Revision: batch.Revision, More: batch.More, List: !ok, Via: f.via, Lost: f.lost || f.currentAsOf == 0,
@@ -178,7 +181,7 @@
 	}
 	a := answerFromProto(name, r, askedAt)
 	switch era := platform.RevisionEra(after); {
-	case platform.RevisionEra(a.revision) < era:
+	case a.revision > 0 && platform.RevisionEra(a.revision) < era:
 		a.err = olderEraError(name, a.revision, after)
 		return a
 	case r.GetList(), platform.RevisionEra(a.revision) > era && after > 0:
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -13,10 +16,14 @@
 	*fleet
 	pending sync.WaitGroup // faults that have not ended
 	list    []fault        // to be injected again and again
+	away    atomic.Bool    // the store is away, or what it lost is being written again
 	shuffle bool           // in another order each time
 	deck    []fault        // the rest of the list
 }
 
+// heartbeatInterval is the time between two writes of a target's registration.
+const heartbeatInterval = time.Second
+
 // fault begins a fault that lasts for some time, and does not wait for its end.
 type fault func(j *injector, lasts time.Duration)
 
@@ -26,6 +33,7 @@
 	(*injector).failingTarget, (*injector).silentDrain, (*injector).targetRestart,
 	(*injector).targetLeaves, (*injector).targetLeaves, (*injector).targetPauses, (*injector).targetPauses,
 	(*injector).historyLost, (*injector).keyWithdrawn, (*injector).homesMoved, (*injector).zoneClosed, (*injector).turnedAway,
+	(*injector).storeRestored,
 }
 
 // inject begins the next fault.
@@ -87,6 +95,46 @@
 	j.homesMoved(0)
 }
 
+// storeRestored takes the store away for a moment and lets it come back as a copy some
+// seconds old. The operator and the targets write theirs again within a second.
+func (j *injector) storeRestored(lasts time.Duration) {
+	if !j.away.CompareAndSwap(false, true) {
+		return
+	}
+	const maxAge = 6000 // milliseconds
+	age, endLeases, dropHistory := time.Duration(j.random.IntN(maxAge))*time.Millisecond, j.random.IntN(2) == 0, j.random.IntN(2) == 0
+	delay, seed := lasts/3, j.random.Uint64()
+	j.note("the store is away for %v and comes back as it was %v before; leases end: %v, without history: %v", delay, age, endLeases, dropHistory)
+	for _, in := range j.instances {
+		j.checks.recordWay(in.name, false, time.Now())
+	}
+	j.store.GoAway()
+	j.after(delay, func() {
+		lost := j.store.Restore(delay+age, endLeases)
+		if dropHistory {
+			j.store.DropHistory()
+		}
+		j.note("the store is back, %d entries are to be written again", len(lost))
+		random := rand.New(rand.NewPCG(seed, 1))
+		begin := time.Now()
+		for _, i := range lost {
+			if !strings.HasPrefix(i.Key, "op/") && !strings.HasPrefix(i.Key, "servers/") {
+				continue
+			}
+			time.Sleep(time.Duration(random.Int64N(int64(time.Second - min(time.Since(begin), 999*time.Millisecond)))))
+			j.store.WriteAgain(i)
+		}
+		for _, in := range j.instances {
+			if in.proxy.mode.Load() == "" {
+				j.checks.recordWay(in.name, true, time.Now())
+			}
+		}
+		time.Sleep(heartbeatInterval)
+		j.store.Touch("servers/")
+		j.away.Store(false)
+	})
+}
+
 func (j *injector) suspension(lasts time.Duration) {
 	in := j.anyInstance()
 	j.note("%s: suspended for %v", in.name, lasts)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -60,10 +60,10 @@
 	os.Exit(m.Run())
 }
 
-// runSeed runs one seed and reports the first violations and the trace.
-func runSeed(t *testing.T, seed uint64) {
+// runSeed runs one seed, with these faults or, if there are none, all, and reports the first violations and the trace.
+func runSeed(t *testing.T, seed uint64, list ...fault) {
 	dir := t.TempDir()
-	f := runFleet(t, seed, dir, defect{})
+	f := runFleet(t, seed, dir, defect{faults: list})
 	if len(f.checks.violations) > 0 {
 		if *logDirectory != "" {
 			copyLogs(t, dir, filepath.Join(*logDirectory, fmt.Sprint("seed-", seed)))
@@ -87,8 +87,8 @@
 	}
 	time.Sleep(time.Second)
 	j := &injector{fleet: f, list: faults, shuffle: true}
-	if d.name != "" {
-		j.list, j.shuffle = d.faults, false
+	if len(d.faults) > 0 {
+		j.list, j.shuffle = d.faults, d.name == ""
 	}
 	for end := time.Now().Add(*duration); time.Now().Before(end) && d.caught(f.checks) == ""; {
 		j.inject()
@@ -149,6 +149,26 @@
 	}
 }
 
+// The store comes back as an older copy, alone and beside other faults.
+func TestSoakRestoredStore(t *testing.T) {
+	restored := (*injector).storeRestored
+	for name, c := range map[string]struct {
+		seed uint64
+		list []fault
+	}{
+		"alone":                   {9070, []fault{restored}},
+		"beside changes":          {9071, []fault{restored, (*injector).keyWithdrawn, (*injector).homesMoved, (*injector).targetLeaves, (*injector).zoneClosed, (*injector).historyLost}},
+		"beside kills":            {9072, []fault{restored, (*injector).kill, (*injector).keyWithdrawn, (*injector).targetRestart}},
+		"beside cuts":             {9073, []fault{restored, (*injector).storeConnection, (*injector).turnedAway, (*injector).keyWithdrawn, (*injector).silentDrain}},
+		"beside planned restarts": {9074, []fault{restored, (*injector).termination, (*injector).homesMoved, (*injector).targetLeaves}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, c.seed, c.list...)
+		})
+	}
+}
+
 // Seeds that failed once, and the cause.
 func TestSoakSeedsThatFailed(t *testing.T) {
 	for s, cause := range map[uint64]string{
