mirror: earlier states written again within the grace are not taken

Whoever writes again may repeat all lost states in their order: a target ready before it leaves, an older version before the newest.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -286,12 +286,15 @@
 	}
 }
 
-// unknownChanges returns the changes after the copy's revision. Sources that were asked
+// unknownChanges returns the changes after the copy's revision, except earlier states that
+// are written again after the store came back as an older copy. Sources that were asked
 // side by side tell of the same changes, and an outdated one of entries that have been
 // deleted since. The caller holds the lock.
 func (f *follower) unknownChanges(changes []platform.Change) []platform.Change {
 	revision := f.mirror.Revision()
-	return slices.DeleteFunc(changes, func(c platform.Change) bool { return c.Entry.Revision <= revision })
+	return slices.DeleteFunc(changes, func(c platform.Change) bool {
+		return c.Entry.Revision <= revision || f.mirror.IsOutdatedChange(c, now())
+	})
 }
 
 // confirmConfiguration tells the gateway as of when its configuration was current, if
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -233,12 +233,25 @@
 	}
 }
 
+// IsOutdatedChange reports whether a change brings an earlier state of an entry that has
+// not been written again yet: its owner may write all of its lost states again, in their order.
+func (m *Mirror) IsOutdatedChange(c platform.Change, now time.Duration) bool {
+	known, ok := m.entries[c.Entry.Key]
+	if !ok || c.Deleted || platform.RevisionEra(known.Revision) >= platform.RevisionEra(c.Entry.Revision) {
+		return false
+	}
+	return (now < m.keptUntil || c.Entry.Key == m.options.LastingKey) && m.isOutdated(known, c.Entry)
+}
+
 // IsProven reports whether the entry of a key, in a copy that is current at the time
 // now, is known to be the newest one. It is not if the store came back as an older copy
-// and the owner of the entry may still have to write it again.
+// and the owner of the entry may still have to write it, or a later one, again.
 func (m *Mirror) IsProven(key string, now time.Duration) bool {
 	e, ok := m.entries[key]
-	return ok && (e.Revision > m.restored || now >= m.provenFrom && platform.RevisionEra(e.Revision) == platform.RevisionEra(m.revision))
+	if m.restored == 0 {
+		return ok
+	}
+	return ok && now >= m.provenFrom && platform.RevisionEra(e.Revision) == platform.RevisionEra(m.revision)
 }
 
 // Apply applies changes, ordered by revision, that confirm the copy as current
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -81,9 +81,33 @@
 	if m.IsProven("op/config", time.Second+proofDelay-1) || !m.IsProven("op/config", time.Second+proofDelay) {
 		t.Error("proven too early or never")
 	}
-	m.Apply([]platform.Change{{Entry: value("op/config", "6", 2, 51)}}, at(2, 51), time.Second)
-	if !m.IsProven("op/config", time.Second) {
-		t.Error("not proven when written in the new era")
+	m = newMirrorOfEra1()
+	list(m, at(2, 50), time.Second, value("op/config", "5", 2, 40))
+	m.Apply([]platform.Change{{Entry: value("op/config", "6", 2, 51)}}, at(2, 51), 2*time.Second)
+	if m.IsProven("op/config", 2*time.Second) {
+		t.Error("a version written again is proven, although a later one may follow")
+	}
+}
+
+// Whoever writes again may begin with what was written first.
+func TestEarlierStateWrittenAgainIsNotTakenInTheGracePeriod(t *testing.T) {
+	m := newMirrorOfEra1()
+	list(m, at(2, 50), time.Second)
+	outdated := func(key string, number uint64, now time.Duration) bool {
+		return m.IsOutdatedChange(platform.Change{Entry: value(key, "1", 2, number)}, now)
+	}
+	if !outdated(target, 51, 2*time.Second) || !outdated("op/config", 52, 2*time.Second) || !outdated("op/config", 52, time.Minute) {
+		t.Error("an earlier state is taken")
+	}
+	if m.IsOutdatedChange(deletion(target, at(2, 53)), 2*time.Second) {
+		t.Error("a deletion is not taken")
+	}
+	if outdated(target, 54, time.Second+gracePeriod) {
+		t.Error("what the target writes after the grace period is not taken")
+	}
+	m.Apply([]platform.Change{{Entry: value(target, "2", 2, 55)}}, at(2, 55), 2*time.Second)
+	if outdated(target, 56, 2*time.Second) {
+		t.Error("what the target writes after it has written again is not taken")
 	}
 }
 
