edge: registrations tell the version in force

An instance that starts right after the store came back as an older copy took the configuration that it found, with keys withdrawn since. Registrations, which all instances write again at once, now hold the version in force; a lower one proves nothing. TestInstanceThatStartsAfterARestoreDoesNotTrustAWithdrawnKey failed before: "a request with the withdrawn key ran".

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -190,7 +190,10 @@
 	// entryLost says that its entry is gone from the copy of the store, whatever its lease.
 	reregister chan struct{}
 	entryLost  atomic.Bool
-	registered bool // the copy of the store has this instance's entry; guarded by the follower's lock
+	// registeredVersion is the highest version of the configuration that instances had in
+	// force when they registered; guarded by the follower's lock.
+	registeredVersion uint64
+	registered        bool // the copy of the store has this instance's entry; guarded by the follower's lock
 	// configurationApplied says that the configuration in force is the one in the copy
 	// of the store. The follower's lock guards it.
 	configurationApplied bool
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -59,6 +59,10 @@
 	// Weight is the probability, from 0 to 1, with which a lookup result lists the
 	// instance. It is 1 if the link has at least fullWeightLinkMbps.
 	Weight float64 `json:"weight"`
+	// Configuration is the version of the configuration in force when the entry was
+	// written. It tells instances that start after the store came back as an older copy
+	// of versions that the store may lack.
+	Configuration uint64 `json:"configuration,omitempty"`
 }
 
 // weight returns the Weight of an instance with this link bandwidth; 0 Mbit/s means
@@ -381,7 +385,11 @@
 // writeMember writes this instance's entry, replacing one that an earlier process of
 // the same name left.
 func (e *Edge) writeMember(ctx context.Context, lease uint64, written *bool) error {
-	value, err := json.Marshal(e.members.self)
+	self := e.members.self
+	if t := e.gateway.Table(); t != nil {
+		self.Configuration = t.Version
+	}
+	value, err := json.Marshal(self)
 	if err != nil {
 		return errors.Wrap(err, "instance")
 	}
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -140,12 +140,15 @@
 // and what depends on it: the quota shares and the choice of a source.
 func (e *Edge) applyMembers(m *mirror.Mirror) {
 	var list []member
+	e.registeredVersion = 0
 	m.Each(e.storeKeys.OwnPrefix+instancePrefix, func(entry platform.Entry) {
 		instance, err := decodeMember(entry.Value)
 		if err != nil {
 			e.log.Warn().Err(err).Str("key", entry.Key).Msg("instance: entry cannot be used")
 			return
 		}
+		e.registeredVersion = max(e.registeredVersion, instance.Configuration)
+		instance.Configuration = 0 // no part of what the list is compared by
 		list = append(list, instance)
 	})
 	_, registered := m.Get(e.storeKeys.OwnPrefix + instancePrefix + e.Name)
