--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -25,6 +25,9 @@
 	// lookup results. Leases are renewed every renewInterval, a third of leaseTTL.
 	leaseTTL      = 3 * time.Second
 	renewInterval = time.Second
+	// maxReregisterDelay spreads the registrations of all instances after the store came
+	// back as an older copy, since it takes a limited number of writes per second.
+	maxReregisterDelay = 250 * time.Millisecond
 	// deregisterTimeout bounds the removal of the instance's entry at shutdown. If the
 	// removal fails, the entry disappears when its lease expires.
 	deregisterTimeout = time.Second
@@ -57,6 +60,10 @@
 	// Weight is the probability, from 0 to 1, with which a lookup result lists the
 	// instance. It is 1 if the link has at least fullWeightLinkMbps.
 	Weight float64 `json:"weight"`
+	// Configuration is the version of the configuration in force when the entry was
+	// written. It tells instances that start after the store came back as an older copy
+	// of versions that the store may lack.
+	Configuration uint64 `json:"configuration,omitempty"`
 }
 
 // weight returns the Weight of an instance with this link bandwidth; 0 Mbit/s means
@@ -339,6 +346,11 @@
 		select {
 		case <-ctx.Done():
 		case <-time.After(renewInterval):
+		case <-e.reregister:
+			time.Sleep(rand.N(maxReregisterDelay))
+		}
+		if e.entryLost.Swap(false) {
+			written = false
 		}
 	}
 	e.members.stopListingSelf()
@@ -352,6 +364,18 @@
 	}
 }
 
+// registerAgain makes this instance renew its registration at once, as the store came
+// back as an older copy. entryLost says that its entry is gone.
+func (e *Edge) registerAgain(entryLost bool) {
+	if entryLost {
+		e.entryLost.Store(true)
+	}
+	select {
+	case e.reregister <- struct{}{}:
+	default: // is about to
+	}
+}
+
 // renew renews the lease, and creates the lease and the entry if they do not exist or
 // have expired. lease is 0 if there is none; written tells whether the entry exists.
 func (e *Edge) renew(ctx context.Context, lease *uint64, written *bool) error {
@@ -379,7 +403,11 @@
 // writeMember writes this instance's entry, replacing one that an earlier process of
 // the same name left.
 func (e *Edge) writeMember(ctx context.Context, lease uint64, written *bool) error {
-	value, err := json.Marshal(e.members.self)
+	self := e.members.self
+	if t := e.gateway.Table(); t != nil {
+		self.Configuration = t.Version
+	}
+	value, err := json.Marshal(self)
 	if err != nil {
 		return errors.Wrap(err, "instance")
 	}
--- a/internal/edge/omitted.go
+++ b/internal/edge/omitted.go
@@ -10,6 +10,6 @@
 	}
 	if known, ok := f.mirror.Get(e.Key); !ok || known.Revision < e.Revision {
 		f.log.Error().Str("key", e.Key).Int("bytes", e.OmittedBytes).Int("limit", platform.MaxValueBytes).
-			Uint64("revision", e.Revision).Msg("store: entry exceeds the limit, its value is not read")
+			Uint64("revision", platform.RevisionNumber(e.Revision)).Msg("store: entry exceeds the limit, its value is not read")
 	}
 }
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -37,13 +37,42 @@
 // sameEntry reports whether two versions of an entry are equivalent to all instances,
 // so that the change need not be passed on.
 func (e *Edge) sameEntry(old, next platform.Entry) bool {
-	if !strings.HasPrefix(next.Key, e.storeKeys.TargetPrefix) {
+	switch {
+	case platform.RevisionEra(old.Revision) < platform.RevisionEra(next.Revision):
+		return false // written again after the store came back as an older copy
+	case strings.HasPrefix(next.Key, e.storeKeys.OwnPrefix+instancePrefix):
+		return false // mirrors compare the revisions of instances' entries after an outage
+	case !strings.HasPrefix(next.Key, e.storeKeys.TargetPrefix):
 		return bytes.Equal(old.Value, next.Value)
 	}
 	a, b := e.decodeTarget(old), e.decodeTarget(next)
 	return a.err == nil && b.err == nil && sameTarget(a.target, b.target)
 }
 
+// isOutdated reports whether an entry that the store lists after it came back as an older
+// copy shows an earlier state than the known one: a lower version of the configuration, an
+// earlier process of a target, or one that does not leave yet.
+func (e *Edge) isOutdated(known, listed platform.Entry) bool {
+	if known.Key == e.storeKeys.Configuration {
+		old, err := e.adapter.Configuration(known.Value)
+		if err != nil {
+			return false
+		}
+		next, err := e.adapter.Configuration(listed.Value)
+		return err != nil || next.Version < old.Version
+	}
+	id, isTarget := strings.CutPrefix(known.Key, e.storeKeys.TargetPrefix)
+	if !isTarget {
+		return false
+	}
+	old, err := e.adapter.Target(id, known.Value)
+	if err != nil {
+		return false
+	}
+	next, err := e.adapter.Target(id, listed.Value)
+	return err == nil && (next.Started < old.Started || next.Started == old.Started && old.Leaving && !next.Leaving)
+}
+
 // sameTarget reports whether a target's registration has not changed, apart from the
 // remaining time in which the target is cold (recently started, with empty caches).
 // That time shrinks by itself. Its reaching 0 counts as a change, so that a later cold
@@ -68,9 +97,9 @@
 		old, ok := e.targets[entry.Key]
 		switch {
 		case r.err != nil && !sameError(old.err, r.err):
-			e.log.Warn().Err(r.err).Uint64("revision", r.revision).Msg("target: registration cannot be used")
+			e.log.Warn().Err(r.err).Uint64("revision", platform.RevisionNumber(r.revision)).Msg("target: registration cannot be used")
 		case r.err == nil && old.err != nil:
-			e.log.Info().Str("target", r.target.ID).Uint64("revision", r.revision).Msg("target: registration can be used again")
+			e.log.Info().Str("target", r.target.ID).Uint64("revision", platform.RevisionNumber(r.revision)).Msg("target: registration can be used again")
 		}
 		changed = changed || !ok || !sameTarget(old.target, r.target) || (old.err == nil) != (r.err == nil)
 		if r.err != nil || table == nil || table.Services[r.target.Service] == nil {
@@ -87,14 +116,14 @@
 	changed = changed || len(seen) != len(e.targets)
 	if ended := endedTargets(e.targets, seen); len(ended) > 0 {
 		// Before the lines about the next processes of these targets.
-		e.log.Info().Uint64("revision", m.Revision()).Strs("ended", ended).Msg("targets: ended")
+		e.log.Info().Uint64("revision", platform.RevisionNumber(m.Revision())).Strs("ended", ended).Msg("targets: ended")
 	}
 	e.targets, e.decoded = seen, maps.Clone(seen)
 	if !changed {
 		return
 	}
 	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.SetTargets(targets, now) })
-	e.log.Info().Uint64("revision", m.Revision()).Int("targets", len(targets)).Int("leaving", leaving).Msg("targets: changed")
+	e.log.Info().Uint64("revision", platform.RevisionNumber(m.Revision())).Int("targets", len(targets)).Int("leaving", leaving).Msg("targets: changed")
 }
 
 // sameError reports whether two entries cannot be used for the same reason.
@@ -119,6 +148,7 @@
 	var list []member
 	self := uint64(0) // revision of this instance's entry
 	unusable := map[string]error{}
+	e.registeredVersion = 0
 	m.Each(e.storeKeys.OwnPrefix+instancePrefix, func(entry platform.Entry) {
 		instance, err := decodeMember(strings.TrimPrefix(entry.Key, e.storeKeys.OwnPrefix+instancePrefix), entry.Value)
 		if err != nil {
@@ -131,10 +161,17 @@
 		if instance.Name == e.Name {
 			self = entry.Revision
 		}
+		e.registeredVersion = max(e.registeredVersion, instance.Configuration)
+		instance.Configuration = 0 // no part of what the list is compared by
 		list = append(list, instance)
 	})
 	e.unusableMembers = unusable
 	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.SetRegistration(self, now) })
+	_, registered := m.Get(e.storeKeys.OwnPrefix + instancePrefix + e.Name)
+	if e.registered && !registered {
+		e.registerAgain(true)
+	}
+	e.registered = registered
 	names, changed := e.members.replace(list)
 	if !changed {
 		return
@@ -142,7 +179,7 @@
 	e.gateway.SetInstances(names)
 	region, otherRegions, departed := e.members.rankedNames()
 	e.follower.chooser.SetLiveInstances(e.Name, region, otherRegions, slices.Concat(departed, e.PeerSeeds))
-	e.log.Info().Uint64("revision", m.Revision()).Strs("instances", names).Msg("instances: changed")
+	e.log.Info().Uint64("revision", platform.RevisionNumber(m.Revision())).Strs("instances", names).Msg("instances: changed")
 }
 
 // confirmInstances tells the balancer as of when the instances in the copy were current.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -6,6 +6,9 @@
 // period, in which their owners can register again. If only this instance was
 // cut off from the store, the entries that disappeared meanwhile are removed at
 // once.
+//
+// A store that comes back as an older copy, in a higher era, lists entries that are older
+// than those known here and lacks others. Judge decides which of them are believed.
 package mirror
 
 import (
@@ -32,6 +35,15 @@
 	// have been down and leases may have expired. A shorter gap is treated as
 	// an interrupted watch.
 	OutageThreshold time.Duration
+	// LastingKey is the key of an entry that is kept for good when a store that came
+	// back as an older copy lacks it or has an outdated one.
+	LastingKey string
+	// IsOutdated reports whether an entry that such a store lists shows an earlier state
+	// than the one known before. Nil means that none does.
+	IsOutdated func(known, listed platform.Entry) bool
+	// ProofDelay is how long after such a return an entry that is listed may still be
+	// outdated, because its owner has yet to write it again.
+	ProofDelay time.Duration
 }
 
 // Mirror is the copy. All times are durations since a fixed moment, such as the
@@ -48,6 +60,10 @@
 	// outageEnded is set at the first contact after an outage, until
 	// checkOutage has decided whether the store was down.
 	outageEnded bool
+
+	restored   uint64        // revision of the first copy of the present era; 0 if the era has not risen
+	provenFrom time.Duration // end of ProofDelay
+	keptUntil  time.Duration // end of the grace period of entries of lower eras
 }
 
 // New returns an empty mirror.
@@ -67,10 +83,13 @@
 	m.lastContact = max(m.lastContact, now)
 }
 
-// Replace replaces the copy by a full listing of a revision that is not older than the
-// copy's, which also confirms it as current. It returns the keys whose entries changed in
-// the copy.
+// Replace replaces the copy by a full listing, as Judge returns it, of a revision that is
+// not older than the copy's, which also confirms it as current. It returns the keys whose
+// entries changed in the copy.
 func (m *Mirror) Replace(entries []platform.Entry, revision uint64, now time.Duration) []string {
+	if m.IsRestored(revision) {
+		return m.replaceRestored(entries, revision, now)
+	}
 	m.NoteContact(now)
 	var changed []string
 	listedRevisions := make(map[string]uint64, len(entries))
@@ -79,12 +98,19 @@
 	}
 	m.checkOutage(func(key string) bool { return listedRevisions[key] == m.entries[key].Revision })
 	for _, e := range entries {
-		if m.put(e) {
+		if platform.RevisionEra(e.Revision) < platform.RevisionEra(revision) {
+			if m.keep(e, revision, now) {
+				changed = append(changed, e.Key)
+			}
+		} else if m.put(e) {
 			changed = append(changed, e.Key)
 		}
 	}
 	for key, e := range m.entries {
-		if listedRevisions[key] == 0 && e.Revision <= revision && m.remove(key, now) {
+		if listedRevisions[key] != 0 || e.Revision > revision || platform.RevisionEra(e.Revision) < platform.RevisionEra(m.revision) {
+			continue // or missing since the era rose
+		}
+		if m.remove(key, now) {
 			changed = append(changed, key)
 		}
 	}
