--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -41,13 +41,12 @@
 	// yieldStep is the factor by which requests of each lower priority leave more room than
 	// those of the next higher one.
 	yieldStep = 0.5
-	// protectedShare is the share of requests sent below which those of lower priority give
-	// way further.
-	protectedShare = 0.98
-	// protectTime is the time in which protection rises from none to full, and exposeTime that
-	// in which it falls: a queue that has filled meanwhile takes time to drain.
-	protectTime = 500 * time.Millisecond
-	exposeTime  = 10 * time.Second
+	// balanceTime is the time in which the protection of a priority rises from none to full
+	// while it is sent less often than a lower one, or falls back. Protecting it further would
+	// cost more requests than it saves, as the room that stays free is partly lost for all.
+	balanceTime = time.Second
+	// minLag is by how much less often, as a share of requests, that is.
+	minLag = 0.02
 )
 
 // Yield is how far a request gives way to those of higher priority at the same service.
@@ -69,10 +68,10 @@
 	if !known {
 		list = slices.DeleteFunc(list, func(e *claim) bool { e.decay(now); return e.counter.asked < 1 })
 		i, _ = slices.BinarySearchFunc(list, r.Priority, func(e *claim, p int) int { return cmp.Compare(e.priority, p) })
-		list = slices.Insert(list, i, &claim{counter: counter{at: now}, priority: r.Priority, objective: r.Objective, protection: 1})
+		list = slices.Insert(list, i, &claim{counter: counter{at: now}, priority: r.Priority, objective: r.Objective})
 		c[service] = list
 	}
-	list[i].protect(now)
+	c.protect(service, now)
 	list[i].counter.asked++
 	if r.Objective > 0 && (list[i].objective == 0 || r.Objective < list[i].objective) {
 		list[i].objective = r.Objective
@@ -83,32 +82,39 @@
 func (c claims) sent(service string, r Request, now time.Duration) {
 	for _, e := range c[service] {
 		if e.priority == r.Priority {
-			e.protect(now)
 			e.counter.sent++
 		}
 	}
 }
 
-// protect updates the protection by what the requests have got until now.
-func (e *claim) protect(now time.Duration) {
-	elapsed := float64(max(now-e.at, 0))
-	step := elapsed / float64(protectTime)
-	if e.counter.asked >= minCounted && e.share() >= protectedShare {
-		step = -elapsed / float64(exposeTime)
+// protect ages the counts of a service, and updates the protection of each priority by what
+// its requests have got until now. It returns the number of all requests.
+func (c claims) protect(service string, now time.Duration) float64 {
+	all := 0.0
+	for _, e := range c[service] {
+		all += e.counter.asked
 	}
-	e.protection = min(max(e.protection+step, 0), 1)
-	e.decay(now)
+	lower := 0.0 // largest share of the lower priorities
+	for _, e := range slices.Backward(c[service]) {
+		step := float64(max(now-e.at, 0)) / float64(balanceTime)
+		if e.counter.asked >= minCounted && e.share() < lower-minLag {
+			e.protection = min(e.protection+step, 1)
+		} else {
+			e.protection = max(e.protection-step, 0)
+		}
+		if e.counter.asked >= minCounted {
+			lower = max(lower, e.share())
+		}
+		e.decay(now)
+	}
+	return all
 }
 
 // yield returns how far requests of a priority give way: to the shortest objective of
 // the higher priorities, halved for each of them, if these ask for a noticeable part of the
 // service.
 func (c claims) yield(service string, priority int, now time.Duration) Yield {
-	all := 0.0
-	for _, e := range c[service] {
-		e.protect(now)
-		all += e.counter.asked
-	}
+	all := c.protect(service, now)
 	var y Yield
 	for _, e := range c[service] {
 		if e.priority >= priority {
@@ -129,11 +135,7 @@
 // compete reports whether requests of different priority ask for a noticeable part of the
 // service each.
 func (c claims) compete(service string, now time.Duration) bool {
-	all, priorities := 0.0, 0
-	for _, e := range c[service] {
-		e.protect(now)
-		all += e.counter.asked
-	}
+	all, priorities := c.protect(service, now), 0
 	for _, e := range c[service] {
 		if e.counter.asked >= max(minClaim*all, minClaimed) {
 			priorities++
