quota: schedules of planned stops, cuts and suspensions in virtual time

The role of the hub moves at each planned stop, and each new hub forgets what the former one had handed out. TestNoQuotaIsExceededWhileInstancesStopInTurn and TestNoQuotaIsExceededInRandomSchedules play that with 7, 25 and 118 instances, each of which has its own view of the list.

The simulation gave the first instances a too large equal share at the start, since it set the number of instances while it built the fleet.

--- a/internal/quota/lost_test.go
+++ b/internal/quota/lost_test.go
@@ -56,6 +56,11 @@
 	started          uint64
 	up               bool
 	silent           bool // while down, it does not even refuse connections
+	leaving          bool // it has got SIGTERM and serves on until it ends
+	unregistered     bool
+	cutOff           bool   // messages to and from it are lost
+	suspended        bool   // it does nothing until it wakes up
+	view             []bool // by instance: registered, as far as this one knows
 	limiter          *Limiter
 	aggregator       *Aggregator
 	hub              *Hub
@@ -120,20 +125,79 @@
 	}
 	f.admitted = make([][]time.Duration, len(f.workspaces))
 	for i := range n {
-		node := &unstableNode{fleet: f, index: i, zone: i % testZones, workspacesByName: byName}
+		node := &unstableNode{fleet: f, index: i, zone: i % testZones, workspacesByName: byName, view: make([]bool, n)}
+		for j := range node.view {
+			node.view[j] = true
+		}
 		f.nodes = append(f.nodes, node)
+	}
+	for _, node := range f.nodes {
 		node.start()
 	}
 	return f
 }
 
+// viewDelay is the largest time after which an instance learns of a changed registration.
+const viewDelay = 100 * time.Millisecond
+
+// register tells all instances that one is registered now, or is not.
+func (f *unstableFleet) register(index int, registered bool) {
+	for _, n := range f.nodes {
+		f.after(time.Duration(f.random.IntN(int(viewDelay))), func() {
+			n.view[index] = registered || n.index == index
+			n.limiter.SetInstances(n.listed(), f.now)
+		})
+	}
+}
+
+// listed returns the number of registered instances that this one knows, itself included.
+func (n *unstableNode) listed() (count int) {
+	for _, registered := range n.view {
+		if registered {
+			count++
+		}
+	}
+	return count
+}
+
+// stop is a planned stop and start: the instance leaves the list at once, serves on for the
+// grace period and is back after a pause.
+func (n *unstableNode) stop(grace, pause time.Duration) {
+	if !n.up || n.leaving {
+		return
+	}
+	started := n.started
+	n.leaving, n.unregistered = true, true
+	n.fleet.register(n.index, false)
+	n.fleet.after(grace, func() {
+		if n.started == started && n.up {
+			n.kill(pause, false)
+		}
+	})
+}
+
+// members returns the instances of a zone, or all for zone -1, that this one takes for live,
+// in rank order.
+func (n *unstableNode) members(zone int) (list []*unstableNode) {
+	for _, other := range n.fleet.nodes {
+		if n.view[other.index] && (zone < 0 || other.zone == zone) {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
 // start starts the instance's process, which knows nothing of an earlier one.
 func (n *unstableNode) start() {
 	n.started++
 	name := fmt.Sprint("i", n.index)
-	n.up, n.silent, n.reporting, n.reportedAt, n.waiting = true, false, false, -time.Second, nil
+	n.up, n.silent, n.leaving, n.reporting, n.reportedAt, n.waiting = true, false, false, false, -time.Second, nil
+	if n.unregistered {
+		n.unregistered = false
+		n.fleet.register(n.index, true)
+	}
 	n.limiter = New(name, n.started, 4*time.Second)
-	n.limiter.SetInstances(len(n.fleet.nodes), n.fleet.now)
+	n.limiter.SetInstances(n.listed(), n.fleet.now)
 	n.aggregator, n.hub = NewAggregator("zone of "+name, n.started), NewHub()
 	n.aggregator.SetWorkspaces(n.workspacesByName)
 	n.hub.SetWorkspaces(n.workspacesByName)
@@ -158,14 +222,9 @@
 	n.fleet.after(d, n.start)
 }
 
-// zoneMember returns the instance of a rank in a zone.
-func (f *unstableFleet) zoneMember(zone, rank int) *unstableNode {
-	var members []*unstableNode
-	for _, n := range f.nodes {
-		if n.zone == zone {
-			members = append(members, n)
-		}
-	}
+// zoneMember returns the instance of a rank in this one's zone.
+func (n *unstableNode) zoneMember(rank int) *unstableNode {
+	members := n.members(n.zone)
 	return members[rank%len(members)]
 }
 
@@ -173,26 +232,26 @@
 // just before.
 func (n *unstableNode) report() {
 	f := n.fleet
-	if n.reporting || f.now-n.reportedAt < askPause {
+	if n.reporting || n.suspended || f.now-n.reportedAt < askPause {
 		return
 	}
 	n.reporting, n.reportedAt = true, f.now
 	done := func() { n.reporting = false }
 	own := func(done func()) {
-		n.sendTo(&n.toAggregator, func(rank int) *unstableNode { return f.zoneMember(n.zone, rank) }, n.limiter.Report, func(to *unstableNode, r Report) (Levels, bool) {
+		n.sendTo(&n.toAggregator, func(rank int) *unstableNode { return n.zoneMember(rank) }, n.limiter.Report, func(to *unstableNode, r Report) (Levels, bool) {
 			l, _ := to.aggregator.Handle(r, f.now)
 			return l, true
 		}, n.takeLevels, done)
 	}
 	atHub := func(to *unstableNode, r Report) (Levels, bool) {
-		to.hub.SetInstances(len(f.nodes))
+		to.hub.SetInstances(to.listed())
 		return to.hub.Handle(r, f.now), true
 	}
-	hub := func(rank int) *unstableNode { return f.nodes[rank%len(f.nodes)] }
+	hub := func(rank int) *unstableNode { members := n.members(-1); return members[rank%len(members)] }
 	switch {
-	case len(f.nodes) <= flatFleet:
+	case n.listed() <= flatFleet:
 		n.sendTo(&n.toHub, hub, n.limiter.Report, atHub, n.takeLevels, done)
-	case f.zoneMember(n.zone, n.toAggregator.Rank()) == n || n.aggregator.HasReporters(f.now):
+	case n.zoneMember(n.toAggregator.Rank()) == n || n.aggregator.HasReporters(f.now):
 		n.sendTo(&n.toHub, hub, func() Report { return n.aggregator.Report(f.now) }, atHub, n.aggregator.SetLevels, func() { own(done) })
 	default:
 		own(done)
@@ -247,9 +306,16 @@
 	}
 	f.after(delay, func() {
 		switch {
+		case to != n && (to.cutOff || n.cutOff || to.suspended):
+			f.after(limit-delay, func() { result(Levels{}, false, false) })
 		case to.up:
 			l, ok := handle(to)
-			f.after(delay, func() { result(l, ok, false) })
+			f.after(delay, func() {
+				if n.suspended {
+					ok = false
+				}
+				result(l, ok, false)
+			})
 		case to.silent:
 			f.after(limit-delay, func() { result(Levels{}, false, false) })
 		default:
@@ -292,10 +358,10 @@
 		}
 		callers := f.callers[workspace]
 		n := f.nodes[callers[f.random.IntN(len(callers))]]
-		for tries := 0; !n.up && tries < 2*len(f.nodes); tries++ {
+		for tries := 0; (!n.up || n.suspended) && tries < 2*len(f.nodes); tries++ {
 			n = f.nodes[f.random.IntN(len(f.nodes))]
 		}
-		if n.up { // otherwise nobody takes the request
+		if n.up && !n.suspended { // otherwise nobody takes the request
 			f.asked = append(f.asked, f.now)
 			n.decide(pendingRequest{workspace, f.ideal[workspace].take(w, f.now), f.now + askTime})
 		}
@@ -438,3 +504,76 @@
 		}
 	}
 }
+
+// stopInTurn stops all instances one after the other, as a planned restart does.
+func (f *unstableFleet) stopInTurn(gap, grace, pause time.Duration) {
+	for i, n := range f.nodes {
+		f.after(time.Duration(i)*gap, func() { n.stop(grace, pause) })
+	}
+}
+
+// While instances stop in turn, with nothing unplanned, the hub's role moves at each stop. No
+// workspace may get more than its quota through that, and what is within the quota is served.
+func TestNoQuotaIsExceededWhileInstancesStopInTurn(t *testing.T) {
+	for _, n := range []int{7, 25, 118} {
+		for _, gap := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+			t.Run(fmt.Sprintf("%d instances, one each %v", n, gap), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(6) {
+					f := newUnstableFleet(n, 200+seed)
+					f.run(time.Second)
+					for w := range f.workspaces {
+						f.arrive(w, 9, 18*time.Second)
+					}
+					f.run(5 * time.Second)
+					f.stopInTurn(gap, 6*time.Second, time.Second)
+					f.run(18 * time.Second)
+					f.checkQuotas(t, fmt.Sprint("seed ", 200+seed))
+				}
+			})
+		}
+	}
+}
+
+// Random schedules of stops in turn, cuts, suspensions and kills.
+func TestNoQuotaIsExceededInRandomSchedules(t *testing.T) {
+	for _, n := range []int{7, 25, 118} {
+		t.Run(fmt.Sprint(n, " instances"), func(t *testing.T) {
+			t.Parallel()
+			seeds := uint64(20)
+			if n > flatFleet {
+				seeds = 6
+			}
+			for seed := range seeds {
+				f := newUnstableFleet(n, 300+seed)
+				f.run(time.Second)
+				for w := range f.workspaces {
+					f.arrive(w, []float64{0.9, 4, 9}[f.random.IntN(3)], 20*time.Second)
+				}
+				for range 6 {
+					f.after(time.Duration(2+f.random.IntN(14))*time.Second, f.randomFault)
+				}
+				f.run(20 * time.Second)
+				f.checkQuotas(t, fmt.Sprint("seed ", 300+seed))
+			}
+		})
+	}
+}
+
+// randomFault is one of the faults of TestNoQuotaIsExceededInRandomSchedules.
+func (f *unstableFleet) randomFault() {
+	switch n := f.nodes[f.random.IntN(min(3, len(f.nodes)))]; f.random.IntN(4) {
+	case 0:
+		f.stopInTurn(time.Duration(100+f.random.IntN(900))*time.Millisecond, 6*time.Second, time.Second)
+	case 1:
+		n.cutOff = true
+		f.after(time.Duration(f.random.IntN(3000))*time.Millisecond, func() { n.cutOff = false })
+	case 2:
+		n.suspended = true
+		f.after(time.Duration(f.random.IntN(3000))*time.Millisecond, func() { n.suspended = false })
+	case 3:
+		if n.up {
+			n.kill(time.Second, f.random.IntN(2) == 0)
+		}
+	}
+}
