--- a/internal/quota/hub.go
+++ b/internal/quota/hub.go
@@ -13,8 +13,13 @@
 	workspaces map[string]*config.Workspace
 	buckets    map[string]*fleetBucket
 	reporters  reporters
+	leaving    bool
+	generation uint64
 }
 
+// heldTTL is the age from which the levels of a former hub tell nothing of the present.
+const heldTTL = reporterTTL + levelTTL
+
 // fleetBucket is the token bucket of one workspace.
 type fleetBucket struct {
 	left       float64 // tokens; may be below 0, since it is charged after the fact
@@ -39,12 +44,32 @@
 // SetInstances sets the number of instances that share the quotas.
 func (h *Hub) SetInstances(n int) { h.instances = max(n, 1) }
 
+// SetGeneration sets Levels.Generation.
+func (h *Hub) SetGeneration(started uint64) { h.generation = started }
+
+// SetLeaving says whether the hub is about to stop. It then hands back the shares of its
+// reporters, each at its next report.
+func (h *Hub) SetLeaving(leaving bool) { h.leaving = leaving }
+
 // Handle takes the tokens for the newly admitted requests of a report and returns the
-// levels of all buckets that are not full. The first report of a reporter only sets
-// where counting starts.
+// levels of all buckets that are not full. A reporter that comes from another hub brings
+// its share of that one's levels; one that leaves, or is sent away because this hub is
+// about to stop, takes its share along.
 func (h *Hub) Handle(r Report, now time.Duration) Levels {
-	from, first := h.reporters.record(r, now)
-	share := min(float64(h.reporters.members(now))/float64(h.instances), 1)
+	before := h.reporters.members(now)
+	shareBefore := min(float64(before)/float64(h.instances), 1)
+	for name, w := range h.workspaces {
+		if h.buckets[name] == nil && w.Rate > 0 {
+			h.refill(w, shareBefore, now)
+		}
+	}
+	had := h.reporters.membersOf(r.Instance, now)
+	from, _ := h.reporters.record(r, now)
+	if had == 0 && h.leaving {
+		from.members = 0
+	}
+	members := h.reporters.members(now)
+	share := min(float64(members)/float64(h.instances), 1)
 	newRequests := 0.0
 	for _, u := range r.Usages {
 		// Counted also while the workspace is unknown, or else all of it would be charged
@@ -54,13 +79,14 @@
 		if w == nil || w.Rate <= 0 {
 			continue
 		}
-		if b := h.refill(w, share, now); !first {
-			b.left -= n
-			newRequests += n
-		}
+		h.refill(w, share, now).left -= n
+		newRequests += n
+	}
+	if had == 0 && from.members > 0 && r.Held != nil {
+		h.add(r, from.members, share, now)
 	}
 	from.addUsage(newRequests, now)
-	out := Levels{Share: share, Part: h.reporters.usageShare(from, now)}
+	out := Levels{Share: share, Part: h.reporters.usageShare(from, now), Members: members, Joined: from.members > 0, SentAt: now, Generation: h.generation}
 	for name, b := range h.buckets {
 		w := h.workspaces[name]
 		h.refill(w, share, now)
@@ -68,9 +94,43 @@
 			out.Levels = append(out.Levels, Level{name, b.left})
 		}
 	}
+	if (r.Release || h.leaving) && from.members > 0 {
+		out.Released, out.Joined = true, false
+		for _, b := range h.buckets {
+			b.left *= float64(members-from.members) / float64(members)
+		}
+		from.members = 0
+	}
 	return out
 }
 
+// add adds to the buckets what the levels that a reporter held with its former hub leave
+// to n instances, and what has been refilled since.
+func (h *Hub) add(r Report, n int, share float64, now time.Duration) {
+	age := now - r.HeldAt
+	if age > heldTTL || r.Held.Members == 0 || r.Held.Generation == h.generation && h.generation != 0 {
+		return
+	}
+	left := make(map[string]float64, len(r.Held.Levels))
+	for _, l := range r.Held.Levels {
+		left[l.Workspace] = l.Left
+	}
+	fraction := float64(n) / float64(max(r.Held.Members, n))
+	for name, w := range h.workspaces {
+		if w.Rate <= 0 {
+			continue
+		}
+		full := float64(w.Burst) * r.Held.Share
+		tokens, listed := left[name]
+		if !listed {
+			tokens = full
+		}
+		tokens = min(tokens+w.Rate*r.Held.Share*min(age, levelTTL).Seconds(), full)
+		b := h.refill(w, share, now)
+		b.left = min(b.left+tokens*fraction, float64(w.Burst)*share)
+	}
+}
+
 // refill returns the workspace's bucket, filled up to now. share is the fraction of
 // the quota that this hub gives out.
 func (h *Hub) refill(w *config.Workspace, share float64, now time.Duration) *fleetBucket {
--- a/internal/quota/lost_test.go
+++ b/internal/quota/lost_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -66,6 +67,7 @@
 	hub              *Hub
 	toAggregator     Failover
 	toHub            Failover
+	own, zones       testRoute // of the instance's own reports, and of its zone's
 	reporting        bool
 	reportedAt       time.Duration
 	waiting          []pendingRequest
@@ -168,6 +170,7 @@
 	}
 	started := n.started
 	n.leaving, n.unregistered = true, true
+	n.limiter.Leave()
 	n.fleet.register(n.index, false)
 	n.fleet.after(grace, func() {
 		if n.started == started && n.up {
@@ -184,6 +187,14 @@
 			list = append(list, other)
 		}
 	}
+	if i := slices.Index(list, n); n.leaving && i >= 0 {
+		list = slices.Delete(list, i, i+1)
+	}
+	for _, other := range n.fleet.nodes { // last, those that may still be about to stop
+		if !slices.Contains(list, other) && (zone < 0 || other.zone == zone) {
+			list = append(list, other)
+		}
+	}
 	return list
 }
 
@@ -201,7 +212,8 @@
 	n.aggregator, n.hub = NewAggregator("zone of "+name, n.started), NewHub()
 	n.aggregator.SetWorkspaces(n.workspacesByName)
 	n.hub.SetWorkspaces(n.workspacesByName)
-	n.toAggregator, n.toHub = Failover{}, Failover{}
+	n.hub.SetGeneration(n.started*10000 + uint64(n.index) + 1)
+	n.toAggregator, n.toHub, n.own, n.zones = Failover{}, Failover{}, testRoute{}, testRoute{}
 	n.fleet.after(time.Duration(n.fleet.random.IntN(int(ReportInterval))), n.ticker(n.started))
 }
 
@@ -238,57 +250,124 @@
 	n.reporting, n.reportedAt = true, f.now
 	done := func() { n.reporting = false }
 	own := func(done func()) {
-		n.sendTo(&n.toAggregator, func(rank int) *unstableNode { return n.zoneMember(rank) }, n.limiter.Report, func(to *unstableNode, r Report) (Levels, bool) {
-			l, _ := to.aggregator.Handle(r, f.now)
-			return l, true
+		n.sendTo(&n.toAggregator, &n.own, ZoneTTL, func(rank int) *unstableNode { return n.zoneMember(rank) }, n.limiter.Report, func(to *unstableNode, r Report) (Levels, bool) {
+			to.aggregator.SetLeaving(to.leaving && to.members(to.zone)[0] != to)
+			l, ok := to.aggregator.Handle(r, f.now)
+			return l, !ok || !to.aggregator.leaving || l.Released
 		}, n.takeLevels, done)
 	}
 	atHub := func(to *unstableNode, r Report) (Levels, bool) {
-		to.hub.SetInstances(to.listed())
-		return to.hub.Handle(r, f.now), true
+		instances := to.listed()
+		if to.leaving { // others may be leaving too
+			instances = max(instances, to.limiter.Instances(f.now))
+		}
+		to.hub.SetInstances(instances)
+		to.hub.SetLeaving(to.leaving && to.listed() > 1)
+		l := to.hub.Handle(r, f.now)
+		return l, !to.hub.leaving || l.Released
 	}
 	hub := func(rank int) *unstableNode { members := n.members(-1); return members[rank%len(members)] }
 	switch {
 	case n.listed() <= flatFleet:
-		n.sendTo(&n.toHub, hub, n.limiter.Report, atHub, n.takeLevels, done)
+		n.sendTo(&n.toHub, &n.own, FlatTTL, hub, n.limiter.Report, atHub, n.takeLevels, done)
 	case n.zoneMember(n.toAggregator.Rank()) == n || n.aggregator.HasReporters(f.now):
-		n.sendTo(&n.toHub, hub, func() Report { return n.aggregator.Report(f.now) }, atHub, n.aggregator.SetLevels, func() { own(done) })
+		n.sendTo(&n.toHub, &n.zones, FlatTTL, hub, func() Report { return n.aggregator.Report(f.now) }, atHub, n.aggregator.SetLevels, func() { own(done) })
 	default:
 		own(done)
 	}
 }
 
+// testRoute is what the shell keeps on the way of a report.
+type testRoute struct {
+	pledge Pledge
+	avoid  *unstableNode // has handed back the share because it is about to stop
+	tried  string        // has not responded to a release
+}
+
 // sendTo sends a report, as the shell does.
-func (n *unstableNode) sendTo(choice *Failover, member func(rank int) *unstableNode, report func() Report, handle func(*unstableNode, Report) (Levels, bool), onLevels func(Report, Levels, time.Duration), done func()) {
+func (n *unstableNode) sendTo(choice *Failover, route *testRoute, ttl time.Duration, member func(rank int) *unstableNode, report func() Report, handle func(*unstableNode, Report) (Levels, bool), onLevels func(Report, Levels, time.Duration), done func()) {
 	f, started := n.fleet, n.started
-	var try func(left int)
-	try = func(left int) {
+	id := func(to *unstableNode) string { return fmt.Sprint(ttl, " ", to.index) }
+	send := func(to *unstableNode, limit time.Duration, release bool, result func(l Levels, ok, gone bool)) {
 		r, sentAt := report(), f.now
-		n.call(member(choice.Rank()), reportLimit, func(to *unstableNode) (Levels, bool) { return handle(to, r) }, func(l Levels, ok, gone bool) {
+		r.Release = release
+		route.pledge.Prepare(&r, id(to), ttl, f.now)
+		n.call(to, limit, func(to *unstableNode) (Levels, bool) { return handle(to, r) }, func(l Levels, ok, gone bool) {
 			if n.started != started || !n.up {
 				return
 			}
-			if !ok {
-				if choice.Failed(f.now); gone && left > 1 {
+			switch {
+			case ok && !empty(l):
+				if route.pledge.Responded(r, id(to), l, f.now) {
+					f.after(askPause, func() {
+						if n.started == started && n.up {
+							n.report()
+						}
+					})
+				}
+				if !l.NoLevels {
+					onLevels(r, l, sentAt)
+				}
+			case gone:
+				route.pledge.Gone(id(to))
+			}
+			result(l, ok, gone)
+		})
+	}
+	pick := func(rank int) *unstableNode {
+		to := member(rank)
+		if to == route.avoid && n.view[to.index] {
+			return member(rank + 1)
+		}
+		return to
+	}
+	// leave lets the receiver that may have the share hand it back, if another one is next.
+	leave := func(to *unstableNode, then func()) {
+		holder := route.pledge.Holder(id(to), f.now)
+		if holder == "" || holder == route.tried {
+			then()
+			return
+		}
+		route.tried = holder
+		var index int
+		if _, err := fmt.Sscanf(holder, ttl.String()+" %d", &index); err != nil {
+			then()
+			return
+		}
+		send(f.nodes[index], TrialTimeout, true, func(Levels, bool, bool) { then() })
+	}
+	var try func(left int)
+	try = func(left int) {
+		to := pick(choice.Rank())
+		leave(to, func() {
+			send(to, reportLimit, false, func(l Levels, ok, gone bool) {
+				switch {
+				case ok && l.Released && left > 1:
+					route.avoid = to
 					try(left - 1)
 					return
+				case !ok:
+					route.tried = id(to)
+					if choice.Failed(f.now); gone && left > 1 {
+						try(left - 1)
+						return
+					}
+					done()
+					return
 				}
-				done()
-				return
-			}
-			if !empty(l) {
-				onLevels(r, l, sentAt)
-			}
-			rank, due := choice.Succeeded(f.now)
-			if !due {
-				done()
-				return
-			}
-			n.call(member(rank), TrialTimeout, func(to *unstableNode) (Levels, bool) { return handle(to, report()) }, func(_ Levels, ok, _ bool) {
-				if ok {
-					choice.TrialSucceeded(rank)
+				route.tried = ""
+				rank, due := choice.Succeeded(f.now)
+				if !due {
+					done()
+					return
 				}
-				done()
+				trial := pick(rank)
+				n.call(trial, TrialTimeout, func(to *unstableNode) (Levels, bool) { return Levels{}, !to.leaving || !n.view[to.index] }, func(_ Levels, ok, _ bool) {
+					if n.started == started && n.up && ok {
+						choice.TrialSucceeded(rank)
+					}
+					done()
+				})
 			})
 		})
 	}
@@ -296,7 +375,7 @@
 }
 
 // empty reports whether an aggregator had no levels to respond with.
-func empty(l Levels) bool { return l.Share == 0 }
+func empty(l Levels) bool { return l.SentAt == 0 }
 
 // call calls another instance, and tells the result or that it failed.
 func (n *unstableNode) call(to *unstableNode, limit time.Duration, handle func(*unstableNode) (Levels, bool), result func(l Levels, ok, gone bool)) {
@@ -310,12 +389,8 @@
 			f.after(limit-delay, func() { result(Levels{}, false, false) })
 		case to.up:
 			l, ok := handle(to)
-			f.after(delay, func() {
-				if n.suspended {
-					ok = false
-				}
-				result(l, ok, false)
-			})
+			gone := !ok
+			f.after(delay, func() { result(l, ok && !n.suspended, gone) })
 		case to.silent:
 			f.after(limit-delay, func() { result(Levels{}, false, false) })
 		default:
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -13,6 +13,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,6 +67,9 @@
 type Usage struct {
 	Workspace string
 	Admitted  uint64
+	// Settled is how many of them a hub has counted or the equal share has covered. A hub
+	// that does not know the reporter counts from here.
+	Settled uint64
 }
 
 // Report tells the hub what an instance has admitted.
@@ -76,6 +80,21 @@
 	Usages  []Usage
 	// Members is the number of instances that the report covers; 0 means 1.
 	Members int
+	// Carries says that the usages have Settled. Reporters of older versions have not.
+	Carries bool
+	// Held are the levels that the reporter got last, if they came from another hub, and
+	// HeldAt is when they were current, on the receiver's clock.
+	Held   *Levels
+	HeldAt time.Duration
+	// Guest says that another hub may still give out the reporter's share. The receiver
+	// counts the usages, but gives out no share for them.
+	Guest bool
+	// Release says that the reporter moves to another hub. The receiver counts the usages
+	// and stops giving out the reporter's share.
+	Release bool
+	// Echo is Levels.SentAt of the latest response that the reporter has got from the
+	// receiver's process; 0 for none.
+	Echo time.Duration
 }
 
 // Level is the level of a workspace's bucket in the whole fleet.
@@ -96,6 +115,20 @@
 	Part float64
 	// Age is how old the levels were when the response was sent.
 	Age time.Duration
+	// Members is the number of instances whose shares make up the levels.
+	Members int
+	// Joined says that the reporter's share is one of them.
+	Joined bool
+	// Released says that the hub no longer gives out the reporter's share: the reporter has
+	// asked for it, or the hub is about to stop. The reporter's fraction 1/Members of the
+	// levels is its own, to be handed to the next hub.
+	Released bool
+	// SentAt is when the receiver responded, on its clock.
+	SentAt time.Duration
+	// Generation identifies the hub's process: its start, in Unix nanoseconds.
+	Generation uint64
+	// NoLevels says that an aggregator has no recent levels of the hub.
+	NoLevels bool
 }
 
 // Limiter admits or refuses requests at one instance. It is not safe for concurrent
@@ -110,12 +143,17 @@
 	growDelay      time.Duration
 	pendingShare   float64 // share from pendingShareAt on; 0 if no increase is pending
 	pendingShareAt time.Duration
+	leaving        bool // the share does not grow any more
 
 	levels    map[string]float64 // tokens left, by workspace; buckets not listed are full
 	levelsAt  time.Duration      // when the report that the levels respond to was sent, less Levels.Age
 	hasLevels bool
 	hubShare  float64 // Levels.Share
 	part      float64 // Levels.Part
+	// held are the latest levels that include this instance's share, and heldAt is when they
+	// were current.
+	held   *Levels
+	heldAt time.Duration
 	// completeAt is when the latest complete levels were current, or the first request
 	// was decided if there were none yet.
 	completeAt time.Duration
@@ -143,6 +181,9 @@
 
 	admitted uint64 // requests admitted since the start; see Usage
 	reported uint64 // value of admitted in the report that the current levels answer
+	settled  uint64 // value of admitted in the last report that got a response
+	// byShare is how many requests the equal share has admitted since that report.
+	byShare uint64
 }
 
 // New returns the limiter of a named instance, whose process started at the given Unix
@@ -157,6 +198,7 @@
 func (s *Limiter) SetInstances(n int, now time.Duration) {
 	share := 1 / float64(max(n, 1))
 	switch {
+	case share > s.share && s.leaving:
 	case share <= s.share:
 		s.share, s.pendingShare = share, 0
 	case share != s.pendingShare:
@@ -164,6 +206,13 @@
 	}
 }
 
+// Leave keeps the share from growing, because this instance is about to stop: others may
+// be about to stop as well, and not be counted any more.
+func (s *Limiter) Leave() { s.leaving, s.pendingShare = true, 0 }
+
+// Instances returns the number of instances by which the equal share is set at present.
+func (s *Limiter) Instances(now time.Duration) int { return int(math.Round(1 / s.currentShare(now))) }
+
 // currentShare returns the equal share, after putting a due increase into effect.
 func (s *Limiter) currentShare(now time.Duration) float64 {
 	if s.pendingShare > 0 && now >= s.pendingShareAt {
@@ -204,6 +253,7 @@
 	}
 	b.tokens--
 	b.admitted++
+	b.byShare++
 	return Admitted, 0
 }
 
@@ -300,22 +350,35 @@
 
 // Report returns the next report to the hub or the zone's aggregator.
 func (s *Limiter) Report() Report {
-	r := Report{Instance: s.name, Started: s.started, Usages: make([]Usage, 0, len(s.buckets))}
+	r := Report{Instance: s.name, Started: s.started, Carries: true, Usages: make([]Usage, 0, len(s.buckets)), Held: s.held, HeldAt: s.heldAt}
 	for name, b := range s.buckets {
 		if b.admitted > 0 {
-			r.Usages = append(r.Usages, Usage{name, b.admitted})
+			r.Usages = append(r.Usages, Usage{name, b.admitted, min(b.settled+b.byShare, b.admitted)})
 		}
 	}
 	return r
 }
 
 // SetLevels stores the response to the report r, which was sent at sentAt, unless it is
-// older than the stored one.
+// older than the stored one. Levels of a hub that does not give out this instance's share
+// yet, and knows little of the fleet, do not replace recent ones.
 func (s *Limiter) SetLevels(r Report, l Levels, sentAt time.Duration) {
+	for _, u := range r.Usages {
+		if b := s.buckets[u.Workspace]; b != nil && u.Admitted >= b.settled {
+			b.byShare -= min(u.Settled-min(b.settled, u.Settled), b.byShare)
+			b.settled = u.Admitted
+		}
+	}
+	at := sentAt
 	sentAt -= l.Age
 	if s.hasLevels && sentAt < s.levelsAt {
 		return
 	}
+	if l.Joined || l.Released {
+		s.held, s.heldAt = &l, sentAt
+	} else if l.Share < completeShare && s.HasRecentLevels(at) {
+		return
+	}
 	s.levelsAt, s.hasLevels, s.hubShare, s.part = sentAt, true, l.Share, l.Part
 	if l.Share >= completeShare {
 		s.completeAt = sentAt
@@ -335,7 +398,7 @@
 // requests were already included in the report that the current levels answer. Tokens
 // of the equal share are not given back.
 func (s *Limiter) Refund(workspace string) {
-	if b := s.buckets[workspace]; b != nil && b.admitted > b.reported {
+	if b := s.buckets[workspace]; b != nil && b.admitted > max(b.reported, b.settled) {
 		b.admitted--
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -33,6 +33,8 @@
 	admitted     []time.Duration
 	pending      []delivery
 	aggregators  []*Aggregator // one per zone in a large fleet; none in a small one
+	pledges      []Pledge      // by instance
+	zonePledges  [testZones]Pledge
 	// uneven sends half of the requests to the first two instances.
 	uneven  bool
 	waiting []waitingRequest
@@ -60,7 +62,7 @@
 	for i := range n {
 		s := New(fmt.Sprint("i", i), 1, 4*time.Second)
 		s.SetInstances(n, 0)
-		f.limiters = append(f.limiters, s)
+		f.limiters, f.pledges = append(f.limiters, s), append(f.pledges, Pledge{})
 	}
 	return f
 }
@@ -134,9 +136,14 @@
 // reportAggregate sends the report of a zone's aggregator to the hub.
 func (f *fleet) reportAggregate(s *Aggregator) {
 	r, sentAt := s.Report(f.now), f.now
+	pledge := &f.zonePledges[slices.Index(f.aggregators, s)]
+	pledge.Prepare(&r, "hub", FlatTTL, f.now)
 	f.pending = append(f.pending, delivery{f.now + oneWayDelay, func() {
 		levels := f.hub.Handle(r, f.now)
-		f.pending = append(f.pending, delivery{f.now + oneWayDelay, func() { s.SetLevels(r, levels, sentAt) }})
+		f.pending = append(f.pending, delivery{f.now + oneWayDelay, func() {
+			pledge.Responded(r, "hub", levels, f.now)
+			s.SetLevels(r, levels, sentAt)
+		}})
 	}})
 }
 
@@ -144,16 +151,25 @@
 // there are no aggregators.
 func (f *fleet) report(i int, s *Limiter) {
 	r, sentAt := s.Report(), f.now
+	ttl := FlatTTL
+	if len(f.aggregators) > 0 {
+		ttl = ZoneTTL
+	}
+	f.pledges[i].Prepare(&r, "receiver", ttl, f.now)
 	if len(f.aggregators) > 0 {
 		levels, ok := f.aggregators[i%len(f.aggregators)].Handle(r, f.now) // without delay, within the zone
 		if ok {
+			f.pledges[i].Responded(r, "receiver", levels, f.now)
 			s.SetLevels(r, levels, sentAt)
 		}
 		return
 	}
 	f.pending = append(f.pending, delivery{f.now + oneWayDelay, func() {
 		levels := f.hub.Handle(r, f.now)
-		f.pending = append(f.pending, delivery{f.now + oneWayDelay, func() { s.SetLevels(r, levels, sentAt) }})
+		f.pending = append(f.pending, delivery{f.now + oneWayDelay, func() {
+			f.pledges[i].Responded(r, "receiver", levels, f.now)
+			s.SetLevels(r, levels, sentAt)
+		}})
 	}})
 }
 
@@ -258,7 +274,7 @@
 		w := &config.Workspace{Name: "w", Rate: 50, Burst: 50}
 		report := func(admitted uint64) (left float64) {
 			for i := range n {
-				l := h.Handle(Report{Instance: fmt.Sprint(i), Started: 1, Usages: []Usage{{"w", admitted}}}, time.Second)
+				l := h.Handle(Report{Instance: fmt.Sprint(i), Started: 1, Usages: []Usage{{Workspace: "w", Admitted: admitted}}}, time.Second)
 				left = float64(w.Burst) * l.Share
 				for _, level := range l.Levels {
 					left = level.Left
@@ -293,7 +309,7 @@
 	w := &config.Workspace{Name: "w", Rate: 10, Burst: 10}
 	h.SetWorkspaces(map[string]*config.Workspace{"w": w})
 	report := func(started, admitted uint64) float64 {
-		l := h.Handle(Report{Instance: "a", Started: started, Usages: []Usage{{"w", admitted}}}, 0)
+		l := h.Handle(Report{Instance: "a", Started: started, Usages: []Usage{{Workspace: "w", Admitted: admitted}}}, 0)
 		if len(l.Levels) == 0 {
 			return float64(w.Burst)
 		}
--- a/internal/quota/reporter.go
+++ b/internal/quota/reporter.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// reporterTTL is how long a reporter counts as served by the hub after its last
-	// report. After that, the reporter falls back to the equal share.
-	reporterTTL = time.Second
+	// reporterTTL is how long a hub gives out a reporter's share after the response that
+	// the last report names. After that, the share may be given out by another hub.
+	reporterTTL = 800 * time.Millisecond
 	// forgetAfter is how long the counts of a silent reporter are kept.
 	forgetAfter = 30 * time.Second
 	// usageDecayTime is the time constant of the exponential decay of recent usage:
@@ -21,9 +21,9 @@
 
 // reporter is an instance or an aggregator that sends reports.
 type reporter struct {
-	started      uint64 // Report.Started
-	members      int    // instances that it reports for
-	lastReportAt time.Duration
+	started      uint64        // Report.Started
+	members      int           // instances whose shares the hub gives out for it
+	lastReportAt time.Duration // Report.Echo, or when a report without one arrived
 	lastAdmitted map[string]uint64
 	recentUsage  float64 // requests of all workspaces, exponentially decayed up to usageAt (see usageDecayTime)
 	usageAt      time.Duration
@@ -36,17 +36,28 @@
 }
 
 // record notes a report and returns its reporter. first is true for the first report of
-// a process, and for the first one after a silence of more than reporterTTL. Such a report
-// only sets where counting starts: what was admitted before it came out of an equal
-// share, which the hub did not give out.
+// a process, and for the first one after a silence of more than reporterTTL. Counting then
+// starts at Usage.Settled. A report without that only sets where counting starts.
 func (rs reporters) record(r Report, now time.Duration) (from *reporter, first bool) {
 	from = rs[r.Instance]
 	first = from == nil || from.started != r.Started || now-from.lastReportAt > reporterTTL
 	if first {
 		from = &reporter{started: r.Started, lastAdmitted: map[string]uint64{}}
 		rs[r.Instance] = from
+		for _, u := range r.Usages {
+			from.lastAdmitted[u.Workspace] = u.Admitted
+			if r.Carries {
+				from.lastAdmitted[u.Workspace] = u.Settled
+			}
+		}
 	}
 	from.lastReportAt, from.members = now, max(r.Members, 1)
+	if r.Echo > 0 {
+		from.lastReportAt = min(r.Echo, now)
+	}
+	if r.Guest || r.Carries && r.Echo == 0 {
+		from.members = 0
+	}
 	return from, first
 }
 
@@ -65,6 +76,14 @@
 	return heard
 }
 
+// membersOf returns the number of instances whose shares are given out for a reporter.
+func (rs reporters) membersOf(name string, now time.Duration) int {
+	if r := rs[name]; r != nil && now-r.lastReportAt <= reporterTTL {
+		return r.members
+	}
+	return 0
+}
+
 // usageShare returns the reporter's fraction of the recent usage of all reporters, 0 to
 // 1.
 func (rs reporters) usageShare(from *reporter, now time.Duration) float64 {
