--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -214,7 +214,9 @@
 		return 0
 	})
 	set.Gauge("evidence_age_ms", func() int64 { return e.gateway.Staleness().Milliseconds() })
-	e.hub = &hubServer{Edge: e, hub: quota.NewHub(), aggregator: quota.NewAggregator(zoneReporterPrefix+s.Name, uint64(time.Now().UnixNano()))}
+	started := uint64(time.Now().UnixNano())
+	e.hub = &hubServer{Edge: e, hub: quota.NewHub(), aggregator: quota.NewAggregator(zoneReporterPrefix+s.Name, started)}
+	e.hub.hub.SetGeneration(started)
 	e.follower = newFollower(e)
 	set.Gauge("store_revision", func() int64 { return int64(e.follower.revision()) })
 	set.Gauge("store_revision_heard_of", e.follower.heardOf.Load)
@@ -280,6 +282,7 @@
 			return errors.Wrap(err, "serve")
 		}
 	}
+	e.gateway.WithState(func(_ *affinity.Balancer, q *quota.Limiter, _ time.Duration) { q.Leave() })
 	deregister()
 	e.shutDown(kill, server)
 	<-registered
--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -53,28 +53,62 @@
 	*Edge
 }
 
+// errLeaving means that an instance is about to stop and takes no reports any more.
+var errLeaving = status.Error(codes.Unavailable, "the instance is about to stop")
+
 // Report implements fleetpb.FleetServer.
 func (f fleetServer) Report(_ context.Context, r *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
-	report := quota.Report{Instance: r.GetInstance(), Started: r.GetStarted(), Members: int(r.GetMembers())}
+	if r.GetProbe() {
+		if f.members.hands(r.GetZone()) {
+			return nil, errLeaving
+		}
+		return &fleetpb.ReportResponse{SentAtNs: int64(now())}, nil
+	}
+	report := quota.Report{
+		Instance: r.GetInstance(), Started: r.GetStarted(), Members: int(r.GetMembers()), Carries: r.GetCarries(),
+		Guest: r.GetGuest(), Release: r.GetRelease(), Echo: time.Duration(r.GetEchoNs()),
+	}
 	for _, u := range r.GetUsages() {
-		report.Usages = append(report.Usages, quota.Usage{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted()})
+		report.Usages = append(report.Usages, quota.Usage{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted(), Settled: u.GetSettled()})
+	}
+	if r.GetHeld() != nil {
+		held := decodeLevels(r.GetHeld())
+		report.Held, report.HeldAt = &held, now()-held.Age
 	}
 	levels, err := f.hub.handle(report, r.GetZone())
 	if err != nil {
 		return nil, err
 	}
+	return encodeLevels(levels), nil
+}
+
+func encodeLevels(l quota.Levels) *fleetpb.ReportResponse {
 	out := &fleetpb.ReportResponse{
-		Share: levels.Share, Part: levels.Part, AgeNs: int64(levels.Age), Levels: make([]*fleetpb.Level, len(levels.Levels)),
+		Share: l.Share, Part: l.Part, AgeNs: int64(l.Age), Levels: make([]*fleetpb.Level, len(l.Levels)), Members: uint32(l.Members),
+		Joined: l.Joined, Released: l.Released, SentAtNs: int64(l.SentAt), Generation: l.Generation, NoLevels: l.NoLevels,
 	}
-	for i, l := range levels.Levels {
-		out.Levels[i] = &fleetpb.Level{Workspace: l.Workspace, Left: float32(l.Left)}
+	for i, level := range l.Levels {
+		out.Levels[i] = &fleetpb.Level{Workspace: level.Workspace, Left: float32(level.Left)}
 	}
-	return out, nil
+	return out
+}
+
+func decodeLevels(r *fleetpb.ReportResponse) quota.Levels {
+	l := quota.Levels{
+		Share: r.GetShare(), Part: r.GetPart(), Age: time.Duration(r.GetAgeNs()), Levels: make([]quota.Level, len(r.GetLevels())), Members: int(r.GetMembers()),
+		Joined: r.GetJoined(), Released: r.GetReleased(), SentAt: time.Duration(r.GetSentAtNs()), Generation: r.GetGeneration(), NoLevels: r.GetNoLevels(),
+	}
+	for i, level := range r.GetLevels() {
+		l.Levels[i] = quota.Level{Workspace: level.GetWorkspace(), Left: float64(level.GetLeft())}
+	}
+	return l
 }
 
 // handle gives a report to the zone's aggregator if zone is true, otherwise to the
 // fleet's hub, and returns the resulting quota levels.
 func (h *hubServer) handle(r quota.Report, zone bool) (quota.Levels, error) {
+	leaving := h.members.hands(zone)
+	instances := h.instances()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	t := h.gateway.Table()
@@ -82,17 +116,38 @@
 		if t != nil {
 			h.aggregator.SetWorkspaces(t.Workspaces)
 		}
+		h.aggregator.SetLeaving(leaving)
 		levels, ok := h.aggregator.Handle(r, now())
-		if !ok {
+		switch {
+		case !ok && !r.Carries:
 			return levels, errNoLevels
+		case ok && leaving && !levels.Released:
+			return levels, errLeaving
 		}
 		return levels, nil
 	}
-	h.hub.SetInstances(len(h.members.names()))
+	h.hub.SetInstances(instances)
 	if t != nil {
 		h.hub.SetWorkspaces(t.Workspaces)
 	}
-	return h.hub.Handle(r, now()), nil
+	h.hub.SetLeaving(leaving)
+	levels := h.hub.Handle(r, now())
+	if leaving && !levels.Released {
+		return levels, errLeaving
+	}
+	return levels, nil
+}
+
+// instances returns the number of instances that share the quotas. One that is about to
+// stop does not count fewer than before, since others may be about to stop too.
+func (h *hubServer) instances() int {
+	n := len(h.members.names())
+	h.gateway.WithState(func(_ *affinity.Balancer, q *quota.Limiter, now time.Duration) {
+		if q.Leaving() {
+			n = max(n, q.Instances(now))
+		}
+	})
+	return n
 }
 
 // zoneReport returns the zone's total usage for the fleet's hub. The second result is
@@ -143,10 +198,7 @@
 	u.mu.Lock()
 	updated := u.updated
 	u.mu.Unlock()
-	select {
-	case u.asked <- struct{}{}:
-	default: // has been asked already
-	}
+	u.ask()
 	select {
 	case <-updated:
 		return true
@@ -155,6 +207,14 @@
 	}
 }
 
+// ask makes the next report follow soon.
+func (u *levelUpdates) ask() {
+	select {
+	case u.asked <- struct{}{}:
+	default: // has been asked already
+	}
+}
+
 // notify wakes the requests that wait.
 func (u *levelUpdates) notify() {
 	u.mu.Lock()
@@ -164,14 +224,18 @@
 }
 
 // reporter sends quota usage to a hub or a zone's aggregator and switches to another
-// instance when that one fails.
+// instance when that one fails or is about to stop.
 type reporter struct {
 	*Edge
 	logKey        string // log key of the instance that it reports to: "hub", or "sum" for an aggregator
 	zone          bool   // it reports to the zone's aggregator
 	receiver      func(rank int) member
 	failover      quota.Failover
-	withoutLevels int // responses in a row without levels
+	pledge        *quota.Pledge
+	receivers     map[string]member // those with which the pledge may be, by its names
+	left          string            // instance that has handed back the share because it is about to stop
+	silent        string            // receiver that has not responded, by the pledge's names
+	withoutLevels int               // responses in a row without levels
 	peer, trial   peerConn
 	lost          bool // the last report failed
 }
@@ -181,19 +245,22 @@
 // first-ranked live instance that responds. In a large one, it reports to the aggregator,
 // which is the first-ranked instance of its zone and reports the zone's total to the hub.
 func (e *Edge) report(ctx context.Context) {
-	hub := &reporter{Edge: e, logKey: "hub", receiver: e.members.hub}
-	aggregator := &reporter{Edge: e, logKey: "sum", zone: true, receiver: func(rank int) member {
+	hub := &reporter{Edge: e, logKey: "hub", receiver: e.members.hub, pledge: &quota.Pledge{}, receivers: map[string]member{}}
+	zone := &reporter{Edge: e, logKey: "hub", receiver: e.members.hub, pledge: &quota.Pledge{}, receivers: map[string]member{}}
+	// The share of this instance is with a hub or, in a large fleet, with an aggregator.
+	aggregator := &reporter{Edge: e, logKey: "sum", zone: true, pledge: hub.pledge, receivers: map[string]member{}, receiver: func(rank int) member {
 		m, _ := e.members.zoneAggregator(rank)
 		return m
 	}}
 	defer hub.peer.close()
+	defer zone.peer.close()
 	defer aggregator.peer.close()
 	for ctx.Err() == nil {
 		begin := time.Now()
 		zoneAggregator, large := e.members.zoneAggregator(aggregator.failover.Rank())
 		if large {
 			if _, ok := e.hub.zoneReport(zoneAggregator.Name == e.Name); ok {
-				hub.reportTo(ctx, func() quota.Report { r, _ := e.hub.zoneReport(true); return r }, e.hub.setZoneLevels)
+				zone.reportTo(ctx, func() quota.Report { r, _ := e.hub.zoneReport(true); return r }, e.hub.setZoneLevels)
 			}
 			aggregator.reportTo(ctx, e.ownReport, e.setLevels)
 		} else {
@@ -222,25 +289,32 @@
 }
 
 // reportTo sends a report and passes the response to onLevels. While machines refuse the
-// connection, it goes on to the next receivers at once. If a preferred receiver may
-// respond again, it is sent a report as well.
+// connection or are about to stop, it goes on to the next receivers at once. If a
+// preferred receiver may respond again, the next report goes there.
 func (r *reporter) reportTo(ctx context.Context, report func() quota.Report, onLevels func(quota.Report, quota.Levels, time.Duration)) {
 	for range maxFailovers {
-		to, sent, sentAt := r.receiver(r.failover.Rank()), report(), now()
-		levels, err := r.send(ctx, &r.peer, to, sent, reportTimeout)
+		to := r.next(r.failover.Rank())
+		r.release(ctx, to, report, onLevels)
+		levels, err := r.exchange(ctx, &r.peer, to, report(), reportTimeout, onLevels)
 		r.logOutcome(to, err)
 		switch {
-		case err == nil:
-			r.withoutLevels = 0
-			onLevels(sent, levels, sentAt)
-			r.tryPreferred(ctx, report)
+		case err == nil && levels.Released:
+			r.left = to.Name
+			r.log.Info().Str(r.logKey, to.Name).Int("members", levels.Members).Msg("hub: handed over")
+			r.metrics.Add("quota_handovers_total", 1)
+			continue
+		case err == nil && !levels.NoLevels:
+			r.withoutLevels, r.silent = 0, ""
+			r.tryPreferred(ctx)
 			return
-		case status.Code(err) == codes.FailedPrecondition:
+		case err == nil || status.Code(err) == codes.FailedPrecondition:
 			// The aggregator runs and may find another hub sooner than this instance would
 			// find another aggregator.
 			if r.withoutLevels++; r.withoutLevels < maxRoundsWithoutLevels {
 				return
 			}
+		case status.Code(err) != codes.Unavailable:
+			r.silent = r.key(to)
 		}
 		r.withoutLevels = 0
 		r.failover.Failed(now())
@@ -250,15 +324,85 @@
 	}
 }
 
-// tryPreferred sends a report to a preferred receiver if a trial is due, and uses that one
-// from the next report on if it responds with levels.
-func (r *reporter) tryPreferred(ctx context.Context, report func() quota.Report) {
+// next returns the receiver of a rank, without one that is about to stop.
+func (r *reporter) next(rank int) member {
+	to := r.receiver(rank)
+	if to.Name == r.left && r.members.isRegistered(to.Name) {
+		return r.receiver(rank + 1)
+	}
+	return to
+}
+
+// key returns the name of a receiver in the pledge.
+func (r *reporter) key(to member) string { return r.logKey + " " + to.Name }
+
+// release lets another receiver hand back the share, if one may still give it out.
+func (r *reporter) release(ctx context.Context, to member, report func() quota.Report, onLevels func(quota.Report, quota.Levels, time.Duration)) {
+	holder := r.pledge.Holder(r.key(to), now())
+	from, ok := r.receivers[holder]
+	if !ok || holder == r.silent {
+		return
+	}
+	r.silent = holder
+	last := report()
+	last.Release = true
+	levels, err := r.exchange(ctx, &r.peer, from, last, quota.TrialTimeout, onLevels)
+	if err == nil && levels.Released {
+		r.log.Info().Str(r.logKey, from.Name).Str("next", to.Name).Int("members", levels.Members).Msg("hub: handed over")
+		r.metrics.Add("quota_handovers_total", 1)
+	}
+}
+
+// exchange sends a report and stores what the response tells.
+func (r *reporter) exchange(ctx context.Context, conn *peerConn, to member, report quota.Report, timeout time.Duration, onLevels func(quota.Report, quota.Levels, time.Duration)) (quota.Levels, error) {
+	key, ttl, sentAt := r.key(to), quota.FlatTTL, now()
+	if r.zone {
+		ttl = quota.ZoneTTL
+	}
+	r.pledge.Prepare(&report, key, ttl, sentAt)
+	levels, err := r.send(ctx, conn, to, report, timeout)
+	if err != nil {
+		if to.Name != r.Name && conn.refused != nil && conn.refused.Load() {
+			r.pledge.Gone(key)
+		}
+		return levels, err
+	}
+	if len(r.receivers) >= maxDeparted {
+		clear(r.receivers)
+	}
+	r.receivers[key] = to
+	if r.pledge.Responded(report, key, levels, now()) {
+		r.levels.ask()
+	}
+	if !levels.NoLevels {
+		onLevels(report, levels, sentAt)
+	}
+	return levels, nil
+}
+
+// tryPreferred asks a preferred receiver, if a trial is due, whether it can be used, and
+// uses it from the next report on if so.
+func (r *reporter) tryPreferred(ctx context.Context) {
 	rank, due := r.failover.Succeeded(now())
 	if !due {
 		return
 	}
+	to := r.next(rank)
+	if to.Name == r.Name {
+		if !r.members.hands(r.zone) {
+			r.failover.TrialSucceeded(rank)
+		}
+		return
+	}
 	defer r.trial.close()
-	if _, err := r.send(ctx, &r.trial, r.receiver(rank), report(), quota.TrialTimeout); err == nil {
+	client, err := r.trial.client(to.PeerAddress, quota.TrialTimeout)
+	if err != nil {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, quota.TrialTimeout)
+	defer cancel()
+	// Versions that know no probes count it as a reporter; it must not be this instance.
+	if _, err := client.Report(call, &fleetpb.ReportRequest{Instance: "probe of " + r.Name, Zone: r.zone, Probe: true}); err == nil {
 		r.failover.TrialSucceeded(rank)
 	}
 }
@@ -287,10 +431,14 @@
 	}
 	request := &fleetpb.ReportRequest{
 		Instance: report.Instance, Started: report.Started, Members: uint32(report.Members), Zone: r.zone,
-		Usages: make([]*fleetpb.Usage, len(report.Usages)),
+		Usages: make([]*fleetpb.Usage, len(report.Usages)), Carries: report.Carries, Guest: report.Guest, Release: report.Release, EchoNs: int64(report.Echo),
 	}
 	for i, u := range report.Usages {
-		request.Usages[i] = &fleetpb.Usage{Workspace: u.Workspace, Admitted: u.Admitted}
+		request.Usages[i] = &fleetpb.Usage{Workspace: u.Workspace, Admitted: u.Admitted, Settled: u.Settled}
+	}
+	if report.Held != nil {
+		request.Held = encodeLevels(*report.Held)
+		request.Held.AgeNs = int64(now() - report.HeldAt)
 	}
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -301,11 +449,5 @@
 		}
 		return quota.Levels{}, errors.Wrap(err, "report")
 	}
-	levels := quota.Levels{
-		Share: response.GetShare(), Part: response.GetPart(), Age: time.Duration(response.GetAgeNs()), Levels: make([]quota.Level, len(response.GetLevels())),
-	}
-	for i, l := range response.GetLevels() {
-		levels.Levels[i] = quota.Level{Workspace: l.GetWorkspace(), Left: float64(l.GetLeft())}
-	}
-	return levels, nil
+	return decodeLevels(response), nil
 }
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -156,7 +156,7 @@
 func (m *members) hub(rank int) member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	all := m.inRankOrder()
+	all := m.inReportOrder()
 	return all[rank%len(all)]
 }
 
@@ -172,7 +172,7 @@
 		return member{}, false
 	}
 	var zone []member
-	for _, instance := range m.inRankOrder() {
+	for _, instance := range m.inReportOrder() {
 		if instance.AvailabilityZone == m.self.AvailabilityZone {
 			zone = append(zone, instance)
 		}
@@ -180,11 +180,43 @@
 	return zone[rank%len(zone)], true
 }
 
+// inReportOrder returns the instances in the order in which quota usage is reported to
+// them. One that is about to stop puts itself behind those that are registered, and beside
+// those that may be about to stop as well. The caller holds the lock.
+func (m *members) inReportOrder() []member {
+	if !m.leaving {
+		return m.inRankOrder()
+	}
+	registered := byRank(slices.Clone(m.list))
+	return append(registered, byRank(append([]member{m.self}, m.departed...))...)
+}
+
+// hands reports whether this instance is about to stop and another one can take its
+// place: in its availability zone if zone is true.
+func (m *members) hands(zone bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving && slices.ContainsFunc(m.list, func(other member) bool {
+		return !zone || other.AvailabilityZone == m.self.AvailabilityZone
+	})
+}
+
+// isRegistered reports whether an instance is registered, or is this one.
+func (m *members) isRegistered(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return name == m.self.Name || slices.ContainsFunc(m.list, func(other member) bool { return other.Name == name })
+}
+
 // inRankOrder returns all live instances, those with the highest weight first, then
 // ordered by a hash of their names. All instances that know the same fleet get the
 // same order. The caller holds the lock.
 func (m *members) inRankOrder() []member {
-	all := append([]member{m.self}, m.list...)
+	return byRank(append([]member{m.self}, m.list...))
+}
+
+// byRank sorts instances as inRankOrder returns them.
+func byRank(all []member) []member {
 	slices.SortFunc(all, func(a, b member) int {
 		if a.Weight != b.Weight {
 			return cmp.Compare(b.Weight, a.Weight)
--- a/internal/edge/peerconn.go
+++ b/internal/edge/peerconn.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +24,8 @@
 type peerConn struct {
 	address string
 	conn    *grpc.ClientConn
+	// refused says that the machine has refused the last connection: no process listens.
+	refused *atomic.Bool
 }
 
 // client returns a client of the instance at an address and reuses the connection if
@@ -32,19 +36,21 @@
 		return fleetpb.NewFleetClient(p.conn), nil
 	}
 	p.close()
-	dialer := gateway.Dialer(timeout)
+	dialer, refused := gateway.Dialer(timeout), &atomic.Bool{}
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
 		grpc.WithReadBufferSize(peerBufferBytes), grpc.WithWriteBufferSize(peerBufferBytes),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.5, MaxDelay: 500 * time.Millisecond}}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerResponseBytes)),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp4", address)
+			conn, err := dialer.DialContext(ctx, "tcp4", address)
+			refused.Store(errors.Is(err, syscall.ECONNREFUSED))
+			return conn, err
 		}))
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer address %q", address)
 	}
-	p.conn, p.address = conn, address
+	p.conn, p.address, p.refused = conn, address, refused
 	return fleetpb.NewFleetClient(conn), nil
 }
 
--- a/internal/quota/pledge.go
+++ b/internal/quota/pledge.go
@@ -7,6 +7,9 @@
 const (
 	FlatTTL = reporterTTL
 	ZoneTTL = 2 * reporterTTL
+	// unknownTTL is the same for a receiver of a version that does not tell when it
+	// responded: it counts from the arrival of the last report, which may be on its way.
+	unknownTTL = 1400 * time.Millisecond
 )
 
 // Pledge tells which hub or aggregator may give out a reporter's share of the quotas, so
@@ -54,6 +57,10 @@
 // because only then the receiver gives out the share.
 func (p *Pledge) Responded(r Report, to string, l Levels, now time.Duration) (again bool) {
 	p.echoOf, p.echo, p.echoAt = to, l.SentAt, now
+	if l.SentAt == 0 {
+		p.to, p.heardAt, p.ttl, p.joined = to, now, unknownTTL, true
+		return false
+	}
 	if p.to == to {
 		if p.heardAt, p.joined = now, l.Joined; l.Released {
 			p.to = ""
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -210,6 +210,9 @@
 // be about to stop as well, and not be counted any more.
 func (s *Limiter) Leave() { s.leaving, s.pendingShare = true, 0 }
 
+// Leaving reports whether Leave was called.
+func (s *Limiter) Leaving() bool { return s.leaving }
+
 // Instances returns the number of instances by which the equal share is set at present.
 func (s *Limiter) Instances(now time.Duration) int { return int(math.Round(1 / s.currentShare(now))) }
 
