--- a/internal/quota/aggregator.go
+++ b/internal/quota/aggregator.go
@@ -56,6 +56,7 @@
 		Carries: true, Held: s.held, HeldAt: s.heldAt,
 	}
 	r.Guest = r.Members == 0
+	r.Fleet = s.reporters.fleet(0, now)
 	if r.Held == nil {
 		r.Held = s.offered
 	}
@@ -101,7 +102,7 @@
 	if !s.hasLevels || age >= levelTTL {
 		return Levels{NoLevels: true, Joined: from.members > 0, SentAt: now}, false
 	}
-	out := Levels{Share: s.levels.Share, Part: s.levels.Part * s.reporters.usageShare(from, now), Age: age, Members: s.levels.Members, Joined: from.members > 0, SentAt: now, Generation: s.levels.Generation}
+	out := Levels{Share: s.levels.Share, Part: s.levels.Part * s.reporters.usageShare(from, now), Age: age, Members: s.levels.Members, Joined: from.members > 0, SentAt: now, Fleet: s.levels.Fleet, Generation: s.levels.Generation}
 	if r.Release || s.leaving {
 		out.Joined, out.Released, from.members = false, from.members > 0, 0
 	}
--- a/internal/quota/hub.go
+++ b/internal/quota/hub.go
@@ -57,7 +57,7 @@
 // about to stop, takes its share along.
 func (h *Hub) Handle(r Report, now time.Duration) Levels {
 	before := h.reporters.members(now)
-	shareBefore := min(float64(before)/float64(h.instances), 1)
+	shareBefore := min(float64(before)/float64(h.reporters.fleet(h.instances, now)), 1)
 	for name, w := range h.workspaces {
 		if h.buckets[name] == nil && w.Rate > 0 {
 			h.refill(w, shareBefore, now)
@@ -69,7 +69,8 @@
 		from.members = 0
 	}
 	members := h.reporters.members(now)
-	share := min(float64(members)/float64(h.instances), 1)
+	fleet := h.reporters.fleet(h.instances, now)
+	share := min(float64(members)/float64(fleet), 1)
 	newRequests := 0.0
 	for _, u := range r.Usages {
 		// Counted also while the workspace is unknown, or else all of it would be charged
@@ -86,7 +87,7 @@
 		h.add(r, from.members, share, now)
 	}
 	from.addUsage(newRequests, now)
-	out := Levels{Share: share, Part: h.reporters.usageShare(from, now), Members: members, Joined: from.members > 0, SentAt: now, Generation: h.generation}
+	out := Levels{Share: share, Part: h.reporters.usageShare(from, now), Members: members, Joined: from.members > 0, SentAt: now, Fleet: fleet, Generation: h.generation}
 	for name, b := range h.buckets {
 		w := h.workspaces[name]
 		h.refill(w, share, now)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -92,6 +92,9 @@
 	// Release says that the reporter moves to another hub. The receiver counts the usages
 	// and stops giving out the reporter's share.
 	Release bool
+	// Fleet is the number of instances by which a reporter that is about to stop sets its
+	// equal share; 0 from others. It counts instances that are not registered any more.
+	Fleet int
 	// Echo is Levels.SentAt of the latest response that the reporter has got from the
 	// receiver's process; 0 for none.
 	Echo time.Duration
@@ -125,6 +128,8 @@
 	Released bool
 	// SentAt is when the receiver responded, on its clock.
 	SentAt time.Duration
+	// Fleet is the number of instances among which the hub divides the quotas.
+	Fleet int
 	// Generation identifies the hub's process: its start, in Unix nanoseconds.
 	Generation uint64
 	// NoLevels says that an aggregator has no recent levels of the hub.
@@ -206,6 +211,18 @@
 	}
 }
 
+// learnFleet shrinks the share for a time if the hub counts more instances: some may be
+// about to stop, which a process that has just started can't know.
+func (s *Limiter) learnFleet(n int, now time.Duration) {
+	if n == 0 || 1/float64(n) >= s.currentShare(now) {
+		return
+	}
+	if s.pendingShare == 0 {
+		s.pendingShare = s.share
+	}
+	s.share, s.pendingShareAt = 1/float64(n), now+s.growDelay
+}
+
 // Leave keeps the share from growing, because this instance is about to stop: others may
 // be about to stop as well, and not be counted any more.
 func (s *Limiter) Leave() { s.leaving, s.pendingShare = true, 0 }
@@ -359,6 +376,9 @@
 			r.Usages = append(r.Usages, Usage{name, b.admitted, min(b.settled+b.byShare, b.admitted)})
 		}
 	}
+	if s.leaving {
+		r.Fleet = int(math.Round(1 / s.share))
+	}
 	return r
 }
 
@@ -374,6 +394,7 @@
 	}
 	at := sentAt
 	sentAt -= l.Age
+	s.learnFleet(l.Fleet, at)
 	if s.hasLevels && sentAt < s.levelsAt {
 		return
 	}
--- a/internal/quota/reporter.go
+++ b/internal/quota/reporter.go
@@ -23,6 +23,7 @@
 type reporter struct {
 	started      uint64        // Report.Started
 	members      int           // instances whose shares the hub gives out for it
+	fleet        int           // Report.Fleet
 	lastReportAt time.Duration // Report.Echo, or when a report without one arrived
 	lastAdmitted map[string]uint64
 	recentUsage  float64 // requests of all workspaces, exponentially decayed up to usageAt (see usageDecayTime)
@@ -55,6 +56,7 @@
 	if r.Echo > 0 {
 		from.lastReportAt = min(r.Echo, now)
 	}
+	from.fleet = r.Fleet
 	if r.Guest || r.Carries && r.Echo == 0 {
 		from.members = 0
 	}
@@ -76,6 +78,16 @@
 	return heard
 }
 
+// fleet returns the number of instances that share the quotas, if n are registered.
+func (rs reporters) fleet(n int, now time.Duration) int {
+	for _, r := range rs {
+		if now-r.lastReportAt <= reporterTTL {
+			n = max(n, r.fleet)
+		}
+	}
+	return n
+}
+
 // membersOf returns the number of instances whose shares are given out for a reporter.
 func (rs reporters) membersOf(name string, now time.Duration) int {
 	if r := rs[name]; r != nil && now-r.lastReportAt <= reporterTTL {
