--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -66,7 +66,7 @@
 	}
 	report := quota.Report{
 		Instance: r.GetInstance(), Started: r.GetStarted(), Members: int(r.GetMembers()), Carries: r.GetCarries(),
-		Guest: r.GetGuest(), Release: r.GetRelease(), Echo: time.Duration(r.GetEchoNs()),
+		Fleet: int(r.GetFleet()), Guest: r.GetGuest(), Release: r.GetRelease(), Echo: time.Duration(r.GetEchoNs()),
 	}
 	for _, u := range r.GetUsages() {
 		report.Usages = append(report.Usages, quota.Usage{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted(), Settled: u.GetSettled()})
@@ -85,7 +85,7 @@
 func encodeLevels(l quota.Levels) *fleetpb.ReportResponse {
 	out := &fleetpb.ReportResponse{
 		Share: l.Share, Part: l.Part, AgeNs: int64(l.Age), Levels: make([]*fleetpb.Level, len(l.Levels)), Members: uint32(l.Members),
-		Joined: l.Joined, Released: l.Released, SentAtNs: int64(l.SentAt), Generation: l.Generation, NoLevels: l.NoLevels,
+		Joined: l.Joined, Released: l.Released, Fleet: uint32(l.Fleet), SentAtNs: int64(l.SentAt), Generation: l.Generation, NoLevels: l.NoLevels,
 	}
 	for i, level := range l.Levels {
 		out.Levels[i] = &fleetpb.Level{Workspace: level.Workspace, Left: float32(level.Left)}
@@ -96,7 +96,7 @@
 func decodeLevels(r *fleetpb.ReportResponse) quota.Levels {
 	l := quota.Levels{
 		Share: r.GetShare(), Part: r.GetPart(), Age: time.Duration(r.GetAgeNs()), Levels: make([]quota.Level, len(r.GetLevels())), Members: int(r.GetMembers()),
-		Joined: r.GetJoined(), Released: r.GetReleased(), SentAt: time.Duration(r.GetSentAtNs()), Generation: r.GetGeneration(), NoLevels: r.GetNoLevels(),
+		Joined: r.GetJoined(), Released: r.GetReleased(), Fleet: int(r.GetFleet()), SentAt: time.Duration(r.GetSentAtNs()), Generation: r.GetGeneration(), NoLevels: r.GetNoLevels(),
 	}
 	for i, level := range r.GetLevels() {
 		l.Levels[i] = quota.Level{Workspace: level.GetWorkspace(), Left: float64(level.GetLeft())}
@@ -118,6 +118,9 @@
 		}
 		h.aggregator.SetLeaving(leaving)
 		levels, ok := h.aggregator.Handle(r, now())
+		if !ok {
+			h.levels.ask()
+		}
 		switch {
 		case !ok && !r.Carries:
 			return levels, errNoLevels
@@ -402,8 +405,12 @@
 	call, cancel := context.WithTimeout(ctx, quota.TrialTimeout)
 	defer cancel()
 	// Versions that know no probes count it as a reporter; it must not be this instance.
-	if _, err := client.Report(call, &fleetpb.ReportRequest{Instance: "probe of " + r.Name, Zone: r.zone, Probe: true}); err == nil {
+	_, err = client.Report(call, &fleetpb.ReportRequest{Instance: "probe of " + r.Name, Zone: r.zone, Probe: true})
+	switch {
+	case err == nil:
 		r.failover.TrialSucceeded(rank)
+	case status.Code(err) == codes.DeadlineExceeded:
+		r.failover.TrialTimedOut(now())
 	}
 }
 
@@ -431,7 +438,7 @@
 	}
 	request := &fleetpb.ReportRequest{
 		Instance: report.Instance, Started: report.Started, Members: uint32(report.Members), Zone: r.zone,
-		Usages: make([]*fleetpb.Usage, len(report.Usages)), Carries: report.Carries, Guest: report.Guest, Release: report.Release, EchoNs: int64(report.Echo),
+		Usages: make([]*fleetpb.Usage, len(report.Usages)), Carries: report.Carries, Fleet: uint32(report.Fleet), Guest: report.Guest, Release: report.Release, EchoNs: int64(report.Echo),
 	}
 	for i, u := range report.Usages {
 		request.Usages[i] = &fleetpb.Usage{Workspace: u.Workspace, Admitted: u.Admitted, Settled: u.Settled}
--- a/internal/quota/failover.go
+++ b/internal/quota/failover.go
@@ -7,6 +7,9 @@
 	// one takes its place. While two hubs are in use, each gives out only a part of the
 	// quotas.
 	trialInterval = ReportInterval
+	// silentPause is the time after a trial without any response, for which reports had to
+	// wait, before the next one.
+	silentPause = time.Second
 	// TrialTimeout bounds a trial. It is short, since reports wait for its end.
 	TrialTimeout = 150 * time.Millisecond
 )
@@ -40,5 +43,8 @@
 	return rank, true
 }
 
+// TrialTimedOut records that a preferred receiver has not responded at all.
+func (f *Failover) TrialTimedOut(now time.Duration) { f.triedAt = now + silentPause - trialInterval }
+
 // TrialSucceeded records that a preferred receiver has responded.
 func (f *Failover) TrialSucceeded(rank int) { f.rank, f.trial = rank, 0 }
--- a/internal/quota/lost_test.go
+++ b/internal/quota/lost_test.go
@@ -253,6 +253,9 @@
 		n.sendTo(&n.toAggregator, &n.own, ZoneTTL, func(rank int) *unstableNode { return n.zoneMember(rank) }, n.limiter.Report, func(to *unstableNode, r Report) (Levels, bool) {
 			to.aggregator.SetLeaving(to.leaving && to.members(to.zone)[0] != to)
 			l, ok := to.aggregator.Handle(r, f.now)
+			if !ok {
+				to.report()
+			}
 			return l, !ok || !to.aggregator.leaving || l.Released
 		}, n.takeLevels, done)
 	}
@@ -362,9 +365,13 @@
 					return
 				}
 				trial := pick(rank)
-				n.call(trial, TrialTimeout, func(to *unstableNode) (Levels, bool) { return Levels{}, !to.leaving || !n.view[to.index] }, func(_ Levels, ok, _ bool) {
-					if n.started == started && n.up && ok {
+				n.call(trial, TrialTimeout, func(to *unstableNode) (Levels, bool) { return Levels{}, !to.leaving || !n.view[to.index] }, func(_ Levels, ok, gone bool) {
+					switch {
+					case n.started != started || !n.up:
+					case ok:
 						choice.TrialSucceeded(rank)
+					case !gone:
+						choice.TrialTimedOut(f.now)
 					}
 					done()
 				})
--- a/internal/quota/pledge.go
+++ b/internal/quota/pledge.go
@@ -66,7 +66,10 @@
 			p.to = ""
 		}
 	}
-	return !r.Guest && !l.Joined && !l.Released
+	if r.Guest {
+		return p.to != "" && p.to != to && now+ReportInterval > p.heardAt+p.ttl
+	}
+	return !l.Joined && !l.Released
 }
 
 // Gone records that a receiver's process has ended.
--- a/internal/quota/reporter.go
+++ b/internal/quota/reporter.go
@@ -88,6 +88,16 @@
 	return n
 }
 
+// heard reports whether any reporter has reported within reporterTTL.
+func (rs reporters) heard(now time.Duration) bool {
+	for _, r := range rs {
+		if now-r.lastReportAt <= reporterTTL {
+			return true
+		}
+	}
+	return false
+}
+
 // membersOf returns the number of instances whose shares are given out for a reporter.
 func (rs reporters) membersOf(name string, now time.Duration) int {
 	if r := rs[name]; r != nil && now-r.lastReportAt <= reporterTTL {
