--- a/internal/quota/hub.go
+++ b/internal/quota/hub.go
@@ -80,8 +80,19 @@
 		if w == nil || w.Rate <= 0 {
 			continue
 		}
+		if newRequests += n; from.members == 0 {
+			from.owed[w.Name] += n
+			continue
+		}
 		h.refill(w, share, now).left -= n
-		newRequests += n
+	}
+	if from.members > 0 {
+		for name, n := range from.owed {
+			if w := h.workspaces[name]; w != nil {
+				h.refill(w, share, now).left -= n
+			}
+		}
+		clear(from.owed)
 	}
 	if had == 0 && from.members > 0 && r.Held != nil {
 		h.add(r, from.members, share, now)
@@ -91,8 +102,8 @@
 	for name, b := range h.buckets {
 		w := h.workspaces[name]
 		h.refill(w, share, now)
-		if full := float64(w.Burst) * share; b.left < full {
-			out.Levels = append(out.Levels, Level{name, b.left})
+		if left, full := b.left-from.owed[name], float64(w.Burst)*share; left < full {
+			out.Levels = append(out.Levels, Level{name, left})
 		}
 	}
 	if (r.Release || h.leaving) && from.members > 0 {
--- a/internal/quota/reporter.go
+++ b/internal/quota/reporter.go
@@ -26,8 +26,11 @@
 	fleet        int           // Report.Fleet
 	lastReportAt time.Duration // Report.Echo, or when a report without one arrived
 	lastAdmitted map[string]uint64
-	recentUsage  float64 // requests of all workspaces, exponentially decayed up to usageAt (see usageDecayTime)
-	usageAt      time.Duration
+	// owed are the requests, by workspace, of a reporter whose share and levels another hub
+	// may still have. They are charged together with what it brings.
+	owed        map[string]float64
+	recentUsage float64 // requests of all workspaces, exponentially decayed up to usageAt (see usageDecayTime)
+	usageAt     time.Duration
 }
 
 // addUsage adds n requests to the recent usage, after its decay up to now.
@@ -43,7 +46,7 @@
 	from = rs[r.Instance]
 	first = from == nil || from.started != r.Started || now-from.lastReportAt > reporterTTL
 	if first {
-		from = &reporter{started: r.Started, lastAdmitted: map[string]uint64{}}
+		from = &reporter{started: r.Started, lastAdmitted: map[string]uint64{}, owed: map[string]float64{}}
 		rs[r.Instance] = from
 		for _, u := range r.Usages {
 			from.lastAdmitted[u.Workspace] = u.Admitted
