--- a/internal/quota/hub.go
+++ b/internal/quota/hub.go
@@ -111,7 +111,7 @@
 		for _, b := range h.buckets {
 			b.left *= float64(members-from.members) / float64(members)
 		}
-		from.members = 0
+		from.members, from.releasedAt = 0, now
 	}
 	return out
 }
--- a/internal/quota/reporter.go
+++ b/internal/quota/reporter.go
@@ -25,6 +25,7 @@
 	members      int           // instances whose shares the hub gives out for it
 	fleet        int           // Report.Fleet
 	lastReportAt time.Duration // Report.Echo, or when a report without one arrived
+	releasedAt   time.Duration // when the share was handed back; reports from before don't count
 	lastAdmitted map[string]uint64
 	// owed are the requests, by workspace, of a reporter whose share and levels another hub
 	// may still have. They are charged together with what it brings.
@@ -60,7 +61,7 @@
 		from.lastReportAt = min(r.Echo, now)
 	}
 	from.fleet = r.Fleet
-	if r.Guest || r.Carries && r.Echo == 0 {
+	if r.Guest || r.Carries && (r.Echo == 0 || r.Echo < from.releasedAt) {
 		from.members = 0
 	}
 	return from, first
