--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -69,7 +69,7 @@
 		Fleet: int(r.GetFleet()), Guest: r.GetGuest(), Release: r.GetRelease(), Echo: time.Duration(r.GetEchoNs()),
 	}
 	for _, u := range r.GetUsages() {
-		report.Usages = append(report.Usages, quota.Usage{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted(), Settled: u.GetSettled()})
+		report.Usages = append(report.Usages, quota.Usage{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted(), Settled: u.GetAdmitted() - min(u.GetUnsettled(), u.GetAdmitted())})
 	}
 	if r.GetHeld() != nil {
 		held := decodeLevels(r.GetHeld())
@@ -441,7 +441,7 @@
 		Usages: make([]*fleetpb.Usage, len(report.Usages)), Carries: report.Carries, Fleet: uint32(report.Fleet), Guest: report.Guest, Release: report.Release, EchoNs: int64(report.Echo),
 	}
 	for i, u := range report.Usages {
-		request.Usages[i] = &fleetpb.Usage{Workspace: u.Workspace, Admitted: u.Admitted, Settled: u.Settled}
+		request.Usages[i] = &fleetpb.Usage{Workspace: u.Workspace, Admitted: u.Admitted, Unsettled: u.Admitted - min(u.Settled, u.Admitted)}
 	}
 	if report.Held != nil {
 		request.Held = encodeLevels(*report.Held)
