--- a/internal/quota/aggregator.go
+++ b/internal/quota/aggregator.go
@@ -104,7 +104,9 @@
 	}
 	out := Levels{Share: s.levels.Share, Part: s.levels.Part * s.reporters.usageShare(from, now), Age: age, Members: s.levels.Members, Joined: from.members > 0, SentAt: now, Fleet: s.levels.Fleet, Generation: s.levels.Generation}
 	if r.Release || s.leaving {
-		out.Joined, out.Released, from.members, from.releasedAt = false, from.members > 0, 0, now
+		out.Joined, out.Released, from.members = false, from.members > 0, 0
+		out.SentAt = now + 1 // see Hub.Handle
+		from.releasedAt = out.SentAt
 	}
 	listed := make(map[string]bool, len(s.levels.Levels))
 	for _, l := range s.levels.Levels {
--- a/internal/quota/hub.go
+++ b/internal/quota/hub.go
@@ -111,7 +111,9 @@
 		for _, b := range h.buckets {
 			b.left *= float64(members-from.members) / float64(members)
 		}
-		from.members, from.releasedAt = 0, now
+		// Later than any response before, which a report on its way may name.
+		out.SentAt = now + 1
+		from.members, from.releasedAt = 0, out.SentAt
 	}
 	return out
 }
--- a/internal/quota/reporter.go
+++ b/internal/quota/reporter.go
@@ -45,7 +45,7 @@
 // starts at Usage.Settled. A report without that only sets where counting starts.
 func (rs reporters) record(r Report, now time.Duration) (from *reporter, first bool) {
 	from = rs[r.Instance]
-	first = from == nil || from.started != r.Started || now-from.lastReportAt > reporterTTL
+	first = from == nil || from.started != r.Started || now-from.lastReportAt >= reporterTTL
 	if first {
 		from = &reporter{started: r.Started, lastAdmitted: map[string]uint64{}, owed: map[string]float64{}}
 		rs[r.Instance] = from
@@ -73,7 +73,7 @@
 	heard := 0
 	for name, r := range rs {
 		switch {
-		case now-r.lastReportAt <= reporterTTL:
+		case now-r.lastReportAt < reporterTTL:
 			heard += r.members
 		case now-r.lastReportAt > forgetAfter:
 			delete(rs, name)
@@ -85,7 +85,7 @@
 // fleet returns the number of instances that share the quotas, if n are registered.
 func (rs reporters) fleet(n int, now time.Duration) int {
 	for _, r := range rs {
-		if now-r.lastReportAt <= reporterTTL {
+		if now-r.lastReportAt < reporterTTL {
 			n = max(n, r.fleet)
 		}
 	}
@@ -95,7 +95,7 @@
 // heard reports whether any reporter has reported within reporterTTL.
 func (rs reporters) heard(now time.Duration) bool {
 	for _, r := range rs {
-		if now-r.lastReportAt <= reporterTTL {
+		if now-r.lastReportAt < reporterTTL {
 			return true
 		}
 	}
@@ -104,7 +104,7 @@
 
 // membersOf returns the number of instances whose shares are given out for a reporter.
 func (rs reporters) membersOf(name string, now time.Duration) int {
-	if r := rs[name]; r != nil && now-r.lastReportAt <= reporterTTL {
+	if r := rs[name]; r != nil && now-r.lastReportAt < reporterTTL {
 		return r.members
 	}
 	return 0
