--- a/internal/quota/lost_test.go
+++ b/internal/quota/lost_test.go
@@ -627,21 +627,33 @@
 				seeds = 6
 			}
 			for seed := range seeds {
-				f := newUnstableFleet(n, 300+seed)
-				f.run(time.Second)
-				for w := range f.workspaces {
-					f.arrive(w, []float64{0.9, 4, 9}[f.random.IntN(3)], 20*time.Second)
-				}
-				for range 6 {
-					f.after(time.Duration(2+f.random.IntN(14))*time.Second, f.randomFault)
-				}
-				f.run(20 * time.Second)
-				f.checkQuotas(t, fmt.Sprint("seed ", 300+seed))
+				playRandomSchedule(t, n, 300+seed)
 			}
 		})
 	}
 }
 
+// Two rounds of stops overlap, and an instance that has just started is cut off from the
+// others: it can't know how many of them are about to stop.
+func TestNoQuotaIsExceededByAStartedInstanceThatIsCutOffWhileAllStop(t *testing.T) {
+	playRandomSchedule(t, 7, 1338)
+}
+
+// playRandomSchedule plays six random faults in 20 s.
+func playRandomSchedule(t *testing.T, instances int, seed uint64) {
+	t.Helper()
+	f := newUnstableFleet(instances, seed)
+	f.run(time.Second)
+	for w := range f.workspaces {
+		f.arrive(w, []float64{0.9, 4, 9}[f.random.IntN(3)], 20*time.Second)
+	}
+	for range 6 {
+		f.after(time.Duration(2+f.random.IntN(14))*time.Second, f.randomFault)
+	}
+	f.run(20 * time.Second)
+	f.checkQuotas(t, fmt.Sprint("seed ", seed))
+}
+
 // randomFault is one of the faults of TestNoQuotaIsExceededInRandomSchedules.
 func (f *unstableFleet) randomFault() {
 	switch n := f.nodes[f.random.IntN(min(3, len(f.nodes)))]; f.random.IntN(4) {
