--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -329,7 +329,7 @@
 // confirmConfiguration tells the gateway as of when its configuration was current, if
 // it is the one in the copy and no instance has had a later one. The caller holds the lock.
 func (f *follower) confirmConfiguration() {
-	if f.configurationApplied && f.gateway.Table().Version >= f.registeredVersion && f.mirror.IsProven(f.storeKeys.Configuration, now()) {
+	if f.configurationApplied && f.gateway.Table().Version >= f.registeredVersion && f.mirror.IsProven(f.storeKeys.Configuration, f.currentAsOf) {
 		f.gateway.SetCurrentAsOf(f.currentAsOf)
 	}
 }
--- a/internal/mirror/restored.go
+++ b/internal/mirror/restored.go
@@ -132,8 +132,8 @@
 	return (now < m.keptUntil || c.Entry.Key == m.options.LastingKey) && m.isOutdated(known, c.Entry)
 }
 
-// IsProven reports whether the entry of a key, in a copy that is current at the time
-// now, is known to be the newest one. It is not if the store came back as an older copy
+// IsProven reports whether the entry of a key, in a copy that is current as of the time
+// now, which may be before the present, is known to be the newest one. It is not if the store came back as an older copy
 // and the owner of the entry may still have to write it, or a later one, again.
 func (m *Mirror) IsProven(key string, now time.Duration) bool {
 	e, ok := m.entries[key]
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -186,7 +186,7 @@
 		t.Run(fmt.Sprint("seed-", s), func(t *testing.T) {
 			t.Parallel()
 			t.Log(cause)
-			runSeed(t, s)
+			runSeed(t, s, faults[:len(faults)-1]...) // without storeRestored, which came later and would change their order
 		})
 	}
 }
