--- a/internal/config/finding.go
+++ b/internal/config/finding.go
@@ -5,9 +5,43 @@
 	"strings"
 )
 
+// Severity is how much a finding matters.
+type Severity string
+
+// Severities. An error makes a configuration unusable; a warning names something in a
+// valid configuration that has no effect or contradicts something else; a difference is
+// a change against another configuration.
+const (
+	SeverityError      Severity = "error"
+	SeverityWarning    Severity = "warning"
+	SeverityDifference Severity = "difference"
+)
+
+// Names of errors of a configuration. They do not change between versions.
+const (
+	NameSyntax           = "syntax"            // no YAML or JSON, an unknown field or a wrong type
+	NameTooLarge         = "too-large"         // the file
+	NameMalformed        = "malformed"         // a value without the form that it must have
+	NameDuplicate        = "duplicate"         // a name, address or key that must be unique
+	NameMissing          = "missing"           // a required value
+	NameUnknownReference = "unknown-reference" // the name of something that is not defined
+	NameUnknownValue     = "unknown-value"     // none of the values that are allowed
+	NameOutOfRange       = "out-of-range"      // a number
+)
+
+// ErrorNames returns the names of all errors of a configuration.
+func ErrorNames() []string {
+	return []string{NameSyntax, NameTooLarge, NameMalformed, NameDuplicate, NameMissing, NameUnknownReference, NameUnknownValue, NameOutOfRange}
+}
+
 // Finding is one fault of a configuration or of another file, with its place.
 type Finding struct {
-	File string `json:"file,omitempty"`
+	// Name is the kind of the finding. Only findings of configurations have one.
+	Name     string   `json:"name,omitempty"`
+	Severity Severity `json:"severity,omitempty"`
+	// Group says what callers notice of a difference.
+	Group string `json:"group,omitempty"`
+	File  string `json:"file,omitempty"`
 	// Line is 1-based; 0 where the line is not known.
 	Line int `json:"line,omitempty"`
 	// Path names the field, such as routes[2].service. It is "file" for a fault of
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -21,7 +21,7 @@
 // file is the name that the findings give.
 func Parse(file string, text []byte) (*Document, error) {
 	if len(text) > MaxFileBytes {
-		return nil, Findings{{File: file, Path: "file", Message: fmt.Sprintf("has %d bytes, more than %d", len(text), MaxFileBytes)}}
+		return nil, Findings{{Name: NameTooLarge, Severity: SeverityError, File: file, Path: "file", Message: fmt.Sprintf("has %d bytes, more than %d", len(text), MaxFileBytes)}}
 	}
 	decoder := yaml.NewDecoder(bytes.NewReader(text))
 	decoder.KnownFields(true)
@@ -38,26 +38,36 @@
 	}
 	var extra any
 	if err := decoder.Decode(&extra); !errors.Is(err, io.EOF) {
-		return nil, append(findings, Finding{File: file, Path: "file", Message: "holds more than one YAML document"})
+		return nil, append(findings, Finding{Name: NameSyntax, Severity: SeverityError, File: file, Path: "file", Message: "holds more than one YAML document"})
 	}
 	invalid := Validate(doc)
 	if len(invalid) == 0 && len(findings) == 0 {
 		return doc, nil
 	}
-	var root yaml.Node
-	if err := yaml.Unmarshal(text, &root); err == nil {
-		setLines(&root, invalid)
+	SetYAMLPlaces(file, text, invalid)
+	return nil, append(findings, invalid...)
+}
+
+// SetYAMLPlaces sets the file of each finding, and its line from its path in the YAML
+// text.
+func SetYAMLPlaces(file string, text []byte, findings Findings) {
+	if len(findings) == 0 {
+		return
 	}
-	for i := range invalid {
-		invalid[i].File = file
+	var root yaml.Node
+	err := yaml.Unmarshal(text, &root)
+	for i := range findings {
+		findings[i].File = file
+		if err == nil {
+			findings[i].Line = lineOf(&root, findings[i].Path)
+		}
 	}
-	return nil, append(findings, invalid...)
 }
 
 // decodeFindings returns the findings of an error of the YAML decoder.
 func decodeFindings(file string, err error) Findings {
 	if errors.Is(err, io.EOF) {
-		return Findings{{File: file, Path: "file", Message: "is empty"}}
+		return Findings{{Name: NameSyntax, Severity: SeverityError, File: file, Path: "file", Message: "is empty"}}
 	}
 	messages := []string{err.Error()}
 	var typeErr *yaml.TypeError
@@ -66,7 +76,7 @@
 	}
 	findings := make(Findings, 0, len(messages))
 	for _, message := range messages {
-		f := Finding{File: file, Path: "yaml", Message: message}
+		f := Finding{Name: NameSyntax, Severity: SeverityError, File: file, Path: "yaml", Message: message}
 		if m := yamlLinePattern.FindStringSubmatch(message); m != nil {
 			f.Line, _ = strconv.Atoi(m[1])
 			f.Message = yamlLinePattern.ReplaceAllString(message, "")
@@ -79,13 +89,6 @@
 // pathPartPattern matches one part of Finding.Path: a field name or an index.
 var pathPartPattern = regexp.MustCompile(`([a-z0-9_]+)|\[(\d+)\]`)
 
-// setLines sets the line of each finding to that of its path in the YAML tree.
-func setLines(root *yaml.Node, findings Findings) {
-	for i := range findings {
-		findings[i].Line = lineOf(root, findings[i].Path)
-	}
-}
-
 // lineOf returns the line of the node at a path, or else that of the deepest node on
 // the path that exists.
 func lineOf(node *yaml.Node, path string) int {
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -50,17 +50,17 @@
 	return v.findings
 }
 
-func (v *validator) addFinding(path, format string, args ...any) {
-	v.findings = append(v.findings, Finding{Path: path, Message: fmt.Sprintf(format, args...)})
+func (v *validator) addFinding(name, path, format string, args ...any) {
+	v.findings = append(v.findings, Finding{Name: name, Severity: SeverityError, Path: path, Message: fmt.Sprintf(format, args...)})
 }
 
 // checkName checks the form of a name and that it is not in seen, and adds it there.
 func (v *validator) checkName(path, name string, seen map[string]bool) {
 	switch {
 	case !namePattern.MatchString(name) || len(name) > maxNameLength:
-		v.addFinding(path, "name %q must be lower-case letters, digits and hyphens, at most %d", name, maxNameLength)
+		v.addFinding(NameMalformed, path, "name %q must be lower-case letters, digits and hyphens, at most %d", name, maxNameLength)
 	case seen[name]:
-		v.addFinding(path, "name %q is used twice", name)
+		v.addFinding(NameDuplicate, path, "name %q is used twice", name)
 	}
 	seen[name] = true
 }
@@ -68,43 +68,43 @@
 // checkExists checks that a name that the document refers to is defined.
 func (v *validator) checkExists(path, kind, name string, defined map[string]bool) {
 	if !defined[name] {
-		v.addFinding(path, "%s %q does not exist", kind, name)
+		v.addFinding(NameUnknownReference, path, "%s %q does not exist", kind, name)
 	}
 }
 
 func (v *validator) checkPositive(path string, value int) {
 	if value <= 0 {
-		v.addFinding(path, "must be above 0, is %d", value)
+		v.addFinding(NameOutOfRange, path, "must be above 0, is %d", value)
 	}
 }
 
 func (v *validator) checkRegions(doc *Document) {
 	if len(doc.Regions) == 0 {
-		v.addFinding("regions", "needs at least one region")
+		v.addFinding(NameMissing, "regions", "needs at least one region")
 	}
 	for i, r := range doc.Regions {
 		path := fmt.Sprintf("regions[%d]", i)
 		v.checkName(path+".name", r.Name, v.regions)
 		v.checkPositive(path+".link_mbps", r.LinkMbps)
 		if r.MaxInFlight < 0 {
-			v.addFinding(path+".max_in_flight", "must not be negative, is %d", r.MaxInFlight)
+			v.addFinding(NameOutOfRange, path+".max_in_flight", "must not be negative, is %d", r.MaxInFlight)
 		}
 	}
 }
 
 func (v *validator) checkZones(doc *Document) {
 	if len(doc.AvailabilityZones) == 0 {
-		v.addFinding("availability_zones", "needs at least one availability zone")
+		v.addFinding(NameMissing, "availability_zones", "needs at least one availability zone")
 	}
 	for i, z := range doc.AvailabilityZones {
 		path := fmt.Sprintf("availability_zones[%d]", i)
 		v.checkName(path+".name", z.Name, v.zones)
 		v.checkExists(path+".region", "region", z.Region, v.regions)
 		if z.Instances < 0 || z.Instances > maxInstances {
-			v.addFinding(path+".instances", "must be 0 to %d, is %d", maxInstances, z.Instances)
+			v.addFinding(NameOutOfRange, path+".instances", "must be 0 to %d, is %d", maxInstances, z.Instances)
 		}
 		if !(z.ReserveShare >= 0 && z.ReserveShare <= 1) {
-			v.addFinding(path+".reserve_share", "must be 0 to 1, is %g", z.ReserveShare)
+			v.addFinding(NameOutOfRange, path+".reserve_share", "must be 0 to 1, is %g", z.ReserveShare)
 		}
 	}
 }
@@ -116,7 +116,7 @@
 		v.checkName(path+".name", s.Name, names)
 		v.checkExists(path+".availability_zone", "availability zone", s.AvailabilityZone, v.zones)
 		if s.Demand < 0 {
-			v.addFinding(path+".demand", "must not be negative, is %g", s.Demand)
+			v.addFinding(NameOutOfRange, path+".demand", "must not be negative, is %g", s.Demand)
 		}
 		for j, text := range s.Clients {
 			v.checkClients(fmt.Sprintf("%s.clients[%d]", path, j), text, s.Name, clients)
@@ -130,13 +130,13 @@
 	prefix, err := netip.ParsePrefix(text)
 	switch {
 	case err != nil:
-		v.addFinding(path, "%q is not an address prefix", text)
+		v.addFinding(NameMalformed, path, "%q is not an address prefix", text)
 	case prefix != prefix.Masked():
-		v.addFinding(path, "%q has bits set after its length", text)
+		v.addFinding(NameMalformed, path, "%q has bits set after its length", text)
 	case prefix.Addr().Is4() && prefix.Bits() > maxIPv4PrefixBits, prefix.Addr().Is6() && prefix.Bits() > maxIPv6PrefixBits:
-		v.addFinding(path, "%q is narrower than an IPv4 /%d or an IPv6 /%d", text, maxIPv4PrefixBits, maxIPv6PrefixBits)
+		v.addFinding(NameOutOfRange, path, "%q is narrower than an IPv4 /%d or an IPv6 /%d", text, maxIPv4PrefixBits, maxIPv6PrefixBits)
 	case seen[text] != "":
-		v.addFinding(path, "%q belongs to site %q already", text, seen[text])
+		v.addFinding(NameDuplicate, path, "%q belongs to site %q already", text, seen[text])
 	}
 	seen[text] = site
 }
@@ -159,11 +159,11 @@
 	v.checkName(path+".name", t.Name, v.targets)
 	v.checkExists(path+".availability_zone", "availability zone", t.AvailabilityZone, v.zones)
 	if _, err := netip.ParseAddrPort(t.Address); err != nil {
-		v.addFinding(path+".address", "address %q is not IP:port", t.Address)
+		v.addFinding(NameMalformed, path+".address", "address %q is not IP:port", t.Address)
 		return
 	}
 	if other, ok := addresses[t.Address]; ok {
-		v.addFinding(path+".address", "address %q is used by target %q already", t.Address, other)
+		v.addFinding(NameDuplicate, path+".address", "address %q is used by target %q already", t.Address, other)
 	}
 	addresses[t.Address] = t.Name
 }
@@ -174,13 +174,13 @@
 		v.checkName(path+".name", r.Name, v.routes)
 		v.checkExists(path+".service", "service", r.Service, v.services)
 		if !strings.HasPrefix(r.PathPrefix, "/") {
-			v.addFinding(path+".path_prefix", "path prefix %q must begin with /", r.PathPrefix)
+			v.addFinding(NameMalformed, path+".path_prefix", "path prefix %q must begin with /", r.PathPrefix)
 		}
 		if len(r.Methods) == 0 {
-			v.addFinding(path+".methods", "needs at least one method")
+			v.addFinding(NameMissing, path+".methods", "needs at least one method")
 		}
 		if r.Class != ClassInteractive && r.Class != ClassBulk {
-			v.addFinding(path+".class", "class %q is neither %q nor %q", r.Class, ClassInteractive, ClassBulk)
+			v.addFinding(NameUnknownValue, path+".class", "class %q is neither %q nor %q", r.Class, ClassInteractive, ClassBulk)
 		}
 		v.checkPositive(path+".timeout_ms", r.TimeoutMillis)
 	}
@@ -192,7 +192,7 @@
 		path := fmt.Sprintf("workspaces[%d]", i)
 		v.checkName(path+".name", w.Name, names)
 		if !(w.Rate > 0 && w.Rate <= maxRate) {
-			v.addFinding(path+".rate", "must be above 0 and at most %g, is %g", float64(maxRate), w.Rate)
+			v.addFinding(NameOutOfRange, path+".rate", "must be above 0 and at most %g, is %g", float64(maxRate), w.Rate)
 		}
 		v.checkPositive(path+".burst", w.Burst)
 		for j, route := range w.Routes {
@@ -207,7 +207,7 @@
 func (v *validator) checkKey(path string, k Key) {
 	v.checkName(path+".id", k.ID, v.keys)
 	if len(k.SHA256) != sha256HexChars || !sha256Pattern.MatchString(k.SHA256) {
-		v.addFinding(path+".sha256", "must be %d lower-case hexadecimal digits", sha256HexChars)
+		v.addFinding(NameMalformed, path+".sha256", "must be %d lower-case hexadecimal digits", sha256HexChars)
 	}
 }
 
@@ -222,7 +222,7 @@
 		case DrainTarget:
 			v.checkExists(path+".name", "target", d.Name, v.targets)
 		default:
-			v.addFinding(path+".kind", "kind %q is not region, zone or target", d.Kind)
+			v.addFinding(NameUnknownValue, path+".kind", "kind %q is not region, zone or target", d.Kind)
 		}
 	}
 }
@@ -237,19 +237,19 @@
 		v.checkExists(path+".route", "route", s.Route, v.routes)
 		v.checkExists(path+".from", "region", s.From, v.regions)
 		if from := (source{s.Route, s.From}); sources[from] {
-			v.addFinding(path+".from", "route %q is shifted from region %q already", s.Route, s.From)
+			v.addFinding(NameDuplicate, path+".from", "route %q is shifted from region %q already", s.Route, s.From)
 		} else {
 			sources[from] = true
 		}
 		v.checkExists(path+".to", "region", s.To, v.regions)
 		if s.From == s.To {
-			v.addFinding(path+".to", "must differ from the region %q that is shifted from", s.From)
+			v.addFinding(NameMalformed, path+".to", "must differ from the region %q that is shifted from", s.From)
 		}
 		if !(s.Cap > 0 && s.Cap <= 1) {
-			v.addFinding(path+".cap", "must be above 0 and at most 1, is %g", s.Cap)
+			v.addFinding(NameOutOfRange, path+".cap", "must be above 0 and at most 1, is %g", s.Cap)
 		}
 		if !(s.Step > 0 && s.Step <= 1) {
-			v.addFinding(path+".step", "must be above 0 and at most 1, is %g", s.Step)
+			v.addFinding(NameOutOfRange, path+".step", "must be above 0 and at most 1, is %g", s.Step)
 		}
 		v.checkPositive(path+".step_seconds", s.StepSeconds)
 	}
