command: config check

It reads both written forms, as validate now does too. GET /v1/configuration of the operators' API answers the accepted configuration for --in-force.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -44,7 +44,10 @@
   4  the plan is stale: another change came first; make a new plan
   5  the system, its store or a writer cannot be reached; nothing was changed
   6  there was no answer: the change may have taken effect; confirm the same
-     plan again, which never applies it twice`
+     plan again, which never applies it twice
+
+"config check" has its own: 0 nothing or only differences, 1 warnings, 2 errors, bad
+usage or no check`
 
 // errUsage marks errors in the command line or in settings. Their exit code is
 // exitUsage.
@@ -81,7 +84,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
 	root.AddCommand(newServe(), newStandin(), newPlan(), newConfirm(), newStatus(), newLookup(),
-		newValidate(), newEdge(), newExplain(), newLoad(), newDemo(), newVersion(), newExperiment())
+		newValidate(), newConfig(), newEdge(), newExplain(), newLoad(), newDemo(), newVersion(), newExperiment())
 	documentEnvironment(root)
 	markUsageErrors(root)
 	knownVariables := settings.EnvNames(allFlags(root)...)
@@ -138,7 +141,10 @@
 func exitCode(err error) int {
 	var findings config.Findings
 	var apiErr *operator.APIError
+	var checkErr *checkError
 	switch {
+	case errors.As(err, &checkErr):
+		return checkErr.code
 	case errors.IsAny(err, errUsage, server.ErrSettings):
 		return exitUsage
 	case errors.As(err, &findings), errors.Is(err, errInvalid):
--- a/internal/command/validate.go
+++ b/internal/command/validate.go
@@ -47,13 +47,13 @@
 // as an error.
 func validate(w io.Writer, f clientFlags, file string) error {
 	result := validationResult{File: file}
-	doc, err := readDocument(file)
+	c, err := readConfiguration(file)
 	if err != nil && !errors.As(err, &result.Findings) {
 		return err
 	}
-	if doc != nil {
+	if c != nil {
 		result.Valid = true
-		result.Services, result.Routes, result.Workspaces = len(doc.Services), len(doc.Routes), len(doc.Workspaces)
+		result.Services, result.Routes, result.Workspaces = len(c.Services), len(c.Routes), len(c.Workspaces)
 	}
 	return errors.CombineErrors(err, f.print(w, result, func(w io.Writer) {
 		if result.Valid {
@@ -62,17 +62,22 @@
 	}))
 }
 
-// readDocument reads and validates a configuration file. Of a file that is too
-// large it reads one byte more than allowed, so that config.Parse reports the size.
+// readDocument reads and validates a configuration file in YAML.
 func readDocument(name string) (*config.Document, error) {
-	file, err := os.Open(name)
+	text, err := readFile(name)
 	if err != nil {
 		return nil, err
 	}
-	defer file.Close()
-	text, err := io.ReadAll(io.LimitReader(file, config.MaxFileBytes+1))
+	return config.Parse(name, text)
+}
+
+// readFile reads a configuration file. Of a file that is too large it reads one byte
+// more than allowed, so that config.Parse reports the size.
+func readFile(name string) ([]byte, error) {
+	file, err := os.Open(name)
 	if err != nil {
 		return nil, err
 	}
-	return config.Parse(name, text)
+	defer file.Close()
+	return io.ReadAll(io.LimitReader(file, config.MaxFileBytes+1))
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -51,6 +51,18 @@
 	return status, c.call(ctx, http.MethodGet, StatusPath, nil, &status)
 }
 
+// Configuration returns the accepted configuration.
+func (c *Client) Configuration(ctx context.Context) (AcceptedConfiguration, error) {
+	var accepted AcceptedConfiguration
+	if err := c.call(ctx, http.MethodGet, ConfigurationPath, nil, &accepted); err != nil {
+		return accepted, err
+	}
+	if accepted.Document == nil {
+		return accepted, errors.New("operator API answer: there is no document")
+	}
+	return accepted, nil
+}
+
 // call sends body as JSON, unless it is nil, and decodes the JSON of the response
 // into answer.
 func (c *Client) call(ctx context.Context, method, path string, body, answer any) error {
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -245,6 +245,27 @@
 	return status
 }
 
+// AcceptedConfiguration is the answer to a request for the accepted configuration.
+type AcceptedConfiguration struct {
+	// Version is 0 if no configuration was accepted yet; the document is empty then.
+	Version  uint64           `json:"version"`
+	Document *config.Document `json:"document"`
+}
+
+// Configuration returns the accepted configuration from the store. It has the digests
+// of keys, not their secrets.
+func (s *Service) Configuration(ctx context.Context) (AcceptedConfiguration, error) {
+	record, err := s.readRecord(ctx)
+	if err != nil {
+		return AcceptedConfiguration{}, err
+	}
+	accepted := AcceptedConfiguration{Version: record.Version, Document: record.Document}
+	if accepted.Document == nil {
+		accepted.Document = &config.Document{}
+	}
+	return accepted, nil
+}
+
 // storedRecord is a record as it was read from the store.
 type storedRecord struct {
 	intent.Record
--- a/internal/operator/transport.go
+++ b/internal/operator/transport.go
@@ -22,6 +22,8 @@
 	PlanPath    = "/v1/plans"
 	ConfirmPath = "/v1/confirm"
 	StatusPath  = "/v1/status"
+	// ConfigurationPath is that of the accepted configuration.
+	ConfigurationPath = "/v1/configuration"
 )
 
 const (
@@ -60,6 +62,7 @@
 	mux.Handle("POST "+PlanPath, kithttp.NewServer(planEndpoint(s), decodeJSON[intent.Intent], kithttp.EncodeJSONResponse, options...))
 	mux.Handle("POST "+ConfirmPath, kithttp.NewServer(confirmEndpoint(s), decodeJSON[ConfirmRequest], kithttp.EncodeJSONResponse, options...))
 	mux.Handle("GET "+StatusPath, kithttp.NewServer(statusEndpoint(s), kithttp.NopRequestDecoder, kithttp.EncodeJSONResponse, options...))
+	mux.Handle("GET "+ConfigurationPath, kithttp.NewServer(configurationEndpoint(s), kithttp.NopRequestDecoder, kithttp.EncodeJSONResponse, options...))
 	return authorize(token, mux)
 }
 
@@ -77,6 +80,10 @@
 	return func(ctx context.Context, _ any) (any, error) { return s.Status(ctx), nil }
 }
 
+func configurationEndpoint(s *Service) endpoint.Endpoint {
+	return func(ctx context.Context, _ any) (any, error) { return s.Configuration(ctx) }
+}
+
 // authorize passes only requests with the bearer token on to next. It compares the
 // token in constant time, and reads nothing of the body.
 func authorize(token string, next http.Handler) http.Handler {
