--- a/internal/command/configcheck.go
+++ b/internal/command/configcheck.go
@@ -66,6 +66,13 @@
 	if err != nil {
 		return nil, err
 	}
+	return parseConfiguration(name, text)
+}
+
+// parseConfiguration parses and validates the text of a configuration file. The form is
+// told by the content. The error is of type config.Findings.
+func parseConfiguration(name string, text []byte) (*loadedConfiguration, error) {
+	var err error
 	c := &loadedConfiguration{file: name, form: formDocument, text: text}
 	if len(text) <= config.MaxFileBytes && platform.IsConfiguration(text) {
 		c.form = formAccepted
--- a/internal/command/validate.go
+++ b/internal/command/validate.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"os"
@@ -79,5 +80,10 @@
 		return nil, err
 	}
 	defer file.Close()
-	return io.ReadAll(io.LimitReader(file, config.MaxFileBytes+1))
+	var text bytes.Buffer
+	if info, err := file.Stat(); err == nil {
+		text.Grow(int(min(info.Size(), config.MaxFileBytes)) + bytes.MinRead)
+	}
+	_, err = text.ReadFrom(io.LimitReader(file, config.MaxFileBytes+1))
+	return text.Bytes(), err
 }
--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -232,7 +232,7 @@
 		sorted := slices.Clone(regions)
 		slices.Sort(sorted)
 		sorted = slices.Compact(sorted)
-		text := fmt.Sprintf("%q", []string(sorted))
+		text := strings.Join(sorted, "\x00")
 		s, ok := byText[text]
 		if !ok {
 			s = len(sets)
