--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -76,6 +76,7 @@
 	toRoutes       map[routeKey]int
 	fromWorkspaces map[string]int
 	toWorkspaces   map[string]int
+	kept           map[string]bool // routes of the configuration to, as callers know them
 }
 
 // Compare returns what differs between two configurations of the same form. Findings on
@@ -233,6 +234,12 @@
 }
 
 func (c *comparer) compareWorkspaces() {
+	if c.from.RoutesListed && c.to.RoutesListed {
+		c.kept = map[string]bool{}
+		for k := range c.toRoutes {
+			c.kept[k.String()] = true
+		}
+	}
 	for i := range c.from.Workspaces {
 		w := &c.from.Workspaces[i]
 		now, kept := c.toWorkspaces[w.Name]
@@ -291,7 +298,9 @@
 	}
 	if c.from.RoutesListed && c.to.RoutesListed {
 		before, now := routesOf(c.from, old), routesOf(c.to, w)
-		if lost := without(before, now); len(lost) > 0 {
+		// A route that is gone for all is a difference of its own.
+		lost := slices.DeleteFunc(without(before, now), func(route string) bool { return !c.kept[route] })
+		if len(lost) > 0 {
 			c.differ(WorkspaceRoutesChanged, GroupRefused, place(FieldRoutes), "%q may not use any more: %s", w.Name, strings.Join(lost, "; "))
 		}
 		if gained := without(now, before); len(gained) > 0 {
