--- a/internal/operator/transport_test.go
+++ b/internal/operator/transport_test.go
@@ -5,9 +5,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
+
+	"github.com/cockroachdb/errors"
 )
 
 // TestEndlessResponse guards against a response without end that fills the memory of
@@ -41,7 +44,7 @@
 // whatever its path, so that its sender learns nothing about the API.
 func TestCredentialIsCheckedBeforeTheBody(t *testing.T) {
 	handler := NewHandler(&Service{}, "secret")
-	for _, path := range []string{PlanPath, ConfirmPath, "/v1/no-such-path"} {
+	for _, path := range []string{PlanPath, ConfirmPath, ConfigurationPath, "/v1/no-such-path"} {
 		for _, credential := range []string{"", "secret", "Bearer ", "Bearer wrong"} {
 			body := strings.NewReader("{")
 			r := httptest.NewRequest(http.MethodPost, path, body)
@@ -67,3 +70,26 @@
 		}
 	}
 }
+
+// The accepted configuration must reach the client as it is stored. Before the first plan
+// it is empty.
+func TestAcceptedConfigurationIsAnswered(t *testing.T) {
+	store := newFakeStore(1)
+	s := newServices(store, 1)[0]
+	server := httptest.NewServer(NewHandler(s, "secret"))
+	defer server.Close()
+	client := Client{BaseURL: server.URL, Token: "secret", HTTP: server.Client()}
+	if accepted, err := client.Configuration(t.Context()); err != nil || accepted.Version != 0 || len(accepted.Document.Routes) != 0 {
+		t.Errorf("before the first plan: %+v, %v", accepted, err)
+	}
+	mustApply(t, s)
+	accepted, err := client.Configuration(t.Context())
+	if record := mustReadRecord(t, store); err != nil || accepted.Version != record.Version || !reflect.DeepEqual(accepted.Document, record.Document) {
+		t.Errorf("%+v, %v", accepted, err)
+	}
+	store.down = true
+	var apiErr *APIError
+	if _, err := client.Configuration(t.Context()); !errors.As(err, &apiErr) || apiErr.Response.Code != codeStoreUnavailable {
+		t.Errorf("without the store: %v", err)
+	}
+}
