--- a/internal/config/json_places.go
+++ b/internal/config/json_places.go
@@ -41,31 +41,51 @@
 
 // wantedValue is a value of a JSON text whose line, or that of a value in it, is wanted.
 type wantedValue struct {
-	parent   *wantedValue
-	children map[string]*wantedValue // by index or by name in lower case
-	line     int                     // 0 if the value is not in the text
+	parent *wantedValue
+	part   string // index or name in lower case, in the parent
+	line   int    // 0 if the value is not in the text
+	// Most values have few wanted values in them, which are a list. From maxListed on
+	// they are a map as well.
+	children []*wantedValue
+	byPart   map[string]*wantedValue
 }
 
+const maxListed = 8
+
 // child returns the wanted value at a name or index, which it adds if needed.
 func (v *wantedValue) child(part string) *wantedValue {
-	part = strings.ToLower(part)
-	if c := v.children[part]; c != nil {
+	if c := v.at(part); c != nil {
 		return c
 	}
-	if v.children == nil {
-		v.children = map[string]*wantedValue{}
+	c := &wantedValue{parent: v, part: strings.ToLower(part)}
+	v.children = append(v.children, c)
+	switch {
+	case len(v.children) == maxListed:
+		v.byPart = map[string]*wantedValue{}
+		for _, c := range v.children {
+			v.byPart[c.part] = c
+		}
+	case len(v.children) > maxListed:
+		v.byPart[c.part] = c
 	}
-	c := &wantedValue{parent: v}
-	v.children[part] = c
 	return c
 }
 
 // at returns the wanted value at a name or index, or nil. v may be nil.
 func (v *wantedValue) at(part string) *wantedValue {
-	if v == nil || v.children == nil {
+	if v == nil || len(v.children) == 0 {
 		return nil
 	}
-	return v.children[strings.ToLower(part)]
+	part = strings.ToLower(part)
+	if v.byPart != nil {
+		return v.byPart[part]
+	}
+	for _, c := range v.children {
+		if c.part == part {
+			return c
+		}
+	}
+	return nil
 }
 
 // jsonScanner walks over a JSON text once and notes the lines of wanted values.
@@ -118,7 +138,7 @@
 
 // container walks over an object or, if indexed, an array.
 func (s *jsonScanner) container(wanted *wantedValue, indexed bool) {
-	if wanted == nil || wanted.children == nil {
+	if wanted == nil || len(wanted.children) == 0 {
 		s.skipContainer()
 		return
 	}
--- a/internal/config/json_places_test.go
+++ b/internal/config/json_places_test.go
@@ -1,6 +1,9 @@
 package config
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 func TestLinesOfJSONPaths(t *testing.T) {
 	const text = `
@@ -30,10 +33,15 @@
 		"file":          2,
 		"none[2].other": 2,
 	} {
-		findings := Findings{{Path: path}, {Path: "a[0]"}}
-		SetJSONPlaces("f", []byte(text), findings)
-		if findings[0].Line != want || findings[0].File != "f" || findings[1].Line != 2 {
-			t.Errorf("%s: line %d, want %d", path, findings[0].Line, want)
+		for _, others := range []int{0, 100} {
+			findings := Findings{{Path: path}, {Path: "a[0]"}}
+			for i := range others {
+				findings = append(findings, Finding{Path: fmt.Sprintf("a[%d]", 3+i)}, Finding{Path: fmt.Sprintf("a[1].f%d", i)})
+			}
+			SetJSONPlaces("f", []byte(text), findings)
+			if findings[0].Line != want || findings[0].File != "f" || findings[1].Line != 2 {
+				t.Errorf("%s with %d others: line %d, want %d", path, others, findings[0].Line, want)
+			}
 		}
 	}
 	for _, broken := range []string{"", "{", `{"a`, `{"a":[`, `["\`, "]", "{]}", `{"a":}`} {
