configcheck: comparisons have a memory limit in place of more frequent collections

TestConfigCheckOfManyRoutes/compared failed in a run of all of test/scripts: 312,804 kB, 300,000 allowed.

--- a/internal/command/configcheck.go
+++ b/internal/command/configcheck.go
@@ -28,9 +28,10 @@
 	exitErrors   = 2 // also of wrong usage, and if no check could be made
 )
 
-// comparisonGCPercent is Go's setting GOGC while two configurations are compared. It is
-// below the usual 100, so that two large ones need little more memory than one.
-const comparisonGCPercent = 60
+// comparisonMemory is Go's soft memory limit in bytes while two configurations of the
+// accepted form are compared, so that two large ones need little more than one. Above it
+// garbage is collected more often.
+const comparisonMemory = 240 << 20
 
 // checkError is the error of a check whose exit code is not exitOK.
 type checkError struct {
@@ -141,9 +142,6 @@
   2  errors, bad usage, or no check could be made`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if f.against != "" || f.inForce {
-				debug.SetGCPercent(comparisonGCPercent)
-			}
 			err := f.check(cmd.Context(), cmd.OutOrStdout(), args[0])
 			var known *checkError
 			if err != nil && !errors.As(err, &known) {
@@ -228,6 +226,9 @@
 	case f.inForce:
 		old, err = readInForce(ctx, &f.clientFlags)
 	case f.against != "":
+		if c.form == formAccepted {
+			defer debug.SetMemoryLimit(debug.SetMemoryLimit(comparisonMemory))
+		}
 		old, err = readConfiguration(f.against)
 	default:
 		return nil
