--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -31,7 +31,7 @@
 		LeasedPrefixes: []string{"servers/", "own/"}, Grace: gracePeriod, OutageThreshold: outageThreshold,
 		InstancePrefix: "own/instances/", SelfKey: "own/instances/a",
 	})
-	m.Replace([]platform.Entry{entry(target, 1), entry(peer1, 2), entry(peer2, 3), entry("own/instances/a", 4), entry("op/config", 5)}, 5, at)
+	m.Replace([]platform.Entry{entry(target, 1), entry(peer1, 2), entry(peer2, 3), entry("own/instances/a", 4), entry("configuration", 5)}, 5, at)
 	return m
 }
 
@@ -51,7 +51,7 @@
 func TestExpiredEntriesAreKeptForGracePeriodAfterOutage(t *testing.T) {
 	m := newListedMirror(0)
 	returnedAt := 5 * time.Second
-	m.Replace([]platform.Entry{entry("op/config", 5)}, 9, returnedAt) // all leases expired
+	m.Replace([]platform.Entry{entry("configuration", 5)}, 9, returnedAt) // all leases expired
 	if !has(m, target) {
 		t.Fatal("expired entry was removed as soon as the store was back")
 	}
@@ -80,7 +80,7 @@
 func TestEntryDeletedWhileOnlyThisInstanceWasCutOffIsRemoved(t *testing.T) {
 	for name, reconnect := range map[string]func(m *Mirror, at time.Duration){
 		"by listing": func(m *Mirror, at time.Duration) {
-			m.Replace([]platform.Entry{entry(peer1, 2), entry(peer2, 3), entry("op/config", 5)}, 9, at)
+			m.Replace([]platform.Entry{entry(peer1, 2), entry(peer2, 3), entry("configuration", 5)}, 9, at)
 		},
 		"by watch": func(m *Mirror, at time.Duration) {
 			m.Apply([]platform.Change{deletion("own/instances/a", 6), deletion(target, 7)}, 9, at)
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -10,7 +10,7 @@
 
 const (
 	proofDelay = 1500 * time.Millisecond
-	zone       = "op/closed/z"
+	zone       = "closed/z"
 )
 
 // at returns the revision of a number in an era.
@@ -30,11 +30,11 @@
 func newMirrorOfEra1() *Mirror {
 	m := New(Options{
 		LeasedPrefixes: []string{"servers/", "own/"}, Grace: gracePeriod, OutageThreshold: outageThreshold,
-		InstancePrefix: "own/instances/", SelfKey: "own/instances/a", LastingKey: "op/config", ProofDelay: proofDelay,
+		InstancePrefix: "own/instances/", SelfKey: "own/instances/a", LastingKey: "configuration", ProofDelay: proofDelay,
 		IsOutdated: func(known, listed platform.Entry) bool { return bytes.Compare(listed.Value, known.Value) < 0 },
 	})
 	m.Replace([]platform.Entry{
-		value("op/config", "5", 1, 85), value(target, "2", 1, 80), value(zone, "1", 1, 81), value(peer1, "1", 1, 82),
+		value("configuration", "5", 1, 85), value(target, "2", 1, 80), value(zone, "1", 1, 81), value(peer1, "1", 1, 82),
 	}, at(1, 90), 0)
 	return m
 }
@@ -53,22 +53,22 @@
 
 func TestOlderConfigurationOfARestoredStoreIsNotTaken(t *testing.T) {
 	for name, listed := range map[string][]platform.Entry{
-		"older version": {value("op/config", "4", 2, 40)}, "missing": nil,
+		"older version": {value("configuration", "4", 2, 40)}, "missing": nil,
 	} {
 		m := newMirrorOfEra1()
 		list(m, at(2, 50), time.Second, listed...)
 		for _, now := range []time.Duration{time.Second, time.Minute} {
 			m.Expire(now)
-			if holds(m, "op/config") != "5" || m.IsProven("op/config", now) {
-				t.Errorf("%s, at %v: %q, proven: %v", name, now, holds(m, "op/config"), m.IsProven("op/config", now))
+			if holds(m, "configuration") != "5" || m.IsProven("configuration", now) {
+				t.Errorf("%s, at %v: %q, proven: %v", name, now, holds(m, "configuration"), m.IsProven("configuration", now))
 			}
 		}
 		list(m, at(2, 60), time.Minute, listed...) // again in the same era
-		if holds(m, "op/config") != "5" {
-			t.Errorf("%s: a second listing brings %q", name, holds(m, "op/config"))
+		if holds(m, "configuration") != "5" {
+			t.Errorf("%s: a second listing brings %q", name, holds(m, "configuration"))
 		}
-		m.Apply([]platform.Change{{Entry: value("op/config", "5", 2, 61)}}, at(2, 61), time.Minute)
-		if !m.IsProven("op/config", time.Minute) {
+		m.Apply([]platform.Change{{Entry: value("configuration", "5", 2, 61)}}, at(2, 61), time.Minute)
+		if !m.IsProven("configuration", time.Minute) {
 			t.Errorf("%s: written again, but not proven", name)
 		}
 	}
@@ -77,14 +77,14 @@
 // The operator may have written a later version than anyone knows within the lost time.
 func TestListedConfigurationIsProvenAfterADelayOnly(t *testing.T) {
 	m := newMirrorOfEra1()
-	list(m, at(2, 50), time.Second, value("op/config", "5", 2, 40))
-	if m.IsProven("op/config", time.Second+proofDelay-1) || !m.IsProven("op/config", time.Second+proofDelay) {
+	list(m, at(2, 50), time.Second, value("configuration", "5", 2, 40))
+	if m.IsProven("configuration", time.Second+proofDelay-1) || !m.IsProven("configuration", time.Second+proofDelay) {
 		t.Error("proven too early or never")
 	}
 	m = newMirrorOfEra1()
-	list(m, at(2, 50), time.Second, value("op/config", "5", 2, 40))
-	m.Apply([]platform.Change{{Entry: value("op/config", "6", 2, 51)}}, at(2, 51), 2*time.Second)
-	if m.IsProven("op/config", 2*time.Second) {
+	list(m, at(2, 50), time.Second, value("configuration", "5", 2, 40))
+	m.Apply([]platform.Change{{Entry: value("configuration", "6", 2, 51)}}, at(2, 51), 2*time.Second)
+	if m.IsProven("configuration", 2*time.Second) {
 		t.Error("a version written again is proven, although a later one may follow")
 	}
 }
@@ -96,7 +96,7 @@
 	outdated := func(key string, number uint64, now time.Duration) bool {
 		return m.IsOutdatedChange(platform.Change{Entry: value(key, "1", 2, number)}, now)
 	}
-	if !outdated(target, 51, 2*time.Second) || !outdated("op/config", 52, 2*time.Second) || !outdated("op/config", 52, time.Minute) {
+	if !outdated(target, 51, 2*time.Second) || !outdated("configuration", 52, 2*time.Second) || !outdated("configuration", 52, time.Minute) {
 		t.Error("an earlier state is taken")
 	}
 	if m.IsOutdatedChange(deletion(target, at(2, 53)), 2*time.Second) {
@@ -184,17 +184,17 @@
 
 // An instance that lags, or that starts, gets from a neighbour what that one believes.
 func TestCopyOfANeighbourBringsWhatItKept(t *testing.T) {
-	kept := []platform.Entry{value("op/config", "5", 1, 85), value(target, "2", 1, 80)}
+	kept := []platform.Entry{value("configuration", "5", 1, 85), value(target, "2", 1, 80)}
 	behind := newMirrorOfEra1()
-	behind.entries["op/config"] = value("op/config", "4", 1, 40)
+	behind.entries["configuration"] = value("configuration", "4", 1, 40)
 	fresh := New(behind.options)
 	directly := newMirrorOfEra1()
-	directly.entries["op/config"] = value("op/config", "4", 1, 40)
-	list(directly, at(2, 50), 0, value("op/config", "4", 2, 40))
+	directly.entries["configuration"] = value("configuration", "4", 1, 40)
+	list(directly, at(2, 50), 0, value("configuration", "4", 2, 40))
 	for name, m := range map[string]*Mirror{"lags": behind, "starts": fresh, "listed the store itself": directly} {
 		list(m, at(2, 51), time.Second, kept...)
-		if holds(m, "op/config") != "5" || m.IsProven("op/config", time.Minute) {
-			t.Errorf("%s: configuration %q, proven: %v", name, holds(m, "op/config"), m.IsProven("op/config", time.Minute))
+		if holds(m, "configuration") != "5" || m.IsProven("configuration", time.Minute) {
+			t.Errorf("%s: configuration %q, proven: %v", name, holds(m, "configuration"), m.IsProven("configuration", time.Minute))
 		}
 		m.Expire(time.Second + gracePeriod)
 		if has(m, target) {
@@ -213,9 +213,9 @@
 
 func TestSecondRestoreIsJudgedLikeTheFirst(t *testing.T) {
 	m := newMirrorOfEra1()
-	list(m, at(2, 50), time.Second, value("op/config", "4", 2, 40))
-	list(m, at(3, 45), 2*time.Second, value("op/config", "4", 3, 40), value("servers/gone", "1", 3, 30))
-	if holds(m, "op/config") != "5" || has(m, "servers/gone") || m.IsProven("op/config", time.Minute) {
-		t.Errorf("configuration %q, gone target is back: %v", holds(m, "op/config"), has(m, "servers/gone"))
+	list(m, at(2, 50), time.Second, value("configuration", "4", 2, 40))
+	list(m, at(3, 45), 2*time.Second, value("configuration", "4", 3, 40), value("servers/gone", "1", 3, 30))
+	if holds(m, "configuration") != "5" || has(m, "servers/gone") || m.IsProven("configuration", time.Minute) {
+		t.Errorf("configuration %q, gone target is back: %v", holds(m, "configuration"), has(m, "servers/gone"))
 	}
 }
