quota: a share whose right has lapsed neither counts nor moves

Cause: review of the hand-over. A reporter whose echo was older than the hub's right was taken for a member that no sum had: its release made a bucket NaN (no limit until the hub restarts) or negative, and the levels that it brought from a former hub were added with each report. Also, the number of instances was worked out for each report to a zone's aggregator, which does not use it. Change: such a reporter is a guest until it has a response; levels of a former hub are added once for each reporter; aggregators do not count instances.

--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -108,7 +108,10 @@
 // fleet's hub, and returns the resulting quota levels.
 func (h *hubServer) handle(r quota.Report, zone bool) (quota.Levels, error) {
 	leaving := h.members.hands(zone)
-	instances := h.instances()
+	instances := 0
+	if !zone {
+		instances = h.instances()
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	t := h.gateway.Table()
--- a/internal/quota/hub.go
+++ b/internal/quota/hub.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/config"
@@ -15,6 +16,14 @@
 	reporters  reporters
 	leaving    bool
 	generation uint64
+	taken      map[string]heldMark // by reporter: the levels of a former hub that were added last
+}
+
+// heldMark identifies the levels that a reporter brings from a former hub, which it brings
+// again until it gets a response.
+type heldMark struct {
+	generation uint64
+	sentAt     time.Duration
 }
 
 // heldTTL is the age from which the levels of a former hub tell nothing of the present.
@@ -28,7 +37,7 @@
 
 // NewHub returns a hub without workspaces.
 func NewHub() *Hub {
-	return &Hub{instances: 1, buckets: map[string]*fleetBucket{}, reporters: reporters{}}
+	return &Hub{instances: 1, buckets: map[string]*fleetBucket{}, reporters: reporters{}, taken: map[string]heldMark{}}
 }
 
 // SetWorkspaces sets the workspaces, by name, whose quotas are in force.
@@ -125,6 +134,12 @@
 	if age > heldTTL || r.Held.Members == 0 || r.Held.Generation == h.generation && h.generation != 0 {
 		return
 	}
+	mark := heldMark{r.Held.Generation, r.Held.SentAt}
+	if h.taken[r.Instance] == mark {
+		return
+	}
+	maps.DeleteFunc(h.taken, func(name string, _ heldMark) bool { return h.reporters[name] == nil })
+	h.taken[r.Instance] = mark
 	left := make(map[string]float64, len(r.Held.Levels))
 	for _, l := range r.Held.Levels {
 		left[l.Workspace] = l.Left
--- a/internal/quota/reporter.go
+++ b/internal/quota/reporter.go
@@ -61,7 +61,8 @@
 		from.lastReportAt = min(r.Echo, now)
 	}
 	from.fleet = r.Fleet
-	if r.Guest || r.Carries && (r.Echo == 0 || r.Echo < from.releasedAt) {
+	lapsed := now-from.lastReportAt >= reporterTTL
+	if r.Guest || r.Carries && (r.Echo == 0 || r.Echo < from.releasedAt || lapsed) {
 		from.members = 0
 	}
 	return from, first
