--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	"github.com/turmericfield/turmericfield/internal/mirror"
 	"github.com/turmericfield/turmericfield/internal/platform"
 	"github.com/turmericfield/turmericfield/internal/quota"
+	"github.com/turmericfield/turmericfield/internal/traffic"
 )
 
 const (
@@ -179,6 +180,7 @@
 	targets    map[string]registration // given to the balancer, by store key
 	decoded    map[string]registration // newest decoded ones, by store key
 	metrics    *metrics.Set
+	traffic    *traffic.Table
 	logs       *logging.Log
 	log        *log.Logger
 	configured chan struct{} // closed when the first configuration is in force
@@ -215,6 +217,7 @@
 	})
 	set.Gauge("evidence_age_ms", func() int64 { return e.gateway.Staleness().Milliseconds() })
 	e.hub = &hubServer{Edge: e, hub: quota.NewHub(), aggregator: quota.NewAggregator(zoneReporterPrefix+s.Name, uint64(time.Now().UnixNano()))}
+	e.traffic = e.newTraffic()
 	e.follower = newFollower(e)
 	set.Gauge("store_revision", func() int64 { return int64(e.follower.revision()) })
 	set.Gauge("store_revision_heard_of", e.follower.heardOf.Load)
@@ -251,7 +254,7 @@
 		}
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 		defer func() { _ = server.Close() }() // the process is about to end
-		go func() { failed <- server.Serve(l) }()
+		go func() { failed <- server.Serve(e.countLookups(address, l)) }()
 	}
 	e.log.Info().Str("instance", e.Name).Str("zone", e.AvailabilityZone).Str("listen", e.Listen).Msg("life: started")
 	go e.follower.run(ctx)
@@ -333,6 +336,7 @@
 	ctx, cancel := context.WithDeadline(kill, end)
 	defer cancel()
 	err := server.Shutdown(ctx)
+	e.logTraffic()
 	e.log.Info().Int64("in_flight", e.gateway.InFlight()).AnErr("error", err).Msg("life: ended")
 }
 
--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -15,6 +15,7 @@
 	"github.com/turmericfield/turmericfield/api/fleetpb"
 	"github.com/turmericfield/turmericfield/internal/affinity"
 	"github.com/turmericfield/turmericfield/internal/quota"
+	"github.com/turmericfield/turmericfield/internal/traffic"
 )
 
 const (
@@ -282,7 +283,11 @@
 	if to.Name == r.Name {
 		return r.hub.handle(report, r.zone)
 	}
-	client, err := conn.client(to.PeerAddress, timeout)
+	purpose := traffic.Hub
+	if r.zone {
+		purpose = traffic.ZoneSum
+	}
+	client, err := conn.client(to.PeerAddress, timeout, r.meter(purpose, to.PeerAddress))
 	if err != nil {
 		return quota.Levels{}, err
 	}
--- a/internal/edge/peerconn.go
+++ b/internal/edge/peerconn.go
@@ -12,6 +12,7 @@
 
 	"github.com/turmericfield/turmericfield/api/fleetpb"
 	"github.com/turmericfield/turmericfield/internal/gateway"
+	"github.com/turmericfield/turmericfield/internal/traffic"
 )
 
 // peerBufferBytes is the size of the read and write buffers of a connection between
@@ -22,12 +23,15 @@
 type peerConn struct {
 	address string
 	conn    *grpc.ClientConn
+	use     traffic.Use // what its bytes and calls count for
 }
 
 // client returns a client of the instance at an address and reuses the connection if
 // it has the same address. Each attempt to connect is bounded by the timeout, and gRPC
-// retries it with a backoff.
-func (p *peerConn) client(address string, timeout time.Duration) (fleetpb.FleetClient, error) {
+// retries it with a backoff. The next call and its bytes count in the meter.
+func (p *peerConn) client(address string, timeout time.Duration, meter *traffic.Meter) (fleetpb.FleetClient, error) {
+	p.use.Set(meter)
+	p.use.AddCall()
 	if p.conn != nil && p.address == address {
 		return fleetpb.NewFleetClient(p.conn), nil
 	}
@@ -39,7 +43,11 @@
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.5, MaxDelay: 500 * time.Millisecond}}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerResponseBytes)),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp4", address)
+			c, err := dialer.DialContext(ctx, "tcp4", address)
+			if err != nil {
+				return nil, err
+			}
+			return p.use.Conn(c), nil
 		}))
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer address %q", address)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -10,6 +10,7 @@
 	"github.com/turmericfield/turmericfield/api/fleetpb"
 	"github.com/turmericfield/turmericfield/internal/changefeed"
 	"github.com/turmericfield/turmericfield/internal/platform"
+	"github.com/turmericfield/turmericfield/internal/traffic"
 )
 
 const (
@@ -92,7 +93,7 @@
 // followPeer follows another instance until it fails or another source is preferred.
 func (f *follower) followPeer(ctx context.Context, name string) error {
 	for ctx.Err() == nil && !f.betterDue(name) {
-		client, err := f.peerClient(&f.peer, name, changefeed.CallMargin)
+		client, err := f.peerClient(&f.peer, name, changefeed.CallMargin, traffic.Follow)
 		if err != nil {
 			return err
 		}
@@ -122,7 +123,7 @@
 
 // peerClient returns a client of an instance, given its name or, for one of
 // Settings.PeerSeeds, its address.
-func (f *follower) peerClient(conn *peerConn, name string, timeout time.Duration) (fleetpb.FleetClient, error) {
+func (f *follower) peerClient(conn *peerConn, name string, timeout time.Duration, purpose traffic.Purpose) (fleetpb.FleetClient, error) {
 	address, ok := f.members.peerAddress(name)
 	if !ok {
 		if !slices.Contains(f.PeerSeeds, name) {
@@ -130,7 +131,7 @@
 		}
 		address = name
 	}
-	return conn.client(address, timeout)
+	return conn.client(address, timeout, f.meter(purpose, address))
 }
 
 // answer is what a source has told of the store, or an error.
@@ -155,7 +156,7 @@
 	}
 	var conn peerConn
 	defer conn.close()
-	client, err := f.peerClient(&conn, name, changefeed.AskTimeout)
+	client, err := f.peerClient(&conn, name, changefeed.AskTimeout, traffic.Search)
 	if err != nil {
 		return answer{source: name, err: err}
 	}
@@ -168,6 +169,8 @@
 	if a.err = f.checkCurrent(a); a.err != nil {
 		return a
 	}
+	conn.use.Set(f.meter(traffic.Copy, conn.address))
+	conn.use.AddCall()
 	return f.askCopy(ctx, client, name)
 }
 
