changefeed: one tree in each zone, and one of the zones' first instances

The instances of a region formed one tree by rank, so that most instances followed one in another zone, and each change crossed the border for each of them: 150 times for 300 instances in six zones. Now the first instance of each zone, the head, follows another head, and the others of the zone follow it or one behind it. In calm a change crosses each zone's border once: 3 times there. The instance that takes a lost head's place follows that head's source.

The test of the bound while sources fail also plays two and seven zones.

Instances of the release before prefer sources of lower rank as well, so that none of either release follow one another in a ring.

--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -355,3 +355,53 @@
 		}
 	}
 }
+
+// In a region of several zones, one instance of each zone has a source outside it, no
+// instance has more than fanout followers in its zone and fanout heads, and each one's
+// sources come before it in the region's order. So it is for instances of the release before,
+// which form one tree of the region in the same order, and no two follow one another.
+func TestRegionOfZonesFormsATreeInEachZone(t *testing.T) {
+	for _, n := range []int{7, 22, 100, 533, 1600} {
+		for _, zoneCount := range []int{1, 2, 7, 22} {
+			var region []string
+			zones := map[string]string{}
+			for i := range n {
+				region = append(region, fmt.Sprint("i", i))
+				zones[region[i]] = fmt.Sprint("z", i*i%zoneCount)
+			}
+			crossing, inZone, heads := map[string]int{}, map[string]int{}, map[string]int{}
+			for rank, self := range region {
+				c := NewSourceChooser()
+				c.SetZones(zones)
+				c.SetLiveInstances(self, region, nil, nil)
+				for _, name := range c.preferred[:len(c.preferred)-1] {
+					if slices.Index(region, name) >= rank {
+						t.Errorf("%d instances in %d zones: %s prefers %s, which comes after it", n, zoneCount, self, name)
+					}
+				}
+				switch source := firstChoice(c); {
+				case source == StoreSource && rank > 0:
+					t.Errorf("%d instances in %d zones: %s follows the store", n, zoneCount, self)
+				case zones[source] == zones[self]:
+					inZone[source]++
+				default:
+					heads[source]++
+					crossing[zones[self]]++
+				}
+				if c.Hops() > 4 {
+					t.Errorf("%d instances in %d zones: %s is %d steps away from the store's follower", n, zoneCount, self, c.Hops())
+				}
+			}
+			for zone, k := range crossing {
+				if k != 1 {
+					t.Errorf("%d instances in %d zones: %d instances of %s have their source outside it", n, zoneCount, k, zone)
+				}
+			}
+			for _, self := range region {
+				if inZone[self] > fanout || heads[self] > fanout {
+					t.Errorf("%d instances in %d zones: %s has %d followers in its zone and %d outside", n, zoneCount, self, inZone[self], heads[self])
+				}
+			}
+		}
+	}
+}
--- a/internal/changefeed/spread_test.go
+++ b/internal/changefeed/spread_test.go
@@ -41,15 +41,16 @@
 
 // playedInstance is an instance of the fleet.
 type playedInstance struct {
-	name, region string
-	chooser      *SourceChooser
-	search       *Search
-	source       string
-	calls        []playedCall
-	watchAt      time.Duration // time of the next watch
+	name, region, zone string
+	chooser            *SourceChooser
+	search             *Search
+	source             string
+	calls              []playedCall
+	watchAt            time.Duration // time of the next watch
 
 	way       way
 	suspended bool
+	cut       bool // no other instance is reached
 	lost      bool
 	proof     time.Duration // as of which the copy was current
 	via       []string
@@ -65,22 +66,62 @@
 	changeAt  time.Duration
 	instances map[string]*playedInstance
 	order     []string
+	// sent counts the answers with the change, by the border that they crossed.
+	sent  map[border]int
+	names [][]string        // by region, in the order of all instances
+	zones map[string]string // by name
 }
 
-func newPlayedFleet(t *testing.T, regions, perRegion int, watchWait time.Duration) *playedFleet {
-	f := &playedFleet{t: t, timing: Timing{watchWait}, instances: map[string]*playedInstance{}, changeAt: never}
+// register tells all instances which ones are registered.
+func (f *playedFleet) register(registered func(name string) bool) {
+	for r, own := range f.names {
+		region := slices.DeleteFunc(slices.Clone(own), func(n string) bool { return !registered(n) })
+		others := slices.DeleteFunc(slices.Concat(slices.Delete(slices.Clone(f.names), r, r+1)...), func(n string) bool { return !registered(n) })
+		for _, name := range own {
+			f.instances[name].chooser.SetLiveInstances(name, region, others, nil)
+		}
+	}
+}
+
+// border is the farthest border between two instances.
+type border int
+
+const (
+	withinZone border = iota
+	betweenZones
+	betweenRegions
+)
+
+func (f *playedFleet) border(a, b *playedInstance) border {
+	switch {
+	case a.region != b.region:
+		return betweenRegions
+	case a.zone != b.zone:
+		return betweenZones
+	}
+	return withinZone
+}
+
+// newPlayedFleet returns a fleet whose instances of a region lie in its availability
+// zones in turn.
+func newPlayedFleet(t *testing.T, regions, zonesPerRegion, perRegion int, watchWait time.Duration) *playedFleet {
+	f := &playedFleet{t: t, timing: Timing{watchWait}, instances: map[string]*playedInstance{}, changeAt: never, sent: map[border]int{}}
 	names := make([][]string, regions)
+	zones := map[string]string{}
 	for r := range names {
 		for i := range perRegion {
 			name := fmt.Sprintf("r%d-%d", r, i)
 			names[r] = append(names[r], name)
+			zones[name] = fmt.Sprintf("r%d-z%d", r, i%zonesPerRegion)
 			f.order = append(f.order, name)
 		}
 	}
+	f.names, f.zones = names, zones
 	for r, own := range names {
 		others := slices.Concat(slices.Delete(slices.Clone(names), r, r+1)...)
 		for _, name := range own {
-			in := &playedInstance{name: name, region: names[r][0], chooser: NewSourceChooser()}
+			in := &playedInstance{name: name, region: names[r][0], zone: zones[name], chooser: NewSourceChooser()}
+			in.chooser.SetZones(zones)
 			in.chooser.SetLiveInstances(name, own, others, nil)
 			in.search = in.chooser.NewSearch(0)
 			f.instances[name] = in
@@ -145,6 +186,9 @@
 			map[bool]string{true: "failed"}[in.way == refusing]
 	}
 	to := f.instances[c.to]
+	if in.cut || to.cut {
+		return false, ""
+	}
 	tells := to.lost || to.revision > in.revision || f.now >= c.answerAt+2*d
 	return !to.suspended && f.now >= c.at+2*d && tells, ""
 }
@@ -163,6 +207,9 @@
 	} else {
 		to := f.instances[c.to]
 		revision, proof, via = to.revision, to.proof, append([]string{c.to}, to.via...)
+		if to.revision > in.revision {
+			f.sent[f.border(in, to)]++
+		}
 		if to.lost || slices.Contains(via, in.name) || f.now-proof > f.timing.MaxAge(in.chooser.Hops()) {
 			f.learn(in, revision)
 			return "behind"
@@ -248,7 +295,7 @@
 	longest, missing := time.Duration(0), 0
 	for _, in := range f.instances {
 		switch {
-		case in.suspended:
+		case in.suspended, in.cut:
 		case in.revision == 0:
 			missing++
 		default:
@@ -266,7 +313,7 @@
 // five waits, whichever nearer sources have failed in whichever way just before it.
 func TestChangeReachesAllInstancesWithinTheBoundWhileSourcesFail(t *testing.T) {
 	const watchWait = 500 * time.Millisecond
-	for _, size := range []struct{ regions, perRegion int }{{3, 2}, {3, 8}, {3, 100}} {
+	for _, size := range []struct{ regions, zones, perRegion int }{{3, 1, 2}, {3, 1, 8}, {3, 1, 100}, {3, 2, 2}, {3, 2, 8}, {3, 2, 100}, {2, 7, 40}} {
 		for failing, fail := range map[string]func(in *playedInstance){
 			"store silent":   func(in *playedInstance) { in.way = silent },
 			"store refusing": func(in *playedInstance) { in.way = refusing },
@@ -280,7 +327,7 @@
 					offsets = 1
 				}
 				for offset := range offsets {
-					f := newPlayedFleet(t, size.regions, size.perRegion, watchWait)
+					f := newPlayedFleet(t, size.regions, size.zones, size.perRegion, watchWait)
 					r := rand.New(rand.NewPCG(uint64(offset), 0))
 					f.run(6*time.Second + time.Duration(offset)*137*time.Millisecond)
 					for i, name := range f.order {
@@ -297,10 +344,68 @@
 					const bound = 5 * watchWait
 					f.change()
 					f.run(f.changeAt + bound)
-					f.check(fmt.Sprintf("%d regions of %d, %s: %s, offset %d", size.regions, size.perRegion, share, failing, offset), bound)
+					f.check(fmt.Sprintf("%d regions of %d in %d zones, %s: %s, offset %d", size.regions, size.perRegion, size.zones, share, failing, offset), bound)
 					f.change() // while all follow what they have found
 					f.run(f.changeAt + bound)
-					f.check(fmt.Sprintf("%d regions of %d, %s: %s, offset %d, next change", size.regions, size.perRegion, share, failing, offset), bound)
+					f.check(fmt.Sprintf("%d regions of %d in %d zones, %s: %s, offset %d, next change", size.regions, size.perRegion, size.zones, share, failing, offset), bound)
+				}
+			}
+		}
+	}
+}
+
+// A change crosses the border of each availability zone once, and never a region's, however
+// many instances are behind it.
+func TestChangeCrossesEachZonesBorderOnce(t *testing.T) {
+	const watchWait = 500 * time.Millisecond
+	for _, size := range []struct{ regions, zones, perRegion int }{{3, 2, 2}, {3, 2, 8}, {3, 2, 100}, {2, 7, 100}} {
+		f := newPlayedFleet(t, size.regions, size.zones, size.perRegion, watchWait)
+		f.run(6 * time.Second)
+		f.change()
+		f.run(f.changeAt + 5*watchWait)
+		f.check(fmt.Sprintf("%d regions of %d in %d zones", size.regions, size.perRegion, size.zones), 5*watchWait)
+		instances, heads := size.regions*size.perRegion, size.regions*(size.zones-1)
+		if f.sent[betweenZones] != heads || f.sent[betweenRegions] != 0 || f.sent[withinZone] != instances-heads-size.regions {
+			t.Errorf("%d instances in %d regions of %d zones: the change went %d times within zones, %d between zones, %d between regions; want %d between zones",
+				instances, size.regions, size.zones, f.sent[withinZone], f.sent[betweenZones], f.sent[betweenRegions], heads)
+		}
+	}
+}
+
+// The loss, pause or cut of the instances that stand between their zones and the rest
+// delays a change by the bound of other sources at most. Later, the change crosses each
+// border once again.
+func TestChangeReachesZonesWhoseFirstInstanceFails(t *testing.T) {
+	const watchWait = 500 * time.Millisecond
+	const bound = 5 * watchWait
+	for _, perRegion := range []int{4, 8, 100} {
+		for what, fail := range map[string]func(f *playedFleet, in *playedInstance){
+			"paused": func(_ *playedFleet, in *playedInstance) { in.suspended = true },
+			"cut":    func(_ *playedFleet, in *playedInstance) { in.cut, in.way = true, silent },
+			"lost": func(f *playedFleet, in *playedInstance) {
+				in.suspended = true
+				f.register(func(name string) bool { return name != in.name })
+			},
+		} {
+			for offset := range 3 {
+				f := newPlayedFleet(t, 3, 2, perRegion, watchWait)
+				f.run(6*time.Second + time.Duration(offset)*137*time.Millisecond)
+				for i, name := range f.order {
+					if i%perRegion == 1 { // the first one of each region's second zone
+						fail(f, f.instances[name])
+					}
+				}
+				name := fmt.Sprintf("3 regions of %d in 2 zones, %s, offset %d", perRegion, what, offset)
+				f.change()
+				f.run(f.changeAt + bound)
+				f.check(name, bound)
+				f.run(f.now + 3*time.Second)
+				clear(f.sent)
+				f.change()
+				f.run(f.changeAt + bound)
+				f.check(name+", next change", bound)
+				if perRegion == 100 && f.sent[betweenZones] != 3 {
+					t.Errorf("%s: the next change went between zones %d times", name, f.sent[betweenZones])
 				}
 			}
 		}
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -213,6 +213,19 @@
 	return region, otherRegions, departed
 }
 
+// regionZones returns the availability zones of the live instances of this region, by name.
+func (m *members) regionZones() map[string]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	zones := map[string]string{}
+	for _, instance := range append([]member{m.self}, m.list...) {
+		if instance.Region == m.self.Region {
+			zones[instance.Name] = instance.AvailabilityZone
+		}
+	}
+	return zones
+}
+
 // peerAddress returns the IP:port on which another instance serves instances, or did when
 // it was registered. The second result is false if it is not known.
 func (m *members) peerAddress(name string) (string, bool) {
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -125,6 +125,7 @@
 	}
 	e.gateway.SetInstances(names)
 	region, otherRegions, departed := e.members.rankedNames()
+	e.follower.chooser.SetZones(e.members.regionZones())
 	e.follower.chooser.SetLiveInstances(e.Name, region, otherRegions, slices.Concat(departed, e.PeerSeeds))
 	e.log.Info().Uint64("revision", m.Revision()).Strs("instances", names).Msg("instances: changed")
 }
