edge: log the sums of control traffic every ten seconds

A process that is killed logs nothing at its end, so the line at the end alone does not show what a fleet exchanged. It is one line for all purposes now.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -261,6 +261,7 @@
 	go e.gateway.CloseIdleConnections(ctx)
 	go e.servePeers(ctx, peers)
 	go e.report(ctx)
+	go e.logTrafficOften(ctx)
 	registered := make(chan struct{})
 	registration, deregister := context.WithCancel(ctx)
 	go func() { defer close(registered); e.register(registration) }()
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -1,12 +1,17 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/turmericfield/turmericfield/internal/traffic"
 )
 
+// trafficLogInterval is the time between two log lines of what was exchanged.
+const trafficLogInterval = 10 * time.Second
+
 // countedStore is a store that can count its connections' bytes.
 type countedStore interface{ Count(use *traffic.Use) }
 
@@ -52,10 +57,27 @@
 	return traffic.Unknown
 }
 
-// logTraffic logs what was exchanged with other instances, the store and look-ups.
+// logTraffic logs what was exchanged so far with other instances, the store and look-ups.
 func (e *Edge) logTraffic() {
+	line := e.log.Info()
 	for _, m := range e.traffic.Meters() {
-		e.log.Info().Str("purpose", string(m.Purpose)).Str("reach", string(m.Reach)).Int64("bytes", m.Bytes()).Int64("calls", m.Calls()).Msg("control: exchanged")
+		line = line.Int64(fmt.Sprintf("%s_%s_bytes", m.Purpose, m.Reach), m.Bytes()).Int64(fmt.Sprintf("%s_%s_calls", m.Purpose, m.Reach), m.Calls())
+	}
+	line.Msg("control: exchanged")
+}
+
+// logTrafficOften calls logTraffic every trafficLogInterval until the context ends. A process
+// that is killed logs nothing at its end.
+func (e *Edge) logTrafficOften(ctx context.Context) {
+	ticks := time.NewTicker(trafficLogInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C:
+			e.logTraffic()
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
