edge: compress whole copies on their way

A copy of the store is mostly registrations, which are much alike, and a starting instance gets it from seeds that may lie in other zones. Its entries are now sent compressed by gzip to receivers that say in the call's metadata that they take it, compressed once for all of a revision and without the follower's lock, and held compressed. Instances of the release before ask for and get the plain form; the state behind the entries stays plain.

--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -1,14 +1,18 @@
 package edge
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
@@ -94,6 +98,68 @@
 	revision uint64
 	entries  []byte // a FollowResponse with all entries and nothing else
 	users    int    // transfers that send it
+	held     int64  // bytes reserved for it
+
+	compressed bool      // entries are to be compressed before they are sent
+	compress   sync.Once // compresses them
+}
+
+const (
+	// copyEncodingKey is the metadata key by which a receiver tells how it can take the
+	// entries of a copy, and a source how it sends them. Without it they are plain.
+	copyEncodingKey = "copy-encoding"
+	copyGzip        = "gzip"
+	// gzipBytes is what compressing takes in memory beside its input and output.
+	gzipBytes = 1 << 20
+)
+
+// acceptsGzip reports whether the caller of a context takes compressed entries.
+func acceptsGzip(ctx context.Context) bool {
+	return slices.Contains(metadata.ValueFromIncomingContext(ctx, copyEncodingKey), copyGzip)
+}
+
+// compressOnce compresses the entries unless they are, without the follower's lock, since
+// large ones take long.
+func (f *follower) compressOnce(c *serializedCopy) {
+	if !c.compressed {
+		return
+	}
+	c.compress.Do(func() {
+		data := compressEntries(c.entries)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		c.entries = data
+		f.budget.Release(c.held - int64(len(data)))
+		c.held = int64(len(data))
+	})
+}
+
+func compressEntries(entries []byte) []byte {
+	var out bytes.Buffer
+	// Neither the level nor a write to memory can fail.
+	w, _ := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	_, _ = w.Write(entries)
+	_ = w.Close()
+	return out.Bytes()
+}
+
+// decompressCopy returns a copy whose entries are compressed and whose state is plain as one
+// whose both parts are plain.
+func decompressCopy(data []byte) ([]byte, error) {
+	in := bytes.NewReader(data)
+	r, err := gzip.NewReader(in)
+	if err != nil {
+		return nil, errors.CombineErrors(errInvalidCopy, err)
+	}
+	r.Multistream(false) // the state follows
+	plain, err := io.ReadAll(io.LimitReader(r, maxCopyBytes+1))
+	switch {
+	case err != nil:
+		return nil, errors.CombineErrors(errInvalidCopy, err)
+	case len(plain) > maxCopyBytes:
+		return nil, errors.Wrapf(errInvalidCopy, "more than %d bytes when decompressed", maxCopyBytes)
+	}
+	return append(plain, data[len(data)-in.Len():]...), nil
 }
 
 // Copy implements fleetpb.FleetServer: it sends the whole copy of the store in parts. It
@@ -102,7 +168,8 @@
 	f.metrics.Add("copies_total", 1)
 	call := f.follower.beginCall(to.Context())
 	defer f.follower.endCall(call)
-	c, state, err := f.follower.openCopy(call)
+	compressed := acceptsGzip(to.Context())
+	c, state, err := f.follower.openCopy(call, compressed)
 	if err != nil {
 		return err
 	}
@@ -110,6 +177,13 @@
 	go func() {
 		// A send that is not taken ends with the stream, after Copy has returned.
 		defer f.follower.closeCopy(c)
+		f.follower.compressOnce(c)
+		if compressed {
+			if err := to.SetHeader(metadata.Pairs(copyEncodingKey, copyGzip)); err != nil {
+				done <- err
+				return
+			}
+		}
 		done <- sendCopy(c.entries, state, to, sent)
 	}()
 	stalled := time.NewTimer(sendStallTimeout)
@@ -152,7 +226,7 @@
 // openCopy returns a FollowResponse in two parts: one with all entries, and one with the
 // revision and age of the copy. Messages that follow one another are merged when they are
 // read as one. The first part is held until closeCopy.
-func (f *follower) openCopy(call *followerCall) (c *serializedCopy, state []byte, err error) {
+func (f *follower) openCopy(call *followerCall, compressed bool) (c *serializedCopy, state []byte, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.budget.ReserveCopy(copyBufferBytes) {
@@ -160,13 +234,16 @@
 	}
 	call.conn.copies += copyBufferBytes
 	list, revision := f.feed.Entries()
-	if f.serialized == nil || f.serialized.revision != revision {
+	if f.serialized == nil || f.serialized.revision != revision || f.serialized.compressed != compressed {
 		f.dropSerialized()
 		out := &fleetpb.FollowResponse{Changes: make([]*fleetpb.Change, len(list))}
 		for i, e := range list {
 			out.Changes[i] = &fleetpb.Change{Key: e.Key, Value: e.Value, Revision: e.Revision}
 		}
 		size := int64(proto.Size(out))
+		if compressed {
+			size += size + gzipBytes
+		}
 		if !f.budget.ReserveCopy(size) {
 			return nil, nil, f.refuse(size)
 		}
@@ -175,7 +252,7 @@
 			f.budget.Release(size)
 			return nil, nil, errors.Wrap(err, "copy of the store")
 		}
-		f.serialized = &serializedCopy{revision: revision, entries: data}
+		f.serialized = &serializedCopy{revision: revision, entries: data, held: size, compressed: compressed}
 	}
 	state, err = proto.Marshal(&fleetpb.FollowResponse{
 		Revision: revision, Via: f.via, Lost: f.lost || f.currentAsOf == 0, AgeNs: int64(now() - f.currentAsOf),
@@ -192,7 +269,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c.users--; c.users == 0 && f.serialized != c {
-		f.budget.Release(int64(len(c.entries)))
+		f.budget.Release(c.held)
 	}
 }
 
@@ -200,7 +277,7 @@
 // caller holds the lock.
 func (f *follower) dropSerialized() {
 	if c := f.serialized; c != nil && c.users == 0 {
-		f.budget.Release(int64(len(c.entries)))
+		f.budget.Release(c.held)
 	}
 	f.serialized = nil
 }
@@ -213,7 +290,7 @@
 	defer cancel()
 	stalled := time.AfterFunc(copyPartTimeout, cancel)
 	defer stalled.Stop()
-	stream, err := client.Copy(ctx, &fleetpb.CopyRequest{})
+	stream, err := client.Copy(metadata.AppendToOutgoingContext(ctx, copyEncodingKey, copyGzip), &fleetpb.CopyRequest{})
 	if err != nil {
 		return answer{source: name, err: errors.Wrap(err, "copy")}
 	}
@@ -226,6 +303,11 @@
 	if err != nil {
 		return answer{source: name, err: errors.Wrap(err, "copy")}
 	}
+	if header, err := stream.Header(); err == nil && slices.Contains(header.Get(copyEncodingKey), copyGzip) {
+		if data, err = decompressCopy(data); err != nil {
+			return answer{source: name, err: errors.Wrap(err, "copy")}
+		}
+	}
 	r, err := decodeCopy(data)
 	if err != nil {
 		return answer{source: name, err: errors.Wrap(err, "copy")}
--- /dev/null
+++ b/internal/edge/copygzip_test.go
@@ -0,0 +1,63 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/turmericfield/turmericfield/internal/platform"
+	"github.com/turmericfield/turmericfield/internal/traffic"
+)
+
+// A whole copy of registrations, which are much alike, takes a third of its bytes on the way
+// at most, and is held compressed.
+func TestWholeCopyIsCompressedOnItsWay(t *testing.T) {
+	f, address := servedFollower(t, 0)
+	var entries []platform.Entry
+	size := 0
+	for i := range 3000 {
+		e := entryAt(fmt.Sprintf("targets/i-%08x", i*2654435761%(1<<32)), fmt.Sprintf(`{"service":"seye50a","address":"10.%d.64.%d:%d","zone":"bts-%c","version":%d,"state":"ready","slots":9}`, i%7, i%251, 8000+i%700, 'a'+i%2, i%3), uint64(i+1))
+		entries, size = append(entries, e), size+len(e.Key)+len(e.Value)
+	}
+	if err := f.applyCopy(storeCopy(5000, entries...)); err != nil {
+		t.Fatal(err)
+	}
+	started := startBehind(t, address)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	started.search(ctx, "", false)
+	if got, revision := started.feed.Entries(); len(got) != len(entries) || revision != 5000 {
+		t.Fatalf("%d entries of revision %d", len(got), revision)
+	}
+	if n := started.meter(traffic.Copy, address).Bytes(); n == 0 || n > int64(size)/3 {
+		t.Errorf("%d bytes for entries of %d bytes", n, size)
+	}
+	f.mu.Lock()
+	held := f.serialized.held
+	f.mu.Unlock()
+	if held > int64(size)/3 {
+		t.Errorf("%d bytes are held for entries of %d bytes", held, size)
+	}
+	// An instance of the release before asks for the plain form.
+	if revision, err := readWholeCopy(t.Context(), t, address); err != nil || revision != 5000 {
+		t.Errorf("plain: revision %d, %v", revision, err)
+	}
+}
+
+func TestCompressedCopyThatIsNotWholeIsRefused(t *testing.T) {
+	entries := copyData(t, 0)
+	state := copyData(t, 5)
+	whole := append(compressEntries(entries), state...)
+	if data, err := decompressCopy(whole); err != nil || string(data) != string(state) {
+		t.Errorf("whole: %q, %v", data, err)
+	}
+	big := compressEntries(make([]byte, maxCopyBytes+1))
+	for name, data := range map[string][]byte{"empty": nil, "plain": state, "cut": big[:len(big)/2], "too large": big} {
+		if _, err := decompressCopy(data); !errors.Is(err, errInvalidCopy) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -113,7 +113,7 @@
 	} {
 		f := newTestFollower(t, 5, entryAt("targets/t", "s", 4))
 		c.change(f)
-		sent, state, err := f.openCopy(f.beginCall(t.Context()))
+		sent, state, err := f.openCopy(f.beginCall(t.Context()), false)
 		if err != nil {
 			t.Fatal(err)
 		}
