--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -37,61 +37,6 @@
 // errInvalidCopy means that another instance's copy of the store did not arrive as a whole.
 var errInvalidCopy = errors.New("copy of the store is not whole")
 
-// copyHeadStart is how long the copy that is being received may make no progress before the
-// next source is asked for one beside it: several round trips between regions, and half of
-// copyPartTimeout, so that two sources that fail cost one.
-const copyHeadStart = copyPartTimeout / 2
-
-// copyTurns lets the sources that a search has asked send their whole copies one after
-// another, so that a start does not move several copies over the links.
-type copyTurns struct {
-	mu       sync.Mutex
-	active   int
-	lastPart time.Duration // time since boot of the last part, or of the begin
-	changed  chan struct{} // closed and replaced when a copy ends
-}
-
-func newCopyTurns() *copyTurns { return &copyTurns{changed: make(chan struct{})} }
-
-// begin waits until no copy makes progress, and reports whether it had to. ok is false if
-// the context ended before; otherwise the caller calls end.
-func (t *copyTurns) begin(ctx context.Context) (waited, ok bool) {
-	for ; ; waited = true {
-		t.mu.Lock()
-		wait := t.lastPart + copyHeadStart - now()
-		if t.active == 0 || wait <= 0 {
-			t.active++
-			t.lastPart = now()
-			t.mu.Unlock()
-			return waited, true
-		}
-		changed := t.changed
-		t.mu.Unlock()
-		select {
-		case <-changed:
-		case <-time.After(wait):
-		case <-ctx.Done():
-			return waited, false
-		}
-	}
-}
-
-// progress records that a part has come.
-func (t *copyTurns) progress() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.lastPart = now()
-}
-
-// end ends a copy.
-func (t *copyTurns) end() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.active--
-	close(t.changed)
-	t.changed = make(chan struct{})
-}
-
 // serializedCopy is the copy of the store in the form in which it is sent. Instances that
 // ask for the same revision share it.
 type serializedCopy struct {
@@ -296,7 +241,6 @@
 	}
 	data, err := readCopy(func() (*fleetpb.CopyPart, error) {
 		part, err := stream.Recv()
-		f.copies.progress()
 		stalled.Reset(copyPartTimeout)
 		return part, err
 	})
--- a/internal/edge/copygzip_test.go
+++ b/internal/edge/copygzip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -12,6 +13,28 @@
 	"github.com/turmericfield/turmericfield/internal/traffic"
 )
 
+// refusingStore refuses every call.
+type refusingStore struct{ platform.Store }
+
+func (refusingStore) Get(context.Context, string) (platform.Entry, error) {
+	return platform.Entry{}, errors.New("refused")
+}
+
+func (refusingStore) List(context.Context, string) ([]platform.Entry, uint64, error) {
+	return nil, 0, errors.New("refused")
+}
+
+// startBehind returns an instance without a copy whose store refuses, with these seeds.
+func startBehind(t *testing.T, seeds ...string) *follower {
+	t.Helper()
+	e := Provision(Settings{
+		Name: "new", AvailabilityZone: "zone", Region: "region", MaxRevocationDelay: 5 * time.Second, MaxConfigurationDelay: 2500 * time.Millisecond,
+		PeerSeeds: seeds,
+	}, plainAdapter{}, refusingStore{}, io.Discard)
+	t.Cleanup(func() { _ = e.logs.Close() })
+	return e.follower
+}
+
 // A whole copy of registrations, which are much alike, takes a third of its bytes on the way
 // at most, and is held compressed.
 func TestWholeCopyIsCompressedOnItsWay(t *testing.T) {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -22,7 +22,6 @@
 	*Edge
 	timing changefeed.Timing
 	peer   peerConn // to the followed instance
-	copies *copyTurns
 
 	// failedWatches counts the failed watches, other than refused ones, since the last
 	// response of one. Only watch uses it.
@@ -48,7 +47,7 @@
 func newFollower(e *Edge) *follower {
 	f := &follower{
 		budget: changefeed.NewBudget(e.MemoryBytes),
-		Edge:   e, copies: newCopyTurns(), timing: changefeed.Timing{WatchWait: e.WatchWait()},
+		Edge:   e, timing: changefeed.Timing{WatchWait: e.WatchWait()},
 		chooser: changefeed.NewSourceChooser(), feed: changefeed.NewFeed(e.sameEntry), updated: make(chan struct{}),
 		mirror: mirror.New(mirror.Options{
 			LeasedPrefixes: []string{e.storeKeys.TargetPrefix, e.storeKeys.OwnPrefix}, Grace: registrationGrace, OutageThreshold: outageThreshold,
@@ -119,14 +118,12 @@
 				select {
 				case answers <- a:
 				case <-calls.Done():
-					a.done()
 				}
 			}()
 		}
 		select {
 		case a := <-answers:
 			f.noteAnswer(s, a, f.applyAnswer(a))
-			a.done()
 		case <-time.After(wait):
 		case <-ctx.Done():
 		}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -147,14 +147,6 @@
 	currentAsOf time.Duration     // time since boot at which the source's copy was known to be current
 	via         []string          // instances between this one and the store, nearest first
 	lost        bool              // the source has no current source itself
-	applied     func()            // to be called when the answer was applied or is not needed; nil if nothing waits for that
-}
-
-// done tells what waits for the answer that it was applied or is not needed.
-func (a answer) done() {
-	if a.applied != nil {
-		a.applied()
-	}
 }
 
 // ask asks a source during a search.
@@ -177,23 +169,9 @@
 	if a.err = f.checkCurrent(a); a.err != nil {
 		return a
 	}
-	waited, ok := f.copies.begin(ctx)
-	if !ok {
-		return answer{source: name, err: errors.Wrap(ctx.Err(), "copy")}
-	}
-	if waited { // another source's copy may have come
-		again, cancel := context.WithTimeout(ctx, changefeed.AskTimeout)
-		defer cancel()
-		if a = f.askChanges(again, client, name, 0); !errors.Is(a.err, platform.ErrHistoryGone) {
-			f.copies.end()
-			return a
-		}
-	}
 	conn.use.Set(f.meter(traffic.Copy, conn.address))
 	conn.use.AddCall()
-	a = f.askCopy(ctx, client, name)
-	a.applied = f.copies.end
-	return a
+	return f.askCopy(ctx, client, name)
 }
 
 // askChanges asks another instance for the changes that this copy lacks. If it needs a
