--- a/internal/changefeed/spread_test.go
+++ b/internal/changefeed/spread_test.go
@@ -411,3 +411,34 @@
 		}
 	}
 }
+
+// Instances of the release before, which form one tree of the whole region, and those of
+// this one have changes in time from one another.
+func TestChangeReachesInstancesOfBothTrees(t *testing.T) {
+	const watchWait = 500 * time.Millisecond
+	const bound = 5 * watchWait
+	for _, perRegion := range []int{2, 8, 100} {
+		for seed := range uint64(3) {
+			f := newPlayedFleet(t, 3, 2, perRegion, watchWait)
+			r := rand.New(rand.NewPCG(seed, 0))
+			for _, name := range f.order {
+				if r.IntN(2) == 0 {
+					f.instances[name].chooser.SetZones(nil)
+				}
+			}
+			f.register(func(string) bool { return true })
+			f.run(6 * time.Second)
+			f.change()
+			f.run(f.changeAt + bound)
+			f.check(fmt.Sprintf("3 regions of %d, both trees, seed %d", perRegion, seed), bound)
+			for i, name := range f.order { // the first two instances of each region
+				if i%perRegion < 2 && perRegion > 2 {
+					f.instances[name].suspended = true
+				}
+			}
+			f.change()
+			f.run(f.changeAt + bound)
+			f.check(fmt.Sprintf("3 regions of %d, both trees, seed %d, first two suspended", perRegion, seed), bound)
+		}
+	}
+}
