--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/turmericfield/turmericfield/internal/mirror"
 	"github.com/turmericfield/turmericfield/internal/platform"
 	"github.com/turmericfield/turmericfield/internal/quota"
+	"github.com/turmericfield/turmericfield/internal/traffic"
 )
 
 const (
@@ -185,6 +186,7 @@
 	decoded         map[string]registration // newest decoded ones, by store key
 	unusableMembers map[string]error        // why instances' entries cannot be used, by store key
 	metrics         *metrics.Set
+	traffic         *traffic.Table
 	logs            *logging.Log
 	log             *log.Logger
 	configured      chan struct{} // closed when the first configuration is in force
@@ -232,6 +234,7 @@
 	started := uint64(time.Now().UnixNano())
 	e.hub = &hubServer{Edge: e, hub: quota.NewHub(), aggregator: quota.NewAggregator(zoneReporterPrefix+s.Name, started)}
 	e.hub.hub.SetGeneration(started)
+	e.traffic = e.newTraffic()
 	e.follower = newFollower(e)
 	set.Gauge("store_revision", func() int64 { return int64(platform.RevisionNumber(e.follower.revision())) })
 	set.Gauge("store_revision_heard_of", func() int64 { return int64(platform.RevisionNumber(uint64(e.follower.heardOf.Load()))) })
@@ -273,13 +276,14 @@
 		}
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 		defer func() { _ = server.Close() }() // the process is about to end
-		go func() { failed <- server.Serve(l) }()
+		go func() { failed <- server.Serve(e.countLookups(address, l)) }()
 	}
 	e.log.Info().Str("instance", e.Name).Str("zone", e.AvailabilityZone).Str("listen", e.Listen).Msg("life: started")
 	go e.follower.run(ctx)
 	go e.gateway.CloseIdleConnections(ctx)
 	go e.servePeers(ctx, peers)
 	go e.report(ctx)
+	go e.logTrafficOften(ctx)
 	registered := make(chan struct{})
 	registration, deregister := context.WithCancel(ctx)
 	go func() { defer close(registered); e.register(registration) }()
@@ -359,6 +363,7 @@
 	ctx, cancel := context.WithDeadline(kill, end)
 	defer cancel()
 	err := server.Shutdown(ctx)
+	e.logTraffic()
 	e.log.Info().Int64("in_flight", e.gateway.InFlight()).AnErr("error", err).Msg("life: ended")
 }
 
--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -15,6 +15,7 @@
 	"github.com/turmericfield/turmericfield/api/fleetpb"
 	"github.com/turmericfield/turmericfield/internal/affinity"
 	"github.com/turmericfield/turmericfield/internal/quota"
+	"github.com/turmericfield/turmericfield/internal/traffic"
 )
 
 const (
@@ -402,7 +403,7 @@
 		return
 	}
 	defer r.trial.close()
-	client, err := r.trial.client(to.PeerAddress, quota.TrialTimeout)
+	client, err := r.trial.client(to.PeerAddress, quota.TrialTimeout, r.meterOf(to))
 	if err != nil {
 		return
 	}
@@ -430,13 +431,22 @@
 	}
 }
 
+// meterOf returns the meter of the reports to a receiver.
+func (r *reporter) meterOf(to member) *traffic.Meter {
+	purpose := traffic.Hub
+	if r.zone {
+		purpose = traffic.ZoneSum
+	}
+	return r.meter(purpose, to.PeerAddress)
+}
+
 // send sends one report over gRPC, or hands it over directly if this instance is the
 // receiver.
 func (r *reporter) send(ctx context.Context, conn *peerConn, to member, report quota.Report, timeout time.Duration) (quota.Levels, error) {
 	if to.Name == r.Name {
 		return r.hub.handle(report, r.zone)
 	}
-	client, err := conn.client(to.PeerAddress, timeout)
+	client, err := conn.client(to.PeerAddress, timeout, r.meterOf(to))
 	if err != nil {
 		return quota.Levels{}, err
 	}
