gateway: tests of waiting fill the target as the present order does

Change: the tests count requests of the last two seconds, of which only the low ones were served; a request that ends early fails its test.

--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -28,7 +28,8 @@
 	return c
 }
 
-// occupy has requests of both priorities compete lately, and fills the target with requests
+// occupy has requests of both priorities compete lately, of which only the low ones were
+// served, and fills the target with requests
 // of other callers until it has no room for those of low priority. It returns a function
 // that ends them.
 func (c *caller) occupy() (release func()) {
@@ -36,10 +37,11 @@
 	c.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) {
 		line := c.gateway.waiting.line
 		low := admission.Request{Priority: 2, Route: "low", Objective: 4 * time.Second}
-		for range 100 {
-			line.Asked("s", admission.Request{Route: "high", Objective: 2 * time.Second}, now)
-			line.Asked("s", low, now)
-			line.Sent("s", low, now)
+		for i := range 100 {
+			at := now - 2*time.Second + time.Duration(i)*20*time.Millisecond
+			line.Asked("s", admission.Request{Route: "high", Objective: 2 * time.Second}, at)
+			line.Asked("s", low, at)
+			line.Sent("s", low, at)
 		}
 		for {
 			yield := line.Yield("s", low, now)
@@ -67,7 +69,7 @@
 	})
 	c := newCompetingCaller(t, target)
 	release := c.occupy()
-	low := make(chan string)
+	low := make(chan string, 1)
 	go func() {
 		status, body, err := c.do("POST", "/low/1", "1")
 		low <- fmt.Sprint(status, body, err)
@@ -93,7 +95,7 @@
 	c := newCompetingCaller(t, target)
 	release := c.occupy()
 	ctx, leave := context.WithCancel(t.Context())
-	left := make(chan error)
+	left := make(chan error, 1)
 	go func() {
 		r, err := http.NewRequestWithContext(ctx, "POST", "http://"+c.address+"/low/1", nil)
 		if err == nil {
@@ -123,7 +125,7 @@
 	c := newCompetingCaller(t, target)
 	c.occupy()
 	began := time.Now()
-	answer := make(chan string)
+	answer := make(chan string, 1)
 	go func() {
 		status, body, err := c.do("POST", "/low/1", "1")
 		answer <- fmt.Sprint(status, body, err)
@@ -151,12 +153,16 @@
 	})
 	c := newCompetingCaller(t, target)
 	release := c.occupy()
-	high := make(chan error)
+	high := make(chan error, 1)
 	go func() {
 		_, _, err := c.do("POST", "/high/1", "1")
 		high <- err
 	}()
-	<-arrived
+	select {
+	case <-arrived:
+	case err := <-high:
+		t.Fatalf("the request of high priority ended: %v", err)
+	}
 	c.gateway.mu.Lock()
 	d := c.gateway.waiting.line.Decide("s", admission.Request{Priority: 2, Route: "low", Left: time.Minute}, admission.Offer{Target: "t0", RoomIn: 30 * time.Second}, time.Hour)
 	turns := c.gateway.waiting.enter(d, "t0").turns
@@ -180,7 +186,7 @@
 	target := newRawTarget(t, func(c *net.TCPConn, r received) bool { return write(c, success(r.id, "ok")) })
 	c := newCompetingCaller(t, target)
 	c.occupy()
-	answer := make(chan string)
+	answer := make(chan string, 1)
 	go func() {
 		status, body, err := c.do("POST", "/low/1", "1")
 		answer <- fmt.Sprint(status, body, err)
@@ -205,7 +211,7 @@
 	target := newRawTarget(t, func(c *net.TCPConn, r received) bool { return write(c, success(r.id, "ok")) })
 	c := newCompetingCaller(t, target)
 	release := c.occupy()
-	answer := make(chan int)
+	answer := make(chan int, 1)
 	go func() {
 		status, _, err := c.do("POST", "/low/1", "1")
 		if err != nil {
