callerserver: what responses of requests that run ahead hold is reserved first

Cause: review: a request that ran ahead reserved 24 KiB, but the gateway then holds up to 128 KiB of its response, counted and never refused. With 128 MiB of memory (a bound of 16 MiB), 24 callers that each send one slow request and 63 with responses of 127 KiB held 103 MiB (the review's trial). Beside that, asking and taking were two steps; Shutdown could miss a request that started at that moment; frequent wake-ups put off the question whether a caller has left. Change: the most that a response may hold is reserved before its request starts ahead, in one step, and given back as its response begins; a start is counted before it asks whether the server stops; the question is asked at a fixed interval.

--- a/internal/callerserver/ahead.go
+++ b/internal/callerserver/ahead.go
@@ -23,6 +23,10 @@
 	output   []byte    // of the response, until its turn
 	held     int64     // bytes of the server's budget
 	cost     int64     // part of held until the response is complete
+	spare    int64     // kept free for what the handler will hold, until the response begins
+	handler  int64     // bytes that the handler holds, by Hold
+	waiting  int64     // bytes of a write that waits, which the handler may hold, too
+	counted  int64     // part of held for spare, handler and waiting
 	turn     bool      // whether output goes to the caller's connection
 	ended    bool      // whether the response is complete or was broken off
 	closes   bool      // whether the caller's connection ends after it
@@ -35,6 +39,21 @@
 	a.conn.hold(n)
 }
 
+// count adapts what is held of the budget to spare, handler and waiting, which overlap.
+func (a *aheadConn) count() {
+	now := max(a.spare, a.handler, a.waiting)
+	a.reserve(now - a.counted)
+	a.counted = now
+}
+
+// holdFor changes what the handler holds.
+func (a *aheadConn) holdFor(n int64) {
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
+	a.handler += n
+	a.count()
+}
+
 // wake makes reads and writes look again at what they wait for.
 func (a *aheadConn) wake() {
 	a.readable.Broadcast()
@@ -44,7 +63,9 @@
 // drop ends a request whose response cannot be sent.
 func (a *aheadConn) drop() {
 	a.dropped, a.output = true, nil
-	a.reserve(-a.held)
+	a.spare, a.waiting = 0, 0
+	a.count()
+	a.reserve(a.counted - a.held) // the handler still holds the rest
 	a.wake()
 }
 
@@ -75,20 +96,25 @@
 	c := a.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if a.spare > 0 {
+		a.spare = 0
+		a.count()
+		c.startAhead()
+	}
 	waits := false
 	for !a.turn && !a.dropped {
-		if !waits && c.allowed(int64(len(p))) {
+		if !waits && c.reserve(int64(len(p))) {
 			a.output = append(a.output, p...)
-			a.reserve(int64(len(p)))
+			a.held += int64(len(p))
 			return len(p), nil
 		}
 		if !waits {
 			waits = true
-			a.reserve(int64(len(p)))
+			a.waiting = int64(len(p))
+			a.count()
 			defer func() {
-				if !a.dropped {
-					a.reserve(-int64(len(p)))
-				}
+				a.waiting = 0
+				a.count()
 			}()
 		}
 		a.writable.Wait()
@@ -114,6 +140,8 @@
 	a.wake()
 	if !a.dropped {
 		a.reserve(-a.cost)
+		a.spare = 0
+		a.count()
 		if closes {
 			c.order.stopped = true
 			c.dropFrom(slices.Index(c.queue, a) + 1)
--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -75,8 +75,9 @@
 	flushing     bool  // whether output of queue[0] is being written
 	closeAtEnd   bool  // whether to close once the queue is empty
 	closed       bool
-	hardClose    bool // whether to close without waiting for the caller to take the response
-	refusedCount bool // whether the present refusal to read on was counted
+	hardClose    bool      // whether to close without waiting for the caller to take the response
+	askedAt      time.Time // when waitForRoom last asked whether the caller has left; pump's own
+	refusedCount bool      // whether the present refusal to read on was counted
 }
 
 func newConn(c net.Conn, s *Server) *conn {
@@ -286,11 +287,29 @@
 	c.server.mu.Lock()
 	ok := c.server.budget.allows(c.held, need)
 	c.server.mu.Unlock()
+	c.noteAllowed(ok)
+	return ok
+}
+
+// reserve holds need more bytes if that is allowed.
+func (c *conn) reserve(need int64) bool {
+	c.server.mu.Lock()
+	ok := c.server.budget.allows(c.held, need)
+	if ok {
+		c.server.budget.change(need)
+		c.held += need
+	}
+	c.server.mu.Unlock()
+	c.noteAllowed(ok)
+	return ok
+}
+
+// noteAllowed counts when the connection begins to be refused more.
+func (c *conn) noteAllowed(ok bool) {
 	if !ok && !c.refusedCount {
 		c.server.Metrics.Add("caller_read_ahead_refused_total", 1)
 	}
 	c.refusedCount = !ok
-	return ok
 }
 
 // poke makes pump look again whether it may read.
@@ -517,14 +536,19 @@
 // waitForRoom waits until it may have become possible to read on. It returns false once the
 // caller has closed the connection.
 func (c *conn) waitForRoom() bool {
-	timer := time.NewTimer(leaveInterval)
+	// Being woken must not put the question off: it comes at a fixed interval.
+	left := leaveInterval - time.Since(c.askedAt)
+	timer := time.NewTimer(left)
 	defer timer.Stop()
 	select {
 	case <-c.wake:
-		return true
+		if left > 0 {
+			return true
+		}
 	case <-timer.C:
-		return !hasLeft(c.Conn)
 	}
+	c.askedAt = time.Now()
+	return !hasLeft(c.Conn)
 }
 
 // hasLeft reports whether the other end has closed the connection, also while bytes that it
@@ -559,18 +583,21 @@
 			c.inOrder = true
 			return
 		}
-		if !c.allowed(requestCost) {
+		// The handler may hold the request's body beside its response.
+		spare, cost := int64(size+c.server.ResponseBytes), requestCost+int64(size)
+		if !c.reserve(cost + spare) {
 			return
 		}
-		a := &aheadConn{conn: c, data: bytes.Clone(c.unread[:size])}
+		a := &aheadConn{conn: c, data: bytes.Clone(c.unread[:size]), held: cost + spare, cost: cost, spare: spare, counted: spare}
 		a.readable.L, a.writable.L = &c.mu, &c.mu
-		if !c.server.ahead.start(a) {
+		// Counted first: Shutdown looks at the number once it has said that it stops.
+		c.server.unsent.Add(1)
+		if c.server.stopping.Load() || !c.server.ahead.start(a) {
+			c.server.unsent.Add(-1)
+			c.hold(-a.held)
 			return
 		}
 		a.arrival = c.take(size)
-		a.cost = requestCost + int64(size)
-		a.reserve(a.cost)
-		c.server.unsent.Add(1)
 		c.queue = append(c.queue, a)
 		c.order.start(concurrent)
 		c.order.stopped = f.lastOfConn
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -45,6 +45,9 @@
 	// connection. It must not change the request or read its body.
 	Concurrent  func(r *http.Request) bool
 	MemoryBytes int64 // memory limit of the process; 0 for none
+	// ResponseBytes is the most that Handler holds of a response when it begins to write it,
+	// which it counts by Hold. So much is kept free for each request that runs ahead.
+	ResponseBytes int
 	// ConnState is told when a connection is new, active, idle and closed, as by net/http.
 	ConnState func(net.Conn, http.ConnState)
 	Metrics   *metrics.Set
@@ -166,11 +169,13 @@
 // from the same connection first. Few bytes, and those of other servers, are not counted.
 func Hold(r *http.Request, bytes int) (release func()) {
 	c, _ := r.Context().Value(contextKey{}).(*conn)
-	if a, ok := r.Context().Value(contextKey{}).(*aheadConn); ok {
-		c = a.conn
-	}
-	if c == nil || bytes < minHold {
+	a, _ := r.Context().Value(contextKey{}).(*aheadConn)
+	switch {
+	case c == nil && a == nil || bytes < minHold:
 		return func() {}
+	case a != nil:
+		a.holdFor(int64(bytes))
+		return func() { a.holdFor(int64(-bytes)) }
 	}
 	c.holdFor(int64(bytes))
 	return func() { c.holdFor(int64(-bytes)) }
--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -100,6 +100,9 @@
 		_, _ = io.WriteString(w, path)
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
+	case strings.Contains(path, "held"):
+		defer Hold(r, heldSize)()
+		_, _ = w.Write(make([]byte, heldSize))
 	case strings.Contains(path, "big"):
 		_, _ = w.Write(make([]byte, 100<<10))
 	}
@@ -586,6 +589,48 @@
 	c.expect("/safe/1", "/safe/2", "/safe/3")
 }
 
+// heldSize is the size in bytes of the responses that the handler counts by Hold.
+const heldSize = 127 << 10
+
+func TestResponsesBehindSlowOnesStayWithinTheBound(t *testing.T) {
+	const memory, callers, ahead = 128 << 20, 24, 63
+	s := newTestServer(t, func(o *Options) { o.MemoryBytes, o.ResponseBytes = memory, 128<<10 })
+	var conns []*testCaller
+	for i := range callers {
+		c := s.dial()
+		c.send(get(fmt.Sprint("/safe/first", i)))
+		conns = append(conns, c)
+	}
+	s.wait("first requests", func() bool { return len(s.started) == callers })
+	held := make([]string, ahead)
+	for j := range held {
+		held[j] = fmt.Sprint("/safe/held", j)
+	}
+	for _, c := range conns {
+		c.send(get(held...))
+	}
+	if started := s.startedNow(); len(started) < 2*callers {
+		t.Errorf("%d requests run on %d connections", len(started), callers)
+	}
+	var peak int64
+	s.release(held...)
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		peak = max(peak, s.server.held())
+	}
+	if peak > memory/memoryShare {
+		t.Errorf("%d bytes are held of %d", peak, memory/memoryShare)
+	}
+	s.release("*")
+	for i, c := range conns {
+		c.expect(fmt.Sprint("/safe/first", i))
+		for _, path := range held {
+			if status, body, err := c.response(); err != nil || status != 200 || len(body) != heldSize+len(path)+1 || !strings.HasSuffix(body, path+" ") {
+				t.Fatalf("response to %s: %d, %d bytes, %v", path, status, len(body), err)
+			}
+		}
+	}
+}
+
 func TestReadingAheadIsBounded(t *testing.T) {
 	s := newTestServer(t, nil)
 	for _, first := range []string{"/safe/1", "/once/1"} {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -320,7 +320,7 @@
 	go idle.sweep(ctx)
 	options := callerserver.Options{
 		Handler: e.gateway, Concurrent: e.gateway.RunsConcurrently, ReadHeaderTimeout: defaultHeaderTimeout,
-		MemoryBytes: e.MemoryBytes, ConnState: idle.onConnState, Metrics: e.metrics,
+		MemoryBytes: e.MemoryBytes, ResponseBytes: gateway.MaxResponseBytes, ConnState: idle.onConnState, Metrics: e.metrics,
 	}
 	if t := e.gateway.Table(); t != nil {
 		options.MaxHeaderBytes = t.Limits.HeaderBytes
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -22,6 +22,9 @@
 	// completely before any of it is returned to the caller, so that another
 	// target can be tried if it is cut off.
 	maxBufferedResponse = 128 << 10
+	// MaxResponseBytes is the most that the gateway holds of a response when it begins to
+	// write it, for callerserver.Options.
+	MaxResponseBytes = maxBufferedResponse
 	// maxRefusalBody is the size in bytes up to which the body of a rejection is
 	// read, so that its connection can be reused.
 	maxRefusalBody = 4 << 10
--- a/internal/gateway/faulty_target_test.go
+++ b/internal/gateway/faulty_target_test.go
@@ -111,7 +111,7 @@
 		Routes: []config.Route{route("once", false, testTimeout), route("safe", true, testTimeout), route("short", false, time.Second)},
 	}))
 	register(g, 1, targets)
-	server := callerserver.New(callerserver.Options{Handler: g, Concurrent: g.RunsConcurrently, Metrics: g.Metrics})
+	server := callerserver.New(callerserver.Options{Handler: g, Concurrent: g.RunsConcurrently, ResponseBytes: MaxResponseBytes, Metrics: g.Metrics})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
