callerserver: tests of what starts behind a close, beside a body and in a shutdown

Cause: review: three broken variants passed the package's tests. Change: a test for each. Measured: each fails on its variant (the order not stopped by a request that asks for the end; a request with a body not alone; starts during the shutdown) and holds on the code.

--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -350,6 +350,60 @@
 	}
 }
 
+// The request that asks for the end runs ahead of its turn, while the one before it runs.
+func TestNothingStartsBehindACloseThatRunsAhead(t *testing.T) {
+	s := newTestServer(t, nil)
+	c := s.dial()
+	c.send(get("/safe/1") + "GET /safe/2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	s.waitStarted("/safe/1", "/safe/2")
+	c.send(get("/safe/behind1", "/safe/behind2"))
+	if started := s.startedNow(); len(started) != 2 {
+		t.Errorf("started %v", started)
+	}
+	s.release("*")
+	c.expect("/safe/1", "/safe/2")
+	c.expectEnd()
+}
+
+func TestNothingRunsBesideARequestWithABody(t *testing.T) {
+	s := newTestServer(t, nil)
+	c := s.dial()
+	c.send("GET /safe/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc" + get("/safe/2", "/safe/3"))
+	s.waitStarted("/safe/1")
+	if started := s.startedNow(); len(started) != 1 {
+		t.Errorf("started %v beside a request with a body", started)
+	}
+	s.release("*")
+	if status, body, err := c.response(); status != 200 || body != "/safe/1 abc" || err != nil {
+		t.Errorf("got %d %q %v", status, body, err)
+	}
+	c.expect("/safe/2", "/safe/3")
+}
+
+func TestNothingStartsAheadDuringShutdown(t *testing.T) {
+	s := newTestServer(t, nil)
+	c := s.dial()
+	c.send(get("/safe/1", "/safe/2"))
+	s.waitStarted("/safe/1", "/safe/2")
+	done := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		done <- s.server.Shutdown(ctx)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	c.send(get("/safe/late"))
+	if started := s.startedNow(); len(started) != 2 {
+		t.Errorf("started %v", started)
+	}
+	s.release("*")
+	c.expect("/safe/1", "/safe/2")
+	c.expectEnd()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestClosingResponsesDontCutOffStartedRequests(t *testing.T) {
 	s := newTestServer(t, nil)
 	c := s.dial()
