--- a/internal/quota/lapsed_test.go
+++ b/internal/quota/lapsed_test.go
@@ -63,3 +63,21 @@
 		t.Errorf("%g tokens, want %g at most", left, most)
 	}
 }
+
+func TestLevelsOfThisHubAreNotAddedToIt(t *testing.T) {
+	h, now := newTestHub(7, &config.Workspace{Name: "w", Rate: 1, Burst: 1000}, 2), 10*time.Second
+	held := &Levels{Share: 1, Members: 2, Generation: 7, SentAt: time.Second, Levels: []Level{{"w", 800}}}
+	report := func(echo time.Duration) Levels {
+		return h.Handle(Report{Instance: "a", Started: 1, Carries: true, Echo: echo, Held: held, HeldAt: now}, now)
+	}
+	h.Handle(Report{Instance: "b", Started: 1}, now)
+	first := report(0)
+	before := h.buckets["w"].left
+	now += 10 * time.Millisecond
+	if second := report(first.SentAt); !second.Joined {
+		t.Fatalf("does not count: %+v", second)
+	}
+	if left := h.buckets["w"].left; left > before+1 {
+		t.Errorf("%g tokens, %g before", left, before)
+	}
+}
