--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -235,11 +235,14 @@
 // instance when that one fails or is about to stop.
 type reporter struct {
 	*Edge
-	logKey        string // log key of the instance that it reports to: "hub", or "sum" for an aggregator
-	zone          bool   // it reports to the zone's aggregator
-	receiver      func(rank int) member
-	failover      quota.Failover
-	pledge        *quota.Pledge
+	logKey   string // log key of the instance that it reports to: "hub", or "sum" for an aggregator
+	zone     bool   // it reports to the zone's aggregator
+	receiver func(rank int) member
+	failover quota.Failover
+	pledge   *quota.Pledge
+	// unpledged says that a receiver counts the share at once, though another one may still
+	// give it out: by way of an aggregator, moving it takes longer than requests can wait.
+	unpledged     bool
 	receivers     map[string]member // those with which the pledge may be, by its names
 	left          string            // instance that has handed back the share because it is about to stop
 	silent        string            // receiver that has not responded, by the pledge's names
@@ -254,9 +257,9 @@
 // which is the first-ranked instance of its zone and reports the zone's total to the hub.
 func (e *Edge) report(ctx context.Context) {
 	hub := &reporter{Edge: e, logKey: "hub", receiver: e.members.hub, pledge: &quota.Pledge{}, receivers: map[string]member{}}
-	zone := &reporter{Edge: e, logKey: "hub", receiver: e.members.hub, pledge: &quota.Pledge{}, receivers: map[string]member{}}
+	zone := &reporter{Edge: e, logKey: "hub", receiver: e.members.hub, pledge: &quota.Pledge{}, receivers: map[string]member{}, unpledged: true}
 	// The share of this instance is with a hub or, in a large fleet, with an aggregator.
-	aggregator := &reporter{Edge: e, logKey: "sum", zone: true, pledge: hub.pledge, receivers: map[string]member{}, receiver: func(rank int) member {
+	aggregator := &reporter{Edge: e, logKey: "sum", zone: true, pledge: hub.pledge, receivers: map[string]member{}, unpledged: true, receiver: func(rank int) member {
 		m, _ := e.members.zoneAggregator(rank)
 		return m
 	}}
@@ -346,6 +349,9 @@
 
 // release lets another receiver hand back the share, if one may still give it out.
 func (r *reporter) release(ctx context.Context, to member, report func() quota.Report, onLevels func(quota.Report, quota.Levels, time.Duration)) {
+	if r.unpledged {
+		return
+	}
 	holder := r.pledge.Holder(r.key(to), now())
 	from, ok := r.receivers[holder]
 	if !ok || holder == r.silent {
@@ -367,6 +373,14 @@
 	if r.zone {
 		ttl = quota.ZoneTTL
 	}
+	if r.unpledged {
+		report.Carries, report.Guest, report.Held = false, false, nil
+		levels, err := r.send(ctx, conn, to, report, timeout)
+		if err == nil && !levels.NoLevels {
+			onLevels(report, levels, sentAt)
+		}
+		return levels, err
+	}
 	r.pledge.Prepare(&report, key, ttl, sentAt)
 	levels, err := r.send(ctx, conn, to, report, timeout)
 	if err != nil {
