edge: a registration that vanishes before it is heard of is written again

Cause: an instance wrote its entry again only when its copy of the store had shown the entry and then lacked it. Where the write and its removal arrived in one batch of changes, the copy never showed the entry, and the instance stayed unregistered for as long as its lease was renewed.

Change: an instance remembers the revision of its own write, and registers again when its copy has reached that revision and lacks the entry.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -197,7 +197,9 @@
 	// registeredVersion is the highest version of the configuration that instances had in
 	// force when they registered; guarded by the follower's lock.
 	registeredVersion uint64
-	registered        bool // the copy of the store has this instance's entry; guarded by the follower's lock
+	// registeredAt is the revision at which this instance wrote its entry; 0 if it is yet
+	// to write it, or to write it again. The follower's lock guards it.
+	registeredAt uint64
 	// configurationApplied says that the configuration in force is the one in the copy
 	// of the store. The follower's lock guards it.
 	configurationApplied bool
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -465,6 +465,7 @@
 			return err
 		case ok:
 			*written = true
+			e.noteRegistered(now.Revision)
 			return nil
 		}
 		known = now
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -167,11 +167,7 @@
 	})
 	e.unusableMembers = unusable
 	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) { b.SetRegistration(self, now) })
-	_, registered := m.Get(e.storeKeys.OwnPrefix + instancePrefix + e.Name)
-	if e.registered && !registered {
-		e.registerAgain(true)
-	}
-	e.registered = registered
+	e.checkRegistered(m)
 	names, changed := e.members.replace(list)
 	if !changed {
 		return
@@ -183,6 +179,26 @@
 	e.log.Info().Uint64("revision", platform.RevisionNumber(m.Revision())).Strs("instances", names).Msg("instances: changed")
 }
 
+// noteRegistered records the revision at which this instance wrote its entry.
+func (e *Edge) noteRegistered(revision uint64) {
+	e.follower.mu.Lock()
+	defer e.follower.mu.Unlock()
+	e.registeredAt = revision
+	e.checkRegistered(e.follower.mirror)
+}
+
+// checkRegistered makes this instance register again if the copy is not older than its
+// entry and lacks it. The caller holds the follower's lock.
+func (e *Edge) checkRegistered(m *mirror.Mirror) {
+	if e.registeredAt == 0 || m.Revision() < e.registeredAt {
+		return
+	}
+	if _, listed := m.Get(e.storeKeys.OwnPrefix + instancePrefix + e.Name); !listed {
+		e.registeredAt = 0
+		e.registerAgain(true)
+	}
+}
+
 // confirmInstances tells the balancer as of when the instances in the copy were current.
 func (e *Edge) confirmInstances(currentAsOf time.Duration) {
 	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, now time.Duration) {
