admission, affinity: order requests by priority in large fleets too

Cause: an instance knew which priorities compete, how often each is sent and how full targets are only from the last seconds. Measured: TestTooLittleRoomCostsTheLowestPriorityFirstAndStarvesNobody plays 61, 118 and 400 instances too and checks that the first priority is in time at least three quarters as often as all, that each kind has a quarter of the common share, and that all are in time as often as in the order of arrival.

--- a/internal/admission/line_test.go
+++ b/internal/admission/line_test.go
@@ -173,6 +173,26 @@
 	equal(t, share(30*time.Second, 90*time.Second, true), 0.0, "share once both are sent again")
 }
 
+func TestPrioritiesThatAskRarelyCompeteToo(t *testing.T) {
+	l := NewLine(10)
+	high, low := Request{Priority: 0, Route: "a", Objective: time.Second}, Request{Priority: 1, Route: "b"}
+	now := time.Duration(0)
+	for i := range 20 {
+		now += 2 * time.Second
+		if i%5 == 0 {
+			l.Asked(service, high, now)
+		}
+		l.Asked(service, low, now)
+	}
+	equal(t, l.Yield(service, low, now), Yield{Objective: time.Second, Share: 1}, "yields as far as the higher one waits itself")
+	equal(t, l.Decide(service, request(1, 0, time.Second), fullFor(0), now).Ticket != 0, true, "waits")
+	for range 15 {
+		now += 2 * time.Second
+		l.Asked(service, low, now)
+	}
+	equal(t, l.Yield(service, low, now), Yield{}, "once it has not asked for long")
+}
+
 func TestStarvingRequestsDoNotYield(t *testing.T) {
 	l := NewLine(10)
 	high, low := Request{Priority: 0, Route: "a", Objective: time.Second}, Request{Priority: 1, Route: "b"}
--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -53,6 +53,10 @@
 	results   map[string]*counts
 	slots     int
 	maxHeld   map[string]time.Duration // by kind, of refused requests
+	// load is the factor on the kinds' rates at a time; nil means 1.
+	load func(now time.Duration) float64
+	// countFrom is the time of arrival from which requests count in the results.
+	countFrom time.Duration
 }
 
 func newPlay(seed uint64, ordered bool, instances, targets, slots int) *play {
@@ -86,7 +90,11 @@
 		arrive = func() {
 			if p.now < length {
 				p.arrive(k)
-				p.at(p.now+time.Duration(p.random.ExpFloat64()/k.perSecond*float64(time.Second)), arrive)
+				perSecond := k.perSecond
+				if p.load != nil {
+					perSecond *= p.load(p.now)
+				}
+				p.at(p.now+time.Duration(p.random.ExpFloat64()/perSecond*float64(time.Second)), arrive)
 			}
 		}
 		p.at(0, arrive)
@@ -100,6 +108,9 @@
 
 func (p *play) arrive(k kind) {
 	i, result := p.random.IntN(len(p.lines)), p.results[k.name]
+	if p.now < p.countFrom {
+		result = &counts{}
+	}
 	result.asked++
 	arrived, line := p.now, p.lines[i]
 	id := fmt.Sprint(p.random.Uint64())
@@ -136,7 +147,7 @@
 			if waited {
 				line.Ended(service, k.priority, true)
 			}
-			p.send(i, k, g, arrived)
+			p.send(i, k, g, arrived, result)
 			return
 		}
 		if ok {
@@ -176,14 +187,13 @@
 }
 
 // send runs a request at its target, after those that wait there already.
-func (p *play) send(instance int, k kind, g affinity.Grant, arrived time.Duration) {
+func (p *play) send(instance int, k kind, g affinity.Grant, arrived time.Duration, result *counts) {
 	id, sent := g.Target.ID, p.now
 	start := func() {
 		p.running[id]++
 		work := time.Duration(float64(k.work) * (0.7 + 0.6*p.random.Float64()))
 		p.at(p.now+work, func() {
 			p.running[id]--
-			result := p.results[k.name]
 			if p.now-arrived <= k.objective {
 				result.inTime++
 			} else {
@@ -215,30 +225,37 @@
 }
 
 func TestTooLittleRoomCostsTheLowestPriorityFirstAndStarvesNobody(t *testing.T) {
-	for _, fleet := range []struct{ instances, targets int }{{1, 8}, {7, 8}, {26, 8}} {
+	for _, fleet := range []struct{ instances, targets int }{{1, 8}, {7, 8}, {26, 8}, {61, 8}, {118, 8}, {400, 8}} {
 		for seed := range uint64(3) {
 			before, after := newPlay(seed, false, fleet.instances, fleet.targets, 6), newPlay(seed, true, fleet.instances, fleet.targets, 6)
 			before.run(competing, 20*time.Second)
 			after.run(competing, 20*time.Second)
 			name := fmt.Sprintf("%d instances, seed %d", fleet.instances, seed)
-			var all counts
+			var all, base counts
 			for _, k := range competing {
 				b, a := before.results[k.name], after.results[k.name]
 				t.Logf("%s: %s in time %.2f, before %.2f; late %.2f, before %.2f", name, k.name, a.served(), b.served(),
 					float64(a.late)/float64(a.asked), float64(b.late)/float64(b.asked))
 				all.asked, all.inTime = all.asked+a.asked, all.inTime+a.inTime
+				base.asked, base.inTime = base.asked+b.asked, base.inTime+b.inTime
 			}
+			t.Logf("%s: all in time %.3f, before %.3f", name, all.served(), base.served())
 			for i, higher := range competing[:len(competing)-1] {
 				lower := competing[i+1]
 				if h, l := after.results[higher.name].sent(), after.results[lower.name].sent(); h < l-maxLag {
 					t.Errorf("%s: %s are served %.2f of the time, %s %.2f", name, higher.name, h, lower.name, l)
 				}
 			}
-			if h, b := after.results["payments"].served(), before.results["payments"].served(); h < 2*b {
-				t.Errorf("%s: payments in time %.2f, %.2f in the order before", name, h, b)
+			if h, b := after.results["payments"].served(), before.results["payments"].served(); h < 2*b || h < 0.75*all.served() {
+				t.Errorf("%s: payments in time %.2f, %.2f in the order before, of all %.2f", name, h, b, all.served())
 			}
-			if exports := after.results["exports"].served(); exports < minFairShare*all.served()*0.8 {
-				t.Errorf("%s: %.2f of the lowest priority in time, of all %.2f", name, exports, all.served())
+			if all.served() < base.served() {
+				t.Errorf("%s: of all %.2f in time, %.2f in the order before", name, all.served(), base.served())
+			}
+			for _, k := range competing {
+				if served := after.results[k.name].served(); served < minFairShare*all.served()*0.8 {
+					t.Errorf("%s: %.2f of %s in time, of all %.2f", name, served, k.name, all.served())
+				}
 			}
 			for _, k := range competing {
 				if held := after.maxHeld[k.name]; held > k.objective {
@@ -248,3 +265,28 @@
 		}
 	}
 }
+
+// What instances that rarely hear of a target keep of a rush ends soon after it.
+func TestRushIsForgottenOnceItHasEnded(t *testing.T) {
+	for _, instances := range []int{7, 26, 118, 400} {
+		var sums [2]counts // in the order before, and now
+		for i := range sums {
+			p := newPlay(1, i == 1, instances, 8, 6)
+			p.load = func(now time.Duration) float64 {
+				if now >= 10*time.Second && now < 20*time.Second {
+					return 1
+				}
+				return 0.25
+			}
+			p.countFrom = 25 * time.Second
+			p.run(competing, 40*time.Second)
+			for _, r := range p.results {
+				sums[i].asked, sums[i].inTime = sums[i].asked+r.asked, sums[i].inTime+r.inTime
+			}
+		}
+		t.Logf("%d instances: in time %.4f, before %.4f", instances, sums[1].served(), sums[0].served())
+		if now := sums[1].served(); now < 0.99 || now < sums[0].served()-0.005 {
+			t.Errorf("%d instances: %.3f in time 5 s after a rush, %.3f in the order before", instances, now, sums[0].served())
+		}
+	}
+}
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -10,6 +10,12 @@
 const (
 	// shareMemory is the time over which requests are counted.
 	shareMemory = 4 * time.Second
+	// lastingMemory is the time over which requests are counted where shareMemory holds too
+	// few. A priority that has not asked for so long is forgotten.
+	lastingMemory = 30 * time.Second
+	// minRecent is the number of requests for a service from which those of shareMemory tell
+	// its priorities.
+	minRecent = 2 * minCounted
 	// minFairShare is the fraction of the common share of requests sent, below which a route
 	// or a workspace goes before all others.
 	minFairShare = 0.25
@@ -22,15 +28,48 @@
 	highest = math.MinInt
 )
 
+// window is a time over which the requests of a priority are counted.
+type window int
+
+const (
+	recent  window = iota // shareMemory
+	lasting               // lastingMemory, for an instance that gets few requests for a service
+	windows
+)
+
+// memory returns the length of the window.
+func (w window) memory() time.Duration {
+	if w == recent {
+		return shareMemory
+	}
+	return lastingMemory
+}
+
 // claim is what requests of one priority ask of a service.
 type claim struct {
-	counter
+	counters  [windows]counter
+	askedAt   time.Duration // last request
 	priority  int
 	objective time.Duration // the shortest of those counted
 	// protection, 0 to 1, is how far requests of lower priority give way.
 	protection float64
 }
 
+// decay ages the counts.
+func (e *claim) decay(now time.Duration) {
+	for w := range windows {
+		e.counters[w].decay(w.memory(), now)
+	}
+}
+
+// window returns the one to go by: the shortest that holds enough requests.
+func (e *claim) window() window {
+	if e.counters[recent].asked >= minCounted {
+		return recent
+	}
+	return lasting
+}
+
 const (
 	// minClaim is the part of a service's requests that those of a priority make up at least
 	// for lower ones to yield to them.
@@ -66,15 +105,22 @@
 	list := c[service]
 	i, known := slices.BinarySearchFunc(list, r.Priority, func(e *claim, p int) int { return cmp.Compare(e.priority, p) })
 	if !known {
-		list = slices.DeleteFunc(list, func(e *claim) bool { e.decay(now); return e.counter.asked < 1 })
+		list = slices.DeleteFunc(list, func(e *claim) bool {
+			e.decay(now)
+			return e.counters[recent].asked < 1 && now-e.askedAt > lastingMemory
+		})
 		i, _ = slices.BinarySearchFunc(list, r.Priority, func(e *claim, p int) int { return cmp.Compare(e.priority, p) })
-		list = slices.Insert(list, i, &claim{counter: counter{at: now}, priority: r.Priority, objective: r.Objective})
+		list = slices.Insert(list, i, &claim{counters: [windows]counter{{at: now}, {at: now}}, priority: r.Priority, objective: r.Objective})
 		c[service] = list
 	}
 	c.protect(service, now)
-	list[i].counter.asked++
-	if r.Objective > 0 && (list[i].objective == 0 || r.Objective < list[i].objective) {
-		list[i].objective = r.Objective
+	e := list[i]
+	e.askedAt = now
+	for w := range windows {
+		e.counters[w].asked++
+	}
+	if r.Objective > 0 && (e.objective == 0 || r.Objective < e.objective) {
+		e.objective = r.Objective
 	}
 }
 
@@ -82,52 +128,57 @@
 func (c claims) sent(service string, r Request, now time.Duration) {
 	for _, e := range c[service] {
 		if e.priority == r.Priority {
-			e.counter.sent++
+			for w := range windows {
+				e.counters[w].sent++
+			}
 		}
 	}
 }
 
 // protect ages the counts of a service, and updates the protection of each priority by what
-// its requests have got until now. It returns the number of all requests.
-func (c claims) protect(service string, now time.Duration) float64 {
-	all := 0.0
-	for _, e := range c[service] {
-		all += e.counter.asked
-	}
-	lower := 0.0 // largest share of the lower priorities
+// its requests have got until now.
+func (c claims) protect(service string, now time.Duration) {
+	var lower [windows]float64 // largest share of the lower priorities
 	for _, e := range slices.Backward(c[service]) {
-		step := float64(max(now-e.at, 0)) / float64(balanceTime)
-		if e.counter.asked >= minCounted && e.share() < lower-minLag {
+		w := e.window()
+		step := float64(max(now-e.counters[w].at, 0)) / float64(balanceTime) * float64(shareMemory) / float64(w.memory())
+		if counted := e.counters[w]; counted.asked >= minCounted && counted.share() < lower[w]-minLag {
 			e.protection = min(e.protection+step, 1)
 		} else {
 			e.protection = max(e.protection-step, 0)
 		}
-		if e.counter.asked >= minCounted {
-			lower = max(lower, e.share())
+		for w := range windows {
+			if counted := e.counters[w]; counted.asked >= minCounted {
+				lower[w] = max(lower[w], counted.share())
+			}
 		}
 		e.decay(now)
 	}
-	return all
 }
 
-// yield returns how far requests of a priority give way: to the shortest objective of
-// the higher priorities, halved for each of them, if these ask for a noticeable part of the
-// service.
+// yield returns how far requests of a priority give way to the higher ones that ask for a
+// noticeable part of the service: by their protection, to the shortest of their objectives,
+// halved for each of them. Where few requests tell how often a higher one is sent, its
+// lower ones wait no longer than it does itself, even while it is not protected.
 func (c claims) yield(service string, priority int, now time.Duration) Yield {
-	all := c.protect(service, now)
 	var y Yield
+	w, least := c.noticeable(service, now)
 	for _, e := range c[service] {
 		if e.priority >= priority {
 			break
 		}
-		if e.counter.asked < max(minClaim*all, minClaimed) || e.objective <= 0 {
+		if !e.asks(w, least, now) || e.objective <= 0 {
 			continue
 		}
 		if y.Objective == 0 || e.objective < y.Objective {
 			y.Objective = e.objective
 		}
-		y.Objective = time.Duration(yieldStep * float64(y.Objective))
-		y.Share = max(y.Share, e.protection)
+		step, share := yieldStep, e.protection
+		if e.window() != recent {
+			step, share = 1-(1-yieldStep)*e.protection, 1
+		}
+		y.Objective = time.Duration(step * float64(y.Objective))
+		y.Share = max(y.Share, share)
 	}
 	return y
 }
@@ -135,15 +186,38 @@
 // compete reports whether requests of different priority ask for a noticeable part of the
 // service each.
 func (c claims) compete(service string, now time.Duration) bool {
-	all, priorities := c.protect(service, now), 0
+	priorities := 0
+	w, least := c.noticeable(service, now)
 	for _, e := range c[service] {
-		if e.counter.asked >= max(minClaim*all, minClaimed) {
+		if e.asks(w, least, now) {
 			priorities++
 		}
 	}
 	return priorities > 1
 }
 
+// noticeable returns from how many requests, counted in which window, a priority asks for
+// a noticeable part of a service.
+func (c claims) noticeable(service string, now time.Duration) (window, float64) {
+	c.protect(service, now)
+	var all [windows]float64
+	for _, e := range c[service] {
+		for w := range windows {
+			all[w] += e.counters[w].asked
+		}
+	}
+	w := recent
+	if all[recent] < minRecent {
+		w = lasting
+	}
+	return w, max(minClaim*all[w], minClaimed)
+}
+
+// asks reports whether the priority has asked at least so often, and lately.
+func (e *claim) asks(w window, least float64, now time.Duration) bool {
+	return e.counters[w].asked >= least && now-e.askedAt <= lastingMemory
+}
+
 // counter counts requests, those of the past less the older they are.
 type counter struct {
 	asked, sent float64
@@ -151,9 +225,9 @@
 }
 
 // decay ages the counts.
-func (c *counter) decay(now time.Duration) {
+func (c *counter) decay(memory, now time.Duration) {
 	if now > c.at {
-		f := math.Exp(-float64(now-c.at) / float64(shareMemory))
+		f := math.Exp(-float64(now-c.at) / float64(memory))
 		c.asked, c.sent, c.at = c.asked*f, c.sent*f, now
 	}
 }
@@ -195,14 +269,14 @@
 		c = &counter{at: now}
 		s.counters[key] = c
 	}
-	c.decay(now)
+	c.decay(shareMemory, now)
 	return c
 }
 
 // forget removes the counters that have become negligible.
 func (s *shares) forget(now time.Duration) {
 	for key, c := range s.counters {
-		if c.decay(now); c.asked < 1 {
+		if c.decay(shareMemory, now); c.asked < 1 {
 			delete(s.counters, key)
 		}
 	}
--- a/internal/affinity/choose.go
+++ b/internal/affinity/choose.go
@@ -167,7 +167,7 @@
 // longer than the whole objective.
 func (b *Balancer) waitAcceptable(s *targetState, r Request, now time.Duration) bool {
 	acceptable := r.acceptableExcess(s)
-	if r.yields() && s.excess(s.loadInGroup(now)) > acceptable {
+	if r.yields() && s.excess(s.lastingLoadInGroup(now)) > acceptable {
 		return false
 	}
 	return s.excess(r.loadAt(s, now)) <= acceptable && s.waitAt(s.loadInGroup(now)) <= r.objective()
@@ -207,10 +207,10 @@
 	perExcess := s.group.expectedLatency() * float64(time.Second)
 	acceptable := r.acceptableExcess(s)
 	inGroup := r.objective().Seconds() / s.group.expectedLatency()
+	over := max(s.excess(r.loadAt(s, now))-acceptable, s.excess(s.loadInGroup(now))-inGroup, 0)
 	if r.yields() {
-		inGroup = min(inGroup, acceptable)
+		over = max(over, s.excess(s.lastingLoadInGroup(now))-acceptable)
 	}
-	over := max(s.excess(r.loadAt(s, now))-acceptable, s.excess(s.loadInGroup(now))-inGroup, 0)
 	return Grant{
 		Target: s.Target, Reason: Full, Load: s.load(now), Wait: b.expectedWait(s, now),
 		RoomIn: time.Duration(over * perExcess), QueueWait: time.Duration(max(acceptable, 0) * perExcess),
--- a/internal/affinity/group_test.go
+++ b/internal/affinity/group_test.go
@@ -99,3 +99,34 @@
 		t.Errorf("expected wait %v where answers take 900 ms and %v where they take 300 ms, want at least twice as long", slow, fast)
 	}
 }
+
+// An instance that gets few requests for a service hears too rarely to know its targets by
+// what each of them reported last.
+func TestRequestsYieldForLongerToALoadThatIsRarelyHeardOf(t *testing.T) {
+	b := newBalancer("a", "r1", newTargets(1, 6))
+	low := newRequest("o")
+	low.YieldTo, low.YieldShare = low.Objective, 1
+	now := time.Minute
+	for range 5 {
+		now += reportedLoadTTL
+		report(t, b, mustChoose(t, b, newRequest("o"), now), 24, now)
+	}
+	for _, c := range []struct {
+		name    string
+		r       Request
+		after   time.Duration
+		granted bool
+	}{
+		{"yields", low, 3 * time.Second, false},
+		{"yields, long after the last report", low, maxLasting, true},
+		{"does not yield", newRequest("o"), 3 * time.Second, true},
+	} {
+		g, ok := b.Choose(c.r, now+c.after)
+		if ok != c.granted {
+			t.Errorf("%s: granted %v", c.name, ok)
+		}
+		if ok {
+			b.Done(g, Report{Outcome: Abandoned}, now+c.after)
+		}
+	}
+}
