admission: requests with a long objective yield to much shorter ones of their priority

Cause: where only one priority asks for a service, a kind with a long objective kept the targets' queues longer than one with a short objective accepts. Change: requests compete by priority and then by objective (by factors of two). Within a priority a longer objective waits no longer in a queue than the shorter one accepts, as far as that is sent less often; none is halved. Ranks with few requests count together with the next ones. Requests still wait in a line only while priorities compete.

--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -28,7 +28,18 @@
 	highest = math.MinInt
 )
 
-// window is a time over which the requests of a priority are counted.
+// rank orders requests by who gives way to whom in the targets' queues: those of lower
+// priority to those of higher, and of the same priority those with a longer objective to those
+// with a much shorter one, which would find the queue too long otherwise.
+type rank struct{ priority, objective int }
+
+func rankOf(r Request) rank { return rank{r.Priority, scale(r.Objective)} }
+
+func compareRanks(a, b rank) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.objective, b.objective))
+}
+
+// window is a time over which the requests of a rank are counted.
 type window int
 
 const (
@@ -45,13 +56,13 @@
 	return lastingMemory
 }
 
-// claim is what requests of one priority ask of a service.
+// claim is what requests of one rank ask of a service.
 type claim struct {
 	counters  [windows]counter
 	askedAt   time.Duration // last request
-	priority  int
+	rank      rank
 	objective time.Duration // the shortest of those counted
-	// protection, 0 to 1, is how far requests of lower priority give way.
+	// protection, 0 to 1, is how far requests of lower ranks give way.
 	protection float64
 }
 
@@ -97,20 +108,20 @@
 	Share float64
 }
 
-// claims tells which priorities compete for a service; the highest priority comes first.
+// claims tells which ranks compete for a service; the highest one comes first.
 type claims map[string][]*claim
 
 // asked counts a request.
 func (c claims) asked(service string, r Request, now time.Duration) {
-	list := c[service]
-	i, known := slices.BinarySearchFunc(list, r.Priority, func(e *claim, p int) int { return cmp.Compare(e.priority, p) })
+	list, of := c[service], rankOf(r)
+	i, known := slices.BinarySearchFunc(list, of, compareClaim)
 	if !known {
 		list = slices.DeleteFunc(list, func(e *claim) bool {
 			e.decay(now)
 			return e.counters[recent].asked < 1 && now-e.askedAt > lastingMemory
 		})
-		i, _ = slices.BinarySearchFunc(list, r.Priority, func(e *claim, p int) int { return cmp.Compare(e.priority, p) })
-		list = slices.Insert(list, i, &claim{counters: [windows]counter{{at: now}, {at: now}}, priority: r.Priority, objective: r.Objective})
+		i, _ = slices.BinarySearchFunc(list, of, compareClaim)
+		list = slices.Insert(list, i, &claim{counters: [windows]counter{{at: now}, {at: now}}, rank: of, objective: r.Objective})
 		c[service] = list
 	}
 	c.protect(service, now)
@@ -126,19 +137,19 @@
 
 // sent counts a request that was sent.
 func (c claims) sent(service string, r Request, now time.Duration) {
-	for _, e := range c[service] {
-		if e.priority == r.Priority {
-			for w := range windows {
-				e.counters[w].sent++
-			}
-		}
+	i, known := slices.BinarySearchFunc(c[service], rankOf(r), compareClaim)
+	if !known {
+		return
+	}
+	for w := range windows {
+		c[service][i].counters[w].sent++
 	}
 }
 
-// protect ages the counts of a service, and updates the protection of each priority by what
+// protect ages the counts of a service, and updates the protection of each rank by what
 // its requests have got until now.
 func (c claims) protect(service string, now time.Duration) {
-	var lower [windows]float64 // largest share of the lower priorities
+	var lower [windows]float64 // largest share of the lower ranks
 	for _, e := range slices.Backward(c[service]) {
 		w := e.window()
 		step := float64(max(now-e.counters[w].at, 0)) / float64(balanceTime) * float64(shareMemory) / float64(w.memory())
@@ -156,20 +167,25 @@
 	}
 }
 
-// yield returns how far requests of a priority give way to the higher ones that ask for a
+// yield returns how far requests of a rank give way to the higher ones that ask for a
 // noticeable part of the service: by their protection, to the shortest of their objectives,
-// halved for each of them. Where few requests tell how often a higher one is sent, its
+// halved for each higher priority. Where few requests tell how often a higher one is sent, its
 // lower ones wait no longer than it does itself, even while it is not protected.
-func (c claims) yield(service string, priority int, now time.Duration) Yield {
+func (c claims) yield(service string, of rank, now time.Duration) Yield {
 	var y Yield
 	w, least := c.noticeable(service, now)
+	asked, halvedFor := 0.0, of.priority
 	for _, e := range c[service] {
-		if e.priority >= priority {
+		if compareRanks(e.rank, of) >= 0 {
 			break
 		}
-		if !e.asks(w, least, now) || e.objective <= 0 {
+		if e.objective <= 0 {
 			continue
 		}
+		if asked += e.asked(w, now); asked < least {
+			continue // those that are few count together with the next ones
+		}
+		asked = 0
 		if y.Objective == 0 || e.objective < y.Objective {
 			y.Objective = e.objective
 		}
@@ -177,7 +193,10 @@
 		if e.window() != recent {
 			step, share = 1-(1-yieldStep)*e.protection, 1
 		}
-		y.Objective = time.Duration(step * float64(y.Objective))
+		if e.rank.priority != halvedFor {
+			y.Objective = time.Duration(step * float64(y.Objective))
+			halvedFor = e.rank.priority
+		}
 		y.Share = max(y.Share, share)
 	}
 	return y
@@ -186,17 +205,21 @@
 // compete reports whether requests of different priority ask for a noticeable part of the
 // service each.
 func (c claims) compete(service string, now time.Duration) bool {
-	priorities := 0
 	w, least := c.noticeable(service, now)
-	for _, e := range c[service] {
-		if e.asks(w, least, now) {
+	priorities, asked := 0, 0.0
+	for i, e := range c[service] {
+		if i > 0 && c[service][i-1].rank.priority != e.rank.priority {
+			asked = 0
+		}
+		before := asked
+		if asked += e.asked(w, now); before < least && asked >= least {
 			priorities++
 		}
 	}
 	return priorities > 1
 }
 
-// noticeable returns from how many requests, counted in which window, a priority asks for
+// noticeable returns from how many requests, counted in which window, others ask for
 // a noticeable part of a service.
 func (c claims) noticeable(service string, now time.Duration) (window, float64) {
 	c.protect(service, now)
@@ -213,11 +236,16 @@
 	return w, max(minClaim*all[w], minClaimed)
 }
 
-// asks reports whether the priority has asked at least so often, and lately.
-func (e *claim) asks(w window, least float64, now time.Duration) bool {
-	return e.counters[w].asked >= least && now-e.askedAt <= lastingMemory
+// asked returns the number of requests in a window; 0 if the last one is long past.
+func (e *claim) asked(w window, now time.Duration) float64 {
+	if now-e.askedAt > lastingMemory {
+		return 0
+	}
+	return e.counters[w].asked
 }
 
+func compareClaim(e *claim, of rank) int { return compareRanks(e.rank, of) }
+
 // counter counts requests, those of the past less the older they are.
 type counter struct {
 	asked, sent float64
