gateway: log for whom a refused request gave way

Cause: a request that gives way is refused as full while its target's queue is shorter than its own objective would allow, and its log line did not say why. Measured: TestWaitingRequestThatCannotBeInTimeIsRefusedAsNotRun looks for it; without the line of code it fails there.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/turmericfield/turmericfield/internal/admission"
 	"github.com/turmericfield/turmericfield/internal/affinity"
 	"github.com/turmericfield/turmericfield/internal/callerserver"
 	"github.com/turmericfield/turmericfield/internal/clock"
@@ -98,9 +99,10 @@
 	pace               float64       // of the target at its last response; see affinity.Report
 	counted            bool          // in the shares by which starving requests are found
 	waited             time.Duration // for room at a target
-	attempts           int           // targets tried, including unreachable ones
-	withdrawnTargets   int           // targets chosen but not tried
-	possibleDeliveries int           // sends that may have reached a target
+	yield              admission.Yield
+	attempts           int // targets tried, including unreachable ones
+	withdrawnTargets   int // targets chosen but not tried
+	possibleDeliveries int // sends that may have reached a target
 	// unsentRetry is the service from whose budget a retry was taken that has not been
 	// sent; empty if there is none.
 	unsentRetry   string
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -162,10 +162,10 @@
 		c.counted = true
 		line.Asked(c.service, r, now)
 	}
-	yield := line.Yield(c.service, r, now)
+	c.yield = line.Yield(c.service, r, now)
 	grant, ok := c.balancer.Choose(affinity.Request{
 		Service: c.service, Object: object, ID: c.id, HomeRegions: c.homeRegions, Exclude: c.excluded,
-		Route: c.route.Name, Objective: c.route.LatencyObjective, Urgent: c.priority() <= urgentPriority, YieldTo: yield.Objective, YieldShare: yield.Share,
+		Route: c.route.Name, Objective: c.route.LatencyObjective, Urgent: c.priority() <= urgentPriority, YieldTo: c.yield.Objective, YieldShare: c.yield.Share,
 		TimeOfDay: time.Duration(time.Now().UnixNano()),
 	}, now)
 	c.grant = grant
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/admission"
 	"github.com/turmericfield/turmericfield/internal/affinity"
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/quota"
 )
 
@@ -123,6 +125,9 @@
 func TestWaitingRequestThatCannotBeInTimeIsRefusedAsNotRun(t *testing.T) {
 	target := newRawTarget(t, func(c *net.TCPConn, r received) bool { return write(c, success(r.id, "ok")) })
 	c := newCompetingCaller(t, target)
+	var out lineBuffer
+	logs := logging.New(&out, "info")
+	c.gateway.Log = logs.Part("gateway")
 	c.occupy()
 	began := time.Now()
 	answer := make(chan string, 1)
@@ -140,6 +145,12 @@
 	if n := target.requests.Load(); n != 0 {
 		t.Errorf("the target got %d requests", n)
 	}
+	if err := logs.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if log := out.String(); !strings.Contains(log, `"yields_to_ms":1000`) {
+		t.Errorf("the log does not say that the request gave way:\n%s", log)
+	}
 }
 
 func TestAnswerOfATargetLetsTheNextWaitingRequestTry(t *testing.T) {
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -193,6 +193,9 @@
 	if c.waited > 0 {
 		line = line.Int64("waited_ms", c.waited.Milliseconds())
 	}
+	if reason == string(affinity.Full) && c.yield.Share > 0 {
+		line = line.Int64("yields_to_ms", c.yield.Objective.Milliseconds())
+	}
 	if q := c.exceededQuota; q.Rate > 0 {
 		line = line.Float64("quota_rate", q.Rate).Int("quota_burst", q.Burst).Float64("quota_left", round(q.Left)).
 			Uint64("quota_taken", q.Taken).Bool("quota_hub", q.Hub).Int64("quota_age_ms", q.Age.Milliseconds())
