--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -1,9 +1,7 @@
 package admission
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -22,128 +20,6 @@
 	highest = math.MinInt
 )
 
-// claim is what requests of one priority ask of a service.
-type claim struct {
-	counter
-	priority  int
-	objective time.Duration // the shortest of those counted
-	// protection, 0 to 1, is how far requests of lower priority give way.
-	protection float64
-}
-
-const (
-	// minClaim is the part of a service's requests that those of a priority make up at least
-	// for lower ones to yield to them.
-	minClaim = 0.05
-	// minClaimed is the number of requests, of which those of the past count less, that a
-	// priority has at least for lower ones to yield to it.
-	minClaimed = 0.5
-	// yieldStep is the factor by which requests of each lower priority leave more room than
-	// those of the next higher one.
-	yieldStep = 0.5
-	// balanceTime is the time in which the protection of a priority rises from none to full
-	// while it is sent less often than a lower one, or falls back. Protecting it further would
-	// cost more requests than it saves, as the room that stays free is partly lost for all.
-	balanceTime = time.Second
-	// minLag is by how much less often, as a share of requests, that is.
-	minLag = 0.02
-)
-
-// Yield is how far a request gives way to those of higher priority at the same service.
-type Yield struct {
-	// Objective is the latency objective for which it leaves room in the targets' queues; 0 if
-	// there is nothing to give way to.
-	Objective time.Duration
-	// Share, 0 to 1, is by how much its own limit approaches the one that leaves that room.
-	Share float64
-}
-
-// claims tells which priorities compete for a service; the highest priority comes first.
-type claims map[string][]*claim
-
-// asked counts a request.
-func (c claims) asked(service string, r Request, now time.Duration) {
-	list := c[service]
-	i, known := slices.BinarySearchFunc(list, r.Priority, func(e *claim, p int) int { return cmp.Compare(e.priority, p) })
-	if !known {
-		list = slices.DeleteFunc(list, func(e *claim) bool { e.decay(now); return e.counter.asked < 1 })
-		i, _ = slices.BinarySearchFunc(list, r.Priority, func(e *claim, p int) int { return cmp.Compare(e.priority, p) })
-		list = slices.Insert(list, i, &claim{counter: counter{at: now}, priority: r.Priority, objective: r.Objective})
-		c[service] = list
-	}
-	c.protect(service, now)
-	list[i].counter.asked++
-	if r.Objective > 0 && (list[i].objective == 0 || r.Objective < list[i].objective) {
-		list[i].objective = r.Objective
-	}
-}
-
-// sent counts a request that was sent.
-func (c claims) sent(service string, r Request, now time.Duration) {
-	for _, e := range c[service] {
-		if e.priority == r.Priority {
-			e.counter.sent++
-		}
-	}
-}
-
-// protect ages the counts of a service, and updates the protection of each priority by what
-// its requests have got until now. It returns the number of all requests.
-func (c claims) protect(service string, now time.Duration) float64 {
-	all := 0.0
-	for _, e := range c[service] {
-		all += e.counter.asked
-	}
-	lower := 0.0 // largest share of the lower priorities
-	for _, e := range slices.Backward(c[service]) {
-		step := float64(max(now-e.at, 0)) / float64(balanceTime)
-		if e.counter.asked >= minCounted && e.share() < lower-minLag {
-			e.protection = min(e.protection+step, 1)
-		} else {
-			e.protection = max(e.protection-step, 0)
-		}
-		if e.counter.asked >= minCounted {
-			lower = max(lower, e.share())
-		}
-		e.decay(now)
-	}
-	return all
-}
-
-// yield returns how far requests of a priority give way: to the shortest objective of
-// the higher priorities, halved for each of them, if these ask for a noticeable part of the
-// service.
-func (c claims) yield(service string, priority int, now time.Duration) Yield {
-	all := c.protect(service, now)
-	var y Yield
-	for _, e := range c[service] {
-		if e.priority >= priority {
-			break
-		}
-		if e.counter.asked < max(minClaim*all, minClaimed) || e.objective <= 0 {
-			continue
-		}
-		if y.Objective == 0 || e.objective < y.Objective {
-			y.Objective = e.objective
-		}
-		y.Objective = time.Duration(yieldStep * float64(y.Objective))
-		y.Share = max(y.Share, e.protection)
-	}
-	return y
-}
-
-// compete reports whether requests of different priority ask for a noticeable part of the
-// service each.
-func (c claims) compete(service string, now time.Duration) bool {
-	all, priorities := c.protect(service, now), 0
-	for _, e := range c[service] {
-		if e.counter.asked >= max(minClaim*all, minClaimed) {
-			priorities++
-		}
-	}
-	return priorities > 1
-}
-
 // counter counts requests, those of the past less the older they are.
 type counter struct {
 	asked, sent float64
@@ -151,9 +27,9 @@
 }
 
 // decay ages the counts.
-func (c *counter) decay(now time.Duration) {
+func (c *counter) decay(memory, now time.Duration) {
 	if now > c.at {
-		f := math.Exp(-float64(now-c.at) / float64(shareMemory))
+		f := math.Exp(-float64(now-c.at) / float64(memory))
 		c.asked, c.sent, c.at = c.asked*f, c.sent*f, now
 	}
 }
@@ -195,14 +71,14 @@
 		c = &counter{at: now}
 		s.counters[key] = c
 	}
-	c.decay(now)
+	c.decay(shareMemory, now)
 	return c
 }
 
 // forget removes the counters that have become negligible.
 func (s *shares) forget(now time.Duration) {
 	for key, c := range s.counters {
-		if c.decay(now); c.asked < 1 {
+		if c.decay(shareMemory, now); c.asked < 1 {
 			delete(s.counters, key)
 		}
 	}
