lookup: instances are named by what they can carry

Cause: look-ups weighed links only, and named each instance with a probability of its own. An answer's length then varied, connections that callers keep gathered at instances that each answer names, and the cut to 64 addresses, in order of weight, left out narrow links altogether where more than 64 wide ones are.

Change: an entry has a capacity: cores of the processor, bounded by link and memory. internal/lookup draws answers of fixed length by systematic sampling, with probabilities that make shares proportional to capacity for callers' new and kept connections, and with each availability zone named by its part. Instances that are alike are named as before: all, or a simple random sample of 64; so are alike ones with narrow links, of which only some were named. Two instances are named at least. The order of hubs and followers stays that of the link's weight, so that all versions agree on it. Entries without a capacity are accepted and count as average; earlier versions ignore the field. What an instance carries now is left out: it would need writes or reports.

Ruled out: addresses named twice (callers may drop doubles); answers by caller (a look-up names none); longer answers (kept connections gather at large instances).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/gateway"
 	"github.com/turmericfield/turmericfield/internal/logging"
+	"github.com/turmericfield/turmericfield/internal/lookup"
 	"github.com/turmericfield/turmericfield/internal/metrics"
 	"github.com/turmericfield/turmericfield/internal/mirror"
 	"github.com/turmericfield/turmericfield/internal/platform"
@@ -98,6 +99,7 @@
 	MetricsListen string // IP:port of the metrics endpoint; empty for none
 	StoreAddress  string // IP:port
 
+	Processor          float64       // cores that the process may use; 0 if unknown
 	LinkMbps           float64       // bandwidth of the instance's network link; 0 if unknown
 	MemoryBytes        int64         // memory limit of the process; 0 for none
 	MaxRevocationDelay time.Duration // a withdrawn API key is refused at the latest this long after its withdrawal
@@ -112,6 +114,11 @@
 	LogLevel              string
 }
 
+// resources returns what decides on the instance's share of callers' requests.
+func (s Settings) resources() lookup.Resources {
+	return lookup.Resources{Processor: s.Processor, LinkMbps: s.LinkMbps, MemoryBytes: s.MemoryBytes}
+}
+
 // WatchWait returns how long the store may hold a watch call (a long poll) that has
 // no changes to return. A response confirms that the configuration was current when it
 // was requested, so the last confirmation is up to two such times old, or three through
@@ -280,7 +287,7 @@
 		defer func() { _ = server.Close() }() // the process is about to end
 		go func() { failed <- server.Serve(e.countLookups(address, l)) }()
 	}
-	e.log.Info().Str("instance", e.Name).Str("zone", e.AvailabilityZone).Str("listen", e.Listen).Msg("life: started")
+	e.log.Info().Str("instance", e.Name).Str("zone", e.AvailabilityZone).Str("listen", e.Listen).Float64("capacity", e.members.self.Capacity).Msg("life: started")
 	go e.follower.run(ctx)
 	go e.gateway.CloseIdleConnections(ctx)
 	go e.servePeers(ctx, peers)
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/lookup"
 	"github.com/turmericfield/turmericfield/internal/platform"
 )
 
@@ -32,8 +33,7 @@
 	// removal fails, the entry disappears when its lease expires.
 	deregisterTimeout = time.Second
 	// fullWeightLinkMbps is the link bandwidth that transfers a download of half a
-	// megabyte in about a tenth of a second. An instance with less has a lower weight
-	// and appears in fewer lookup results.
+	// megabyte in about a tenth of a second. An instance with less has a lower weight.
 	fullWeightLinkMbps = 50.0
 	// maxFlatFleet is the largest number of instances in a fleet in which all
 	// instances report their quota usage to the quota hub directly. Handling that
@@ -42,11 +42,6 @@
 	// maxDeparted is the number of instances that are remembered after their entries have
 	// gone from the store.
 	maxDeparted = 32
-	// minListed is the minimum number of instances in a lookup result, if the fleet
-	// has as many.
-	minListed = 2
-	// maxListed is the maximum number of instances in a lookup result.
-	maxListed = 64
 )
 
 // member is an instance's entry in the store, by which callers and other instances
@@ -57,9 +52,13 @@
 	PeerAddress      string `json:"peer_address"` // IP:port for other instances
 	AvailabilityZone string `json:"availability_zone"`
 	Region           string `json:"region"`
-	// Weight is the probability, from 0 to 1, with which a lookup result lists the
-	// instance. It is 1 if the link has at least fullWeightLinkMbps.
+	// Weight is 1 if the link has at least fullWeightLinkMbps, and less, but not below 0,
+	// if it is narrower. It decides the order of inRankOrder, on which instances of all
+	// versions must agree.
 	Weight float64 `json:"weight"`
+	// Capacity is how much the instance can carry in cores, see lookup.Resources. It is 0
+	// if an earlier version wrote the entry.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Configuration is the version of the configuration in force when the entry was
 	// written. It tells instances that start after the store came back as an older copy
 	// of versions that the store may lack.
@@ -76,7 +75,7 @@
 }
 
 // decodeMember decodes the entry of the instance with the given name and checks that it
-// can be used. Instances write all fields.
+// can be used. Instances write all fields; earlier versions write no capacity.
 func decodeMember(name string, value []byte) (member, error) {
 	var entry struct {
 		member
@@ -97,6 +96,8 @@
 		return m, errors.New("weight is missing")
 	case *entry.Weight < 0 || *entry.Weight > 1:
 		return m, errors.Newf("weight %g is not between 0 and 1", *entry.Weight)
+	case m.Capacity < 0 || m.Capacity > lookup.MaxCapacity:
+		return m, errors.Newf("capacity %g is not between 0 and %g", m.Capacity, lookup.MaxCapacity)
 	}
 	for _, address := range []string{m.Address, m.PeerAddress} {
 		if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
@@ -120,6 +121,7 @@
 	homeRegions func(host string) []config.RegionSet
 
 	mu      sync.Mutex
+	random  *rand.Rand
 	list    []member // the other instances, sorted by name
 	known   bool     // replace was called at least once
 	leaving bool     // this instance is shutting down
@@ -131,8 +133,12 @@
 func newMembers(s Settings, canServeKeys func() bool, homeRegions func(host string) []config.RegionSet) *members {
 	return &members{
 		canServeKeys: canServeKeys, homeRegions: homeRegions,
-		self: member{Name: s.Name, Address: s.Listen, PeerAddress: s.PeerListen, AvailabilityZone: s.AvailabilityZone, Region: s.Region, Weight: weight(s.LinkMbps)},
-		ttl:  min(lookupTTL, s.MaxLookupTTL),
+		self: member{
+			Name: s.Name, Address: s.Listen, PeerAddress: s.PeerListen, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
+			Weight: weight(s.LinkMbps), Capacity: s.resources().Capacity(),
+		},
+		ttl:    min(lookupTTL, s.MaxLookupTTL),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -317,7 +323,31 @@
 	if !m.known {
 		list = inRegions(list, []string{region})
 	}
-	return LookupResult{Addresses: sampleAddresses(suitable(list, region, homes)), TTL: m.ttl}
+	chooser := lookup.NewChooser(withCapacities(suitable(list, region, homes)))
+	return LookupResult{Addresses: chooser.Addresses(m.random), TTL: m.ttl}
+}
+
+// withCapacities returns the instances for a choice by capacity. One without a capacity
+// counts as an average one, or as less if its link is narrow.
+func withCapacities(list []member) []lookup.Instance {
+	sum, known := 0.0, 0
+	for _, instance := range list {
+		if instance.Capacity > 0 {
+			sum, known = sum+instance.Capacity, known+1
+		}
+	}
+	average := 1.0
+	if known > 0 {
+		average = sum / float64(known)
+	}
+	instances := make([]lookup.Instance, len(list))
+	for i, instance := range list {
+		instances[i] = lookup.Instance{Address: instance.Address, Zone: instance.AvailabilityZone, Capacity: instance.Capacity}
+		if instance.Capacity == 0 {
+			instances[i].Capacity = instance.Weight * average
+		}
+	}
+	return instances
 }
 
 // suitable returns the instances that callers in a region should use for a host with
@@ -362,23 +392,6 @@
 	return in
 }
 
-// sampleAddresses returns the addresses of a random sample of the instances, at most
-// maxListed of them, in order of falling weight. The minListed instances with the
-// highest weights are always in the sample. Each other instance is in it with a
-// probability equal to its weight, from 0 to 1. Instances of the same weight are in
-// random order.
-func sampleAddresses(list []member) []string {
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(a, b member) int { return cmp.Compare(b.Weight, a.Weight) })
-	var addresses []string
-	for _, instance := range list {
-		if len(addresses) < minListed || rand.Float64() < instance.Weight {
-			addresses = append(addresses, instance.Address)
-		}
-	}
-	return addresses[:min(len(addresses), maxListed)]
-}
-
 // register keeps this instance's entry in the store until the context ends, then
 // removes it from lookup results and from the store.
 func (e *Edge) register(ctx context.Context) {
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/turmericfield/turmericfield/internal/config"
+	"github.com/turmericfield/turmericfield/internal/lookup"
 )
 
 func noHomeRegions(string) []config.RegionSet { return nil }
@@ -195,7 +197,7 @@
 			}
 		}
 		got := m.lookup("host", caller).Addresses
-		if len(got) != min(want, maxListed) {
+		if len(got) != min(want, lookup.MaxNamed) {
 			t.Fatalf("%d instances are named, want %d of %d", len(got), want, len(usable))
 		}
 		named := map[string]bool{}
@@ -213,3 +215,71 @@
 		}
 	})
 }
+
+// lookupShares returns the share of the callers' new connections that each instance of the
+// region gets by look-ups at one of them.
+func lookupShares(m *members) map[string]float64 {
+	const answers = 20_000
+	shares := map[string]float64{}
+	for range answers {
+		addresses := m.lookup("host", m.self.Region).Addresses
+		for _, address := range addresses {
+			shares[address] += 1 / float64(len(addresses)) / answers
+		}
+	}
+	return shares
+}
+
+func TestLookupGivesInstancesTheirPartOfTheRegionsCapacity(t *testing.T) {
+	m := newMembers(Settings{Name: "i0", Listen: "i0", AvailabilityZone: "a1", Region: "a", Processor: 0.8, LinkMbps: 200, MemoryBytes: 536 << 20}, func() bool { return true }, noHomeRegions)
+	m.random = rand.New(rand.NewPCG(1, 1))
+	list, sum := []member{m.self}, m.self.Capacity
+	for i := range 8 {
+		name := fmt.Sprint("i", i+1)
+		list = append(list, member{Name: name, Address: name, AvailabilityZone: fmt.Sprint("a", i%2+1), Region: "a", Weight: 0.2, Capacity: 0.16 * float64(1+i%3)})
+		sum += list[i+1].Capacity
+	}
+	m.replace(append(list, member{Name: "b", Address: "b", AvailabilityZone: "b1", Region: "b", Weight: 1, Capacity: 16}))
+	shares := lookupShares(m)
+	for _, instance := range list {
+		if got, want := shares[instance.Address], instance.Capacity/sum; got < 0.9*want || got > 1.1*want {
+			t.Errorf("%s of capacity %g: share %.3f, want %.3f within a tenth", instance.Name, instance.Capacity, got, want)
+		}
+	}
+}
+
+// While versions run side by side, instances whose capacity is unknown get requests like an
+// average one, or fewer with a narrow link.
+func TestInstancesOfEarlierVersionsGetRequestsLikeAverageOnes(t *testing.T) {
+	m := newMembers(Settings{Name: "i0", Listen: "i0", AvailabilityZone: "a1", Region: "a", Processor: 0.16}, func() bool { return true }, noHomeRegions)
+	m.random = rand.New(rand.NewPCG(1, 1))
+	list, want := []member{m.self}, []float64{0.16}
+	for i, instance := range []member{
+		{Weight: 1, Capacity: 0.16}, {Weight: 1, Capacity: 0.64}, {Weight: 1, Capacity: 0.64}, {Weight: 1}, {Weight: 1}, {Weight: 0.2}, {Weight: 0.2},
+	} {
+		instance.Name, instance.Region, instance.AvailabilityZone = fmt.Sprint("i", i+1), "a", "a1"
+		instance.Address = instance.Name
+		list = append(list, instance)
+	}
+	want = append(want, 0.16, 0.64, 0.64, 0.4, 0.4, 0.08, 0.08)
+	m.replace(list)
+	shares := lookupShares(m)
+	for i, instance := range list {
+		if got, part := shares[instance.Address], want[i]/2.56; got < 0.85*part || got > 1.15*part {
+			t.Errorf("%+v: share %.3f, want about %.3f", instance, got, part)
+		}
+	}
+}
+
+// Instances of earlier versions know no capacities, and all must agree on the order.
+func TestCapacityDoesNotChangeTheRankOrder(t *testing.T) {
+	m := fleetOf(12)
+	before, _, _ := m.rankedNames()
+	for i := range m.list {
+		m.list[i].Capacity = float64(i)
+	}
+	m.self.Capacity = 0.16
+	if after, _, _ := m.rankedNames(); !slices.Equal(before, after) {
+		t.Errorf("got %q, want %q", after, before)
+	}
+}
