gateway: a caller that does not read its response does not hold the target

Cause: a response of over 128 KiB was read from its target only as its caller took it. A caller that took nothing held the target until the request's deadline, or until the target cut the response off.

Change: what a caller has not taken for 0.25 s is read on and held within the bound of all callers' bytes, so that the target's connection is free for other requests. Where no more may be held, the response is broken off after 2 s. What is held ends at the deadline. Bytes of requests in flight to a target are not counted: nothing tells a target's memory.

With the change a 24 MiB response is taken from its target within 2 s, arrives whole once the caller reads on, and the connection is reused.

--- a/internal/callerserver/ahead.go
+++ b/internal/callerserver/ahead.go
@@ -54,6 +54,18 @@
 	a.count()
 }
 
+// tryHold is holdFor for n more bytes, if the connection may hold them.
+func (a *aheadConn) tryHold(n int64) bool {
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
+	if a.dropped || !a.conn.allowed(n) {
+		return false
+	}
+	a.handler += n
+	a.count()
+	return true
+}
+
 // wake makes reads and writes look again at what they wait for.
 func (a *aheadConn) wake() {
 	a.readable.Broadcast()
--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -271,6 +271,13 @@
 	c.server.mu.Unlock()
 }
 
+// reserveFor holds n more bytes for the sake of a handler if that is allowed.
+func (c *conn) reserveFor(n int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed && c.reserve(n)
+}
+
 // hold changes what the connection holds of the budget once pump reads it.
 func (c *conn) hold(n int64) {
 	if !c.piping {
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -181,6 +181,22 @@
 	return func() { c.holdFor(int64(-bytes)) }
 }
 
+// TryHold is Hold for bytes that need not be held: they are counted only if the connection
+// may hold so many more. Those of other servers' requests may not.
+func TryHold(r *http.Request, bytes int) (release func(), ok bool) {
+	switch c := r.Context().Value(contextKey{}).(type) {
+	case *conn:
+		if c.reserveFor(int64(bytes)) {
+			return func() { c.holdFor(int64(-bytes)) }, true
+		}
+	case *aheadConn:
+		if c.tryHold(int64(bytes)) {
+			return func() { c.holdFor(int64(-bytes)) }, true
+		}
+	}
+	return nil, false
+}
+
 func (s *Server) onConnState(c net.Conn, state http.ConnState) {
 	switch c := c.(type) {
 	case *conn:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -108,6 +108,7 @@
 	mayHaveRun    bool         // whether a target may have run the request
 	callerLeft    bool         // whether the caller had left at the end of the last attempt
 	exceededQuota quota.Status // state of the workspace's quota, if it refused the request; for the log
+	unreadHeld    int          // bytes of the response that were held while the caller took none
 	// errorResponse is a target's 5xx response that is kept while another
 	// target is tried. It is returned to the caller if no other target gives a
 	// response.
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"math"
 	"net/http"
@@ -90,17 +91,39 @@
 		h.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	c.writer.WriteHeader(response.StatusCode)
-	_, err := c.writer.Write(x.body)
-	if err == nil {
-		_, err = io.Copy(c.writer, response.Body)
-	}
-	c.recordAnswered(response.StatusCode, err)
-	if err != nil {
-		x.discard()
+	if whole, err := c.passOn(x); err != nil {
+		c.recordAnswered(response.StatusCode, err)
+		if !whole {
+			x.discard()
+		}
 		c.abortResponse()
 		return
 	}
-	c.finish(x)
+	c.recordAnswered(response.StatusCode, nil)
+}
+
+// passOn writes the body of a long response to the caller. If it has been read to its end,
+// which whole reports, the exchange is finished. At the deadline it ends also for a caller
+// that has yet to take what is held.
+func (c *call) passOn(x *exchange) (whole bool, err error) {
+	hold := func(bytes int) (func(), bool) { return callerserver.TryHold(c.request, bytes) }
+	body := newUnreadBody(x.body, x.response.Body, hold, func() { c.finish(x) }, func() { _ = x.conn.Close() })
+	// The context also ends when the reading of a streamed request body is interrupted.
+	timer := time.AfterFunc(c.remaining(), func() { body.end(context.DeadlineExceeded) })
+	_, err = io.Copy(c.writer, body)
+	timer.Stop()
+	if whole = body.end(io.ErrClosedPipe); !whole {
+		_ = x.conn.Close() // ends the read of a body that the caller does not get
+	}
+	<-body.done
+	c.unreadHeld = body.held * pieceSize
+	if body.held > 0 {
+		c.Metrics.Add("answers_held_unread_total", 1)
+	}
+	if body.brokenOff {
+		c.Metrics.Add("answers_unread_broken_off_total", 1)
+	}
+	return whole, err
 }
 
 // abortResponse ends the caller's connection so that a cut response does not look complete.
@@ -213,6 +236,9 @@
 		line = line.Str("target", c.grant.Target.ID).Str("zone", c.grant.Target.AvailabilityZone).Str("region", c.grant.Target.Region).
 			Str("placement", string(c.grant.Reason)).Float64("load", c.grant.Load).Int("attempt", c.attempts)
 	}
+	if c.unreadHeld > 0 {
+		line = line.Int("held_unread_bytes", c.unreadHeld)
+	}
 	if callerserver.Ahead(c.request) || c.age >= time.Millisecond {
 		line = line.Bool("ahead", callerserver.Ahead(c.request)).Int64("age_ms", c.age.Milliseconds())
 	}
