callerserver: the connection that holds most is named

Cause: when callers' connections had used up what may be held for them, only a counter told it; which caller was the reason could not be seen.

Change: when a connection is refused more, the address and bytes of the one that holds most are logged, once a second at most. A gauge has its bytes. The bytes of a connection are guarded by the server's lock, as the sum is.

Result: with one caller that reads ahead much and five small ones, each line names the former, and the small ones' requests still start ahead and are answered.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -71,7 +71,7 @@
 	busyAhead    bool  // whether the connection is not idle only because of queue
 	inOrder      bool  // whether the next request in unread waits for its turn
 	readErr      error // end of the stream
-	held         int64 // bytes of the server's budget
+	held         int64 // bytes of the server's budget; guarded by the server's lock
 	flushing     bool  // whether output of queue[0] is being written
 	closeAtEnd   bool  // whether to close once the queue is empty
 	closed       bool
@@ -265,8 +265,8 @@
 func (c *conn) holdFor(n int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.held += n
 	c.server.mu.Lock()
+	c.held += n
 	c.server.budget.change(n)
 	c.server.mu.Unlock()
 }
@@ -283,8 +283,8 @@
 	if !c.piping {
 		return // at most a byte
 	}
-	c.held += n
 	c.server.mu.Lock()
+	c.held += n
 	c.server.budget.change(n)
 	c.server.mu.Unlock()
 }
@@ -315,6 +315,7 @@
 func (c *conn) noteAllowed(ok bool) {
 	if !ok && !c.refusedCount {
 		c.server.Metrics.Add("caller_read_ahead_refused_total", 1)
+		c.server.nameLargest(time.Now())
 	}
 	c.refusedCount = !ok
 }
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
 
 	"github.com/turmericfield/turmericfield/internal/metrics"
 )
@@ -32,6 +33,8 @@
 	defaultHeaderBytes = http.DefaultMaxHeaderBytes
 	// minHold is the number of bytes from which on Hold counts.
 	minHold = 4 << 10
+	// nameInterval is the least time between two log lines that name the largest holder.
+	nameInterval = time.Second
 	// startBacklog bounds the requests that were started and not yet taken up.
 	startBacklog = 256
 )
@@ -51,6 +54,7 @@
 	// ConnState is told when a connection is new, active, idle and closed, as by net/http.
 	ConnState func(net.Conn, http.ConnState)
 	Metrics   *metrics.Set
+	Log       *log.Logger // may be nil
 }
 
 // Server serves callers' connections.
@@ -68,6 +72,8 @@
 	mu        sync.Mutex // guards the following; taken after a connection's lock
 	budget    budget
 	listeners []net.Listener
+	conns     map[*conn]struct{} // open ones
+	namedAt   time.Time          // when the largest holder was logged last
 }
 
 // New returns a server that does not serve yet.
@@ -76,13 +82,19 @@
 	if memory <= 0 {
 		memory = defaultMemoryBytes
 	}
-	s := &Server{Options: o, ahead: &aheadListener{started: make(chan net.Conn, startBacklog), closed: make(chan struct{})}, budget: budget{limit: memory / memoryShare}}
+	s := &Server{Options: o, ahead: &aheadListener{started: make(chan net.Conn, startBacklog), closed: make(chan struct{})}, budget: budget{limit: memory / memoryShare}, conns: map[*conn]struct{}{}}
 	s.http = http.Server{
 		Handler: s, ReadHeaderTimeout: o.ReadHeaderTimeout, MaxHeaderBytes: o.MaxHeaderBytes, ConnState: s.onConnState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, contextKey{}, c) },
 	}
 	o.Metrics.Gauge("caller_connections_read_ahead", s.piping.Load)
 	o.Metrics.Gauge("caller_bytes_held", s.held)
+	o.Metrics.Gauge("caller_bytes_held_by_largest", func() int64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_, bytes := s.largest()
+		return bytes
+	})
 	return s
 }
 
@@ -200,6 +212,7 @@
 func (s *Server) onConnState(c net.Conn, state http.ConnState) {
 	switch c := c.(type) {
 	case *conn:
+		s.track(c, state)
 		c.onState(state)
 	case *aheadConn:
 		if state == http.StateIdle {
@@ -208,6 +221,46 @@
 	}
 }
 
+// track keeps the set of open connections.
+func (s *Server) track(c *conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns[c] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+	}
+}
+
+// largest returns the connection for which the most is held, or nil, and how many bytes. The
+// caller holds the lock.
+func (s *Server) largest() (holder *conn, bytes int64) {
+	for c := range s.conns {
+		if c.held > bytes {
+			holder, bytes = c, c.held
+		}
+	}
+	return holder, bytes
+}
+
+// nameLargest logs the largest holder, which is the first that may hold no more.
+func (s *Server) nameLargest(now time.Time) {
+	s.mu.Lock()
+	if s.Log == nil || !s.namedAt.IsZero() && now.Sub(s.namedAt) < nameInterval {
+		s.mu.Unlock()
+		return
+	}
+	s.namedAt = now
+	c, bytes := s.largest()
+	held, limit := s.budget.held, s.budget.limit
+	s.mu.Unlock()
+	if c != nil {
+		s.Log.Warn().Str("caller", c.RemoteAddr().String()).Int64("bytes", bytes).Int64("held", held).Int64("limit", limit).
+			Msg("callers: a connection may hold no more; largest holder")
+	}
+}
+
 // held returns the bytes that are held for callers.
 func (s *Server) held() int64 {
 	s.mu.Lock()
--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/metrics"
 )
 
@@ -643,6 +644,69 @@
 	c.expect("/safe/1", "/safe/2", "/safe/3")
 }
 
+func TestLargestHolderIsNamed(t *testing.T) {
+	const memory = 16 << 20
+	var out bytes.Buffer
+	logs := logging.New(&out, "info")
+	s := newTestServer(t, func(o *Options) { o.MemoryBytes, o.Log = memory, logs.Part("callers") })
+	paths := func(name string, n int) (list []string) {
+		for i := range n {
+			list = append(list, fmt.Sprint("/safe/", name, i))
+		}
+		return list
+	}
+	var small []*testCaller
+	for i := range 5 {
+		c := s.dial()
+		first := fmt.Sprint("/safe/first", i)
+		c.send(get(first))
+		s.waitStarted(first)
+		c.send(get(paths(fmt.Sprint("small", i, "-"), 3)...))
+		small = append(small, c)
+	}
+	greedy := s.dial()
+	greedy.send(get("/safe/first"))
+	s.waitStarted("/safe/first")
+	s.release(paths("big", 60)...)
+	begin := time.Now()
+	greedy.send(get(paths("big", 60)...))
+	refused := func() bool { return strings.Contains(s.server.Metrics.Text(), "caller_read_ahead_refused_total") }
+	for end := time.Now().Add(patience); !refused(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the greedy caller may hold everything")
+		}
+	}
+	for i := range small { // they still run ahead
+		s.waitStarted(paths(fmt.Sprint("small", i, "-"), 3)...)
+	}
+	var largest int64
+	for line := range strings.Lines(s.server.Metrics.Text()) {
+		_, _ = fmt.Sscanf(line, "turmericfield_caller_bytes_held_by_largest %d", &largest) // most lines are others
+	}
+	if largest < memory/memoryShare/3 || largest > s.server.held() {
+		t.Errorf("the largest holds %d of %d bytes", largest, s.server.held())
+	}
+	s.server.nameLargest(time.Now())
+	early := time.Since(begin) < nameInterval
+	s.server.nameLargest(time.Now().Add(nameInterval))
+	if err := logs.Close(); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if early && len(lines) != 2 {
+		t.Errorf("%d lines, want two, which are an interval apart", len(lines))
+	}
+	for _, line := range lines {
+		if !strings.Contains(line, fmt.Sprintf(`"caller":%q`, greedy.LocalAddr())) || !strings.Contains(line, `"limit":2097152`) {
+			t.Errorf("does not name the greedy caller %v: %s", greedy.LocalAddr(), line)
+		}
+	}
+	s.release("*")
+	for i, c := range small {
+		c.expect(append([]string{fmt.Sprint("/safe/first", i)}, paths(fmt.Sprint("small", i, "-"), 3)...)...)
+	}
+}
+
 // heldSize is the size in bytes of the responses that the handler counts by Hold.
 const heldSize = 127 << 10
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -323,6 +323,7 @@
 	options := callerserver.Options{
 		Handler: e.gateway, Concurrent: e.gateway.RunsConcurrently, ReadHeaderTimeout: defaultHeaderTimeout,
 		MemoryBytes: e.MemoryBytes, ResponseBytes: gateway.MaxResponseBytes, ConnState: idle.onConnState, Metrics: e.metrics,
+		Log: e.logs.Part("callers"),
 	}
 	if t := e.gateway.Table(); t != nil {
 		options.MaxHeaderBytes = t.Limits.HeaderBytes
