callerserver: an empty line before a request does not age it

Cause: some callers send an empty line behind a body. The next request's age was counted from it, so that a request sent later began with most of its time used up.

Change: the age counts from the first byte of the request line.

Result: a request sent 300 ms behind an empty line had an age of 400 ms after 100 ms; the new test fails without the change, on a connection with and without requests ahead.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -174,7 +174,7 @@
 		c.takeOver(nil, now)
 		return c.readPiped(p)
 	}
-	if !c.framer.begun() && early == 0 {
+	if !c.framer.lineBegun() && early == 0 {
 		c.firstAt = now
 	}
 	used, malformed := c.framer.feed(p[:n])
@@ -241,13 +241,18 @@
 }
 
 // take removes n bytes that a request has taken from the unread ones and returns when the
-// first of them was read.
+// first of them was read, without empty lines before it.
 func (c *conn) take(n int) time.Time {
-	first := 0
-	for first+1 < len(c.marks) && c.marks[first+1].offset <= c.offset {
-		first++
+	begin := c.offset + int64(n-len(bytes.TrimLeft(c.unread[:n], "\r\n")))
+	first, at := 0, c.marks[0].at
+	for i, m := range c.marks {
+		if m.offset <= c.offset {
+			first = i
+		}
+		if m.offset <= begin {
+			at = m.at
+		}
 	}
-	at := c.marks[first].at
 	c.marks = slices.Delete(c.marks, 0, first)
 	c.offset += int64(n)
 	if c.unread = c.unread[n:]; len(c.unread) == 0 {
@@ -343,10 +348,14 @@
 			return 0, c.readErr // a caller that left gets no further requests served
 		case !c.framer.done() && len(c.unread) > 0 && (!fresh || len(c.queue) == 0):
 			n := copy(p, c.unread)
+			first := !c.framer.lineBegun()
 			used, malformed := c.framer.feed(p[:n])
 			at := c.take(used)
+			if first {
+				c.firstAt = at
+			}
 			if fresh {
-				c.firstAt, c.inOrder = at, false
+				c.inOrder = false
 			}
 			if malformed != nil {
 				return 0, c.refuse()
--- a/internal/callerserver/framer.go
+++ b/internal/callerserver/framer.go
@@ -50,6 +50,10 @@
 // begun reports whether the message has had a byte.
 func (f *framer) begun() bool { return f.headSize > 0 }
 
+// lineBegun reports whether the message has had a byte of its first line, apart from empty
+// lines before it.
+func (f *framer) lineBegun() bool { return f.lines > 0 || len(f.line) > 0 && f.line[0] != '\r' }
+
 // done reports whether the message is complete.
 func (f *framer) done() bool { return f.section == complete }
 
--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -600,6 +600,37 @@
 	}
 }
 
+// Some callers send an empty line behind a body. It belongs to no request.
+func TestAgeDoesNotCountFromAnEmptyLine(t *testing.T) {
+	for _, piped := range []bool{false, true} {
+		s := newTestServer(t, nil)
+		s.release("*")
+		c := s.dial()
+		if piped {
+			s.release("*")
+			c.send(get("/safe/1", "/safe/2", "/safe/3"))
+			c.expect("/safe/1", "/safe/2", "/safe/3")
+		}
+		c.send("POST /once/4 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+		if status, body, err := c.response(); status != 200 || body != "/once/4 x" || err != nil {
+			t.Fatal(status, body, err)
+		}
+		c.send("\r\n")
+		time.Sleep(300 * time.Millisecond)
+		begin := time.Now()
+		c.send("GET /once/5 ")
+		time.Sleep(100 * time.Millisecond)
+		c.send(get("")[len("GET  "):])
+		c.expect("/once/5")
+		longest := time.Since(begin)
+		s.mu.Lock()
+		if age := s.ages["/once/5"]; age < 90*time.Millisecond || age > longest {
+			t.Errorf("piped %v: age %v", piped, age)
+		}
+		s.mu.Unlock()
+	}
+}
+
 func TestIdleOnlyWhenAllAreAnswered(t *testing.T) {
 	s := newTestServer(t, nil)
 	c := s.dial()
