callerserver: requests start ahead as soon as they may

Cause: a complete request that had not been started, as 64 were running or too much was held, was only tried again when further bytes of its connection arrived or its turn came: the goroutine that reads the connection waited in a read, and bytes that other connections gave back woke nobody.

Change: the next request is tried when one of its connection is answered. Connections that were refused room try again 20 ms after bytes are given back.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -125,6 +125,7 @@
 		c.serving, c.request, c.framer = false, nil, newFramer()
 		if c.order.running > 0 {
 			c.order.answered(false)
+			c.startAhead()
 		}
 		c.advance()
 		if c.busyAhead = len(c.queue) > 0; c.busyAhead {
@@ -270,10 +271,7 @@
 func (c *conn) holdFor(n int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.server.mu.Lock()
-	c.held += n
-	c.server.budget.change(n)
-	c.server.mu.Unlock()
+	c.server.changeHeld(c, n)
 }
 
 // reserveFor holds n more bytes for the sake of a handler if that is allowed.
@@ -288,10 +286,7 @@
 	if !c.piping {
 		return // at most a byte
 	}
-	c.server.mu.Lock()
-	c.held += n
-	c.server.budget.change(n)
-	c.server.mu.Unlock()
+	c.server.changeHeld(c, n)
 }
 
 // allowed reports whether the connection may hold need more bytes.
@@ -603,6 +598,7 @@
 		// The handler may hold the request's body beside its response.
 		spare, cost := int64(size+c.server.ResponseBytes), requestCost+int64(size)
 		if !c.reserve(cost + spare) {
+			c.server.wantRoom(c, cost+spare)
 			return
 		}
 		a := &aheadConn{conn: c, data: bytes.Clone(c.unread[:size]), held: cost + spare, cost: cost, spare: spare, counted: spare}
@@ -693,6 +689,7 @@
 			_ = c.finish() // nobody can be told of an error
 			return
 		}
+		c.startAhead() // pump may wait for further bytes
 		c.poke()
 	}
 	if len(c.queue) == 0 {
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -35,6 +35,9 @@
 	minHold = 4 << 10
 	// nameInterval is the least time between two log lines that name the largest holder.
 	nameInterval = time.Second
+	// retryDelay is the time from when bytes are given back until connections that wanted
+	// room for a further request try again.
+	retryDelay = 20 * time.Millisecond
 	// startBacklog bounds the requests that were started and not yet taken up.
 	startBacklog = 256
 )
@@ -74,6 +77,8 @@
 	listeners []net.Listener
 	conns     map[*conn]struct{} // open ones
 	namedAt   time.Time          // when the largest holder was logged last
+	wanting   map[*conn]struct{} // have a request that may start once there is room
+	retrying  bool               // whether retry is due
 }
 
 // New returns a server that does not serve yet.
@@ -82,7 +87,7 @@
 	if memory <= 0 {
 		memory = defaultMemoryBytes
 	}
-	s := &Server{Options: o, ahead: &aheadListener{started: make(chan net.Conn, startBacklog), closed: make(chan struct{})}, budget: budget{limit: memory / memoryShare}, conns: map[*conn]struct{}{}}
+	s := &Server{Options: o, ahead: &aheadListener{started: make(chan net.Conn, startBacklog), closed: make(chan struct{})}, budget: budget{limit: memory / memoryShare}, conns: map[*conn]struct{}{}, wanting: map[*conn]struct{}{}}
 	s.http = http.Server{
 		Handler: s, ReadHeaderTimeout: o.ReadHeaderTimeout, MaxHeaderBytes: o.MaxHeaderBytes, ConnState: s.onConnState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, contextKey{}, c) },
@@ -230,6 +235,50 @@
 		s.conns[c] = struct{}{}
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, c)
+		delete(s.wanting, c)
+	}
+}
+
+// changeHeld changes what a connection holds.
+func (s *Server) changeHeld(c *conn, n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.held += n
+	s.budget.change(n)
+	if n < 0 && len(s.wanting) > 0 {
+		s.retrySoon()
+	}
+}
+
+// wantRoom makes the connection try again to start a request once bytes are given back, as
+// it was refused need bytes.
+func (s *Server) wantRoom(c *conn, need int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wanting[c] = struct{}{}
+	if s.budget.allows(c.held, need) {
+		s.retrySoon() // given back since it was refused
+	}
+}
+
+// retrySoon makes retry run once. The caller holds the lock.
+func (s *Server) retrySoon() {
+	if !s.retrying {
+		s.retrying = true
+		time.AfterFunc(retryDelay, s.retry)
+	}
+}
+
+// retry lets the connections that want room try again, in no order.
+func (s *Server) retry() {
+	s.mu.Lock()
+	wanting := s.wanting
+	s.wanting, s.retrying = map[*conn]struct{}{}, false
+	s.mu.Unlock()
+	for c := range wanting {
+		c.mu.Lock()
+		c.startAhead()
+		c.mu.Unlock()
 	}
 }
 
--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -294,6 +294,63 @@
 	c.expect(paths...)
 }
 
+func TestNextRequestStartsOnceOneIsAnswered(t *testing.T) {
+	s := newTestServer(t, nil)
+	c := s.dial()
+	var paths []string
+	for i := range maxAhead + 4 {
+		paths = append(paths, fmt.Sprint("/safe/", i))
+	}
+	c.send(get(paths...))
+	s.waitStarted(paths[:maxAhead]...)
+	s.startedNow() // by now all is read
+	for i := range 3 {
+		s.release(paths[i])
+		s.waitStarted(paths[maxAhead+i])
+	}
+	s.release("*")
+	c.expect(paths...)
+}
+
+func TestRequestStartsAheadOnceOtherConnectionsLeaveRoom(t *testing.T) {
+	s := newTestServer(t, func(o *Options) { o.MemoryBytes, o.ResponseBytes = 16<<20, 128<<10 })
+	var held []string
+	var others []*testCaller
+	for i := range 12 {
+		c := s.dial()
+		c.send(get(fmt.Sprint("/safe/first", i)))
+		s.waitStarted(fmt.Sprint("/safe/first", i))
+		others = append(others, c)
+	}
+	for range 20 {
+		held = append(held, "/safe/held")
+	}
+	s.release("/safe/held")
+	for _, c := range others {
+		c.send(get(held...))
+	}
+	s.startedNow()
+	c := s.dial()
+	c.send(get("/safe/mine"))
+	s.waitStarted("/safe/mine")
+	c.send(get("/safe/late"))
+	if slices.Contains(s.startedNow(), "/safe/late") {
+		t.Fatal("there is room for one more request")
+	}
+	for i, o := range others {
+		s.release(fmt.Sprint("/safe/first", i))
+		o.expect(fmt.Sprint("/safe/first", i))
+		for range held {
+			if _, body, err := o.response(); err != nil || !strings.HasSuffix(body, "/safe/held ") {
+				t.Fatalf("%d bytes, %v", len(body), err)
+			}
+		}
+	}
+	s.waitStarted("/safe/late")
+	s.release("*")
+	c.expect("/safe/mine", "/safe/late")
+}
+
 func TestCallerLeavesWithRequestsQueued(t *testing.T) {
 	for name, behind := range map[string]string{
 		"little behind":        get("/safe/2", "/safe/3", "/once/4"),
