gateway: a request that is not repeatable any more does not run ahead

Cause: whether a request may run beside others of its connection was decided by the configuration in force when it was read. If another one came before its handler, or while it waited, a request that must not be repeated could be sent ahead of its turn. Callers send requests behind a cut response again, whatever their kind.

Change: such a request is refused as not run, with Retry-After.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/turmericfield/turmericfield/internal/callerserver"
 	"github.com/turmericfield/turmericfield/internal/clock"
 	"github.com/turmericfield/turmericfield/internal/quota"
 )
@@ -39,7 +40,9 @@
 	return c.takeQuota()
 }
 
-// resolveRoute makes the call follow the configuration in force and finds its route.
+// resolveRoute makes the call follow the configuration in force and finds its route. A
+// request that runs ahead of its turn by another configuration and may not by this one is
+// refused: the caller may send it again if its connection ends before its turn.
 func (c *call) resolveRoute() *refusal {
 	c.table = c.Table()
 	if c.table == nil {
@@ -48,6 +51,9 @@
 	if c.route = c.table.Route(c.request.Host, c.request.URL.EscapedPath()); c.route == nil {
 		return c.deny(http.StatusNotFound, "no-route")
 	}
+	if !c.route.Repeatable && callerserver.Ahead(c.request) {
+		return &refusal{http.StatusServiceUnavailable, "ahead-of-its-turn", retryAfterRejected}
+	}
 	return nil
 }
 
--- a/internal/gateway/faulty_target_test.go
+++ b/internal/gateway/faulty_target_test.go
@@ -94,11 +94,11 @@
 const testTimeout = 5 * time.Second // of the routes of newCaller but /short/
 
 func newCaller(tb testing.TB, targets ...*rawTarget) *caller {
-	return newCallerWithMemory(tb, 0, targets...)
+	return newCallerWith(tb, func(*callerserver.Options) {}, targets...)
 }
 
-// newCallerWithMemory is newCaller with the memory of the instance in bytes, 0 for the default.
-func newCallerWithMemory(tb testing.TB, memory int64, targets ...*rawTarget) *caller {
+// newCallerWith is newCaller with other options of the server.
+func newCallerWith(tb testing.TB, change func(*callerserver.Options), targets ...*rawTarget) *caller {
 	g := New(Options{
 		HeaderNames: testHeaders, Region: "r", RegionCount: 1, MaxKeyStaleness: 1 << 62, RetryRatio: 1, RetryExtra: 1000,
 		Metrics: metrics.New(), Log: logging.New(io.Discard, "error").Part("gateway"),
@@ -116,7 +116,9 @@
 		Routes: []config.Route{route("once", false, testTimeout), route("safe", true, testTimeout), route("short", false, time.Second)},
 	}))
 	register(g, 1, targets)
-	server := callerserver.New(callerserver.Options{Handler: g, Concurrent: g.RunsConcurrently, MemoryBytes: memory, ResponseBytes: MaxResponseBytes, Metrics: g.Metrics})
+	options := callerserver.Options{Handler: g, Concurrent: g.RunsConcurrently, ResponseBytes: MaxResponseBytes, Metrics: g.Metrics}
+	change(&options)
+	server := callerserver.New(options)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
--- a/internal/gateway/pipeline_test.go
+++ b/internal/gateway/pipeline_test.go
@@ -10,6 +10,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/turmericfield/turmericfield/internal/callerserver"
+	"github.com/turmericfield/turmericfield/internal/config"
 )
 
 // pipeline sends requests for the paths on one connection without waiting for responses.
@@ -244,3 +247,51 @@
 		t.Errorf("%d requests reached the target, one of them too late", n)
 	}
 }
+
+// The configuration changes between the decision that a request may run beside others and
+// its handler.
+func TestRequestThatIsNotRepeatableAnyMoreDoesNotRunAhead(t *testing.T) {
+	t.Parallel()
+	answer := make(chan struct{})
+	var ahead atomic.Int32
+	target := newRawTarget(t, func(c *net.TCPConn, r received) bool {
+		if r.path == "/safe/1" {
+			<-answer
+		} else if r.path == "/safe/2" {
+			ahead.Add(1)
+		}
+		return write(c, success(r.id, r.path))
+	})
+	call := newCallerWith(t, func(o *callerserver.Options) {
+		next := o.Handler
+		o.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if g := next.(*Gateway); callerserver.Ahead(r) {
+				g.SetTable(config.NewRoutingTable(config.RoutingTableSource{Version: 2, Services: []config.Service{{Name: "s"}}, Routes: []config.Route{{
+					Name: "safe", Host: "h", PathPrefix: "/safe/", Split: []config.SplitPart{{Service: "s", Weight: 1}}, MaxAttempts: 2, TimeoutMillis: int(testTimeout.Milliseconds()),
+				}}}))
+			}
+			next.ServeHTTP(w, r)
+		})
+	}, target)
+	conn, reader := call.pipeline("/safe/1")
+	for end := time.Now().Add(testTimeout); target.requests.Load() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	_, _ = io.WriteString(conn, pipelined("/safe/2"))
+	for end := time.Now().Add(testTimeout); call.gateway.Table().Version == 1 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	time.Sleep(100 * time.Millisecond) // time for the send
+	if ahead.Load() > 0 {
+		t.Error("the request runs before the one ahead of it is answered")
+	}
+	close(answer)
+	if response, _, err := readAnswer(reader); err != nil || response.StatusCode != 200 {
+		t.Fatal(response, err)
+	}
+	if response, body, err := readAnswer(reader); err != nil || response.StatusCode != 503 || response.Header.Get("Retry-After") == "" {
+		t.Fatal(response, body, err)
+	}
+	_, _ = io.WriteString(conn, pipelined("/safe/2")) // again, in its turn
+	if response, _, err := readAnswer(reader); err != nil || response.StatusCode != 200 {
+		t.Fatal(response, err)
+	}
+}
--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/turmericfield/turmericfield/internal/callerserver"
 )
 
 func TestNextUnreadStep(t *testing.T) {
@@ -112,7 +114,7 @@
 func TestUnreadResponseThatMayNotBeHeldIsBrokenOff(t *testing.T) {
 	t.Parallel()
 	target, sent := newLongTarget(t, randomBytes(longResponse))
-	call := newCallerWithMemory(t, 8<<20, target)
+	call := newCallerWith(t, func(o *callerserver.Options) { o.MemoryBytes = 8 << 20 }, target)
 	conn, reader := call.slowly("/once/1")
 	select {
 	case err := <-sent:
@@ -138,7 +140,7 @@
 	t.Parallel()
 	body := randomBytes(longResponse)
 	target, _ := newLongTarget(t, body)
-	call := newCallerWithMemory(t, 8<<20, target)
+	call := newCallerWith(t, func(o *callerserver.Options) { o.MemoryBytes = 8 << 20 }, target)
 	conn, reader := call.slowly("/once/1")
 	_ = conn.SetReadDeadline(time.Now().Add(2 * testTimeout))
 	response, err := http.ReadResponse(reader, nil)
