callerserver: idle connections keep only their socket

Cause: in a rush callers open thousands of connections and keep them while they may be idle. net/http keeps a goroutine and two buffers for each.

Change: a connection that has been idle for 0.5 to 1 s is parked: net/http lets go of it, and a small goroutine waits for its next bytes.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -78,6 +78,13 @@
 	hardClose    bool      // whether to close without waiting for the caller to take the response
 	askedAt      time.Time // when waitForRoom last asked whether the caller has left; pump's own
 	refusedCount bool      // whether the present refusal to read on was counted
+
+	idle        bool // whether net/http waits for the first byte of a further request
+	wasIdle     bool // whether it was when idle connections were looked for last
+	interrupted bool // whether the read of an idle connection was made to return
+	parking     bool // whether net/http is to let go of the connection, or has
+	letGo       bool // whether net/http has, which closes it
+	resumed     bool // whether no byte has been read since it was parked
 }
 
 func newConn(c net.Conn, s *Server) *conn {
@@ -120,9 +127,10 @@
 	c.mu.Lock()
 	switch state {
 	case http.StateActive:
-		c.serving = true
+		c.serving, c.idle = true, false
 	case http.StateIdle:
 		c.serving, c.request, c.framer = false, nil, newFramer()
+		c.idle, c.wasIdle = true, false
 		if c.order.running > 0 {
 			c.order.answered(false)
 			c.startAhead()
@@ -157,12 +165,14 @@
 	}
 	early := 0
 	if !whole && len(c.unread) > 0 && len(p) > 1 {
+		c.idle = false
 		early = copy(p, c.unread)
 		c.firstAt = c.take(early)
 	}
-	c.mu.Unlock()
-	n, err := c.Conn.Read(p[early:])
-	c.mu.Lock()
+	n, parked, err := c.readOn(p[early:])
+	if parked {
+		return 0, io.EOF
+	}
 	if n += early; n == 0 {
 		return n, err
 	}
@@ -445,6 +455,10 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.parking && !c.letGo {
+		c.letGo = true
+		return nil
+	}
 	if !c.serving && !c.closed && len(c.queue) > 0 {
 		c.closeAtEnd, c.order.stopped = true, true
 		c.readable.Broadcast()
--- /dev/null
+++ b/internal/callerserver/park.go
@@ -0,0 +1,165 @@
+package callerserver
+
+import (
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// parkInterval is the interval at which idle connections are looked for. A connection that
+// has been idle at two times in a row is parked.
+const parkInterval = 500 * time.Millisecond
+
+// parkIdle parks idle connections until the server ends: net/http, which keeps a
+// goroutine with a large stack and two buffers for each connection, lets go of them until
+// their next bytes.
+func (s *Server) parkIdle() {
+	tick := time.NewTicker(parkInterval)
+	defer tick.Stop()
+	var conns []*conn
+	for !s.ended.Load() {
+		<-tick.C
+		s.mu.Lock()
+		conns = conns[:0]
+		for c := range s.conns {
+			conns = append(conns, c)
+		}
+		s.mu.Unlock()
+		for _, c := range conns {
+			c.parkIfIdle()
+		}
+		clear(conns)
+	}
+}
+
+// parkIfIdle makes the read of a connection that has been idle for an interval return.
+func (c *conn) parkIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || c.piping || c.closed || len(c.unread) > 0 {
+		return
+	}
+	if !c.wasIdle {
+		c.wasIdle = true
+		return
+	}
+	if _, ok := c.Conn.(syscall.Conn); ok {
+		c.interrupted = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection has ended, which the read tells
+	}
+}
+
+// readOn is the read of a connection that nothing reads ahead. It returns parked if net/http
+// is to let go of the connection. The caller holds the lock.
+func (c *conn) readOn(p []byte) (n int, parked bool, err error) {
+	for {
+		c.mu.Unlock()
+		n, err = c.Conn.Read(p)
+		c.mu.Lock()
+		if c.interrupted {
+			c.interrupted = false
+			_ = c.Conn.SetReadDeadline(c.deadline) // as above
+			if n == 0 && c.idle && !c.closed && isTimeout(err) {
+				c.parking = true
+				return 0, true, nil
+			}
+		}
+		if n > 0 {
+			c.idle = false
+		}
+		if !c.resumed || n == 0 {
+			return n, false, err
+		}
+		// net/http skips empty lines behind a request, which it does not know of any more.
+		begin := 0
+		for begin < n && (p[begin] == '\r' || p[begin] == '\n') {
+			begin++
+		}
+		n = copy(p, p[begin:n])
+		if c.resumed = n == 0; n > 0 || err != nil {
+			return n, false, err
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	t, ok := err.(interface{ Timeout() bool })
+	return ok && t.Timeout()
+}
+
+// park keeps a connection that net/http has let go of until its next bytes.
+func (s *Server) park(c *conn) {
+	s.mu.Lock()
+	ended := s.ended.Load()
+	if !ended {
+		delete(s.conns, c)
+		s.parked[c] = struct{}{}
+	}
+	s.mu.Unlock()
+	go func() {
+		resumed := !ended && c.awaitBytes()
+		s.mu.Lock()
+		delete(s.parked, c)
+		s.mu.Unlock()
+		if resumed && c.resume() {
+			for !s.ended.Load() {
+				if s.ahead.start(c) {
+					return
+				}
+				time.Sleep(time.Millisecond) // too many are waiting to be served
+			}
+		}
+		c.mu.Lock()
+		_ = c.finish() // nobody can be told of an error
+		c.mu.Unlock()
+		s.track(c, http.StateClosed)
+		c.tellState(http.StateClosed)
+	}()
+}
+
+// mayPark reports whether net/http has let go of the connection only for the time being.
+func (c *conn) mayPark() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.parking && !c.closed
+}
+
+// awaitBytes waits for the connection's next bytes. It returns false if it has ended.
+func (c *conn) awaitBytes() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	readable := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if err == unix.EAGAIN || err == unix.EINTR {
+			return false
+		}
+		readable = err == nil && n > 0
+		return true
+	})
+	return err == nil && readable
+}
+
+// resume prepares a parked connection for net/http. It returns false if it was closed.
+func (c *conn) resume() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.parking, c.letGo, c.resumed = false, false, true
+	c.idle, c.serving, c.request, c.framer, c.order = false, false, nil, newFramer(), order{}
+	return !c.closed
+}
+
+// closeParked closes the parked connections, and no more are parked.
+func (s *Server) closeParked() {
+	s.ended.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.parked {
+		_ = c.Conn.Close() // nobody can be told of an error
+	}
+}
--- /dev/null
+++ b/internal/callerserver/park_test.go
@@ -0,0 +1,153 @@
+package callerserver
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// parkedConns returns the number of parked connections.
+func (s *testServer) parkedConns() int {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	return len(s.server.parked)
+}
+
+// waitParked waits until so many connections are parked.
+func (s *testServer) waitParked(n int) {
+	s.tb.Helper()
+	for end := time.Now().Add(patience); s.parkedConns() != n; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.tb.Fatalf("%d connections are parked, want %d", s.parkedConns(), n)
+		}
+	}
+}
+
+// inUse returns the bytes of heap and stacks that are in use.
+func inUse() int64 {
+	runtime.GC()
+	runtime.GC() // what the first one has taken from pools
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+func TestIdleConnectionsHoldLittle(t *testing.T) {
+	const conns, most = 400, 12 << 10
+	s := newTestServer(t, nil)
+	s.release("*")
+	before := inUse()
+	callers := make([]net.Conn, conns)
+	response := make([]byte, 4<<10)
+	for i := range callers {
+		c, err := net.Dial("tcp", s.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := io.WriteString(c, get("/safe/1")); err != nil {
+			t.Fatal(err)
+		}
+		if n, err := c.Read(response); err != nil || !strings.HasPrefix(string(response[:n]), "HTTP/1.1 200 ") {
+			t.Fatalf("%q, %v", response[:n], err)
+		}
+		callers[i] = c
+	}
+	for end := time.Now().Add(patience); inUse()-before > conns*most; time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes for each of %d idle connections, with their callers", (inUse()-before)/conns, conns)
+		}
+	}
+}
+
+func TestParkedConnectionsAreServed(t *testing.T) {
+	s := newTestServer(t, nil)
+	s.release("*")
+	c := s.dial()
+	for i := range 3 {
+		path := fmt.Sprint("/once/", i)
+		c.send("POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+		if status, body, err := c.response(); status != 200 || body != path+" x" || err != nil {
+			t.Fatal(status, body, err)
+		}
+		s.waitParked(1)
+		if i > 0 {
+			c.send("\r\n") // of which net/http alone knows that it follows a body
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	c.send(get("/safe/4", "/safe/5", "/safe/6"))
+	c.expect("/safe/4", "/safe/5", "/safe/6")
+	s.waitParked(0) // requests are read ahead
+}
+
+func TestConnectionsInUseAreNotParked(t *testing.T) {
+	s := newTestServer(t, nil)
+	c, begun, fresh := s.dial(), s.dial(), s.dial()
+	begun.send(get("/once/1"))
+	s.release("/once/1")
+	begun.expect("/once/1")
+	begun.send("GET /once/2 HT")
+	c.send(get("/once/3"))
+	time.Sleep(3 * parkInterval)
+	s.waitParked(0)
+	s.release("*")
+	begun.send("TP/1.1\r\nHost: h\r\n\r\n")
+	fresh.send(get("/once/4"))
+	c.expect("/once/3")
+	begun.expect("/once/2")
+	fresh.expect("/once/4")
+}
+
+func TestParkedConnectionsEnd(t *testing.T) {
+	var closed atomic.Int32
+	var served atomic.Pointer[net.Conn]
+	s := newTestServer(t, func(o *Options) {
+		o.ConnState = func(c net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateIdle:
+				served.Store(&c)
+			case http.StateClosed:
+				closed.Add(1)
+			}
+		}
+	})
+	s.release("*")
+	parked := func() *testCaller {
+		c := s.dial()
+		c.send(get("/safe/1"))
+		c.expect("/safe/1")
+		s.waitParked(1)
+		return c
+	}
+	ended := func(n int32) {
+		t.Helper()
+		s.waitParked(0)
+		for end := time.Now().Add(patience); closed.Load() != n; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("the end of %d connections was told, want %d", closed.Load(), n)
+			}
+		}
+	}
+	_ = parked().Close()
+	ended(1)
+	c := parked()
+	_ = (*served.Load()).Close() // as an idle one
+	c.expectEnd()
+	ended(2)
+	c = parked()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := s.server.Shutdown(ctx); err != nil {
+		t.Error(err)
+	}
+	c.expectEnd()
+	ended(3)
+}
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -69,13 +69,16 @@
 	piping atomic.Int64 // connections whose requests are read ahead
 	unsent atomic.Int64 // requests started ahead of their turn whose responses were not sent
 
+	// ended is set once no further idle connection may be parked.
+	ended atomic.Bool
 	// stopping is set once no further request may start ahead of its turn.
 	stopping atomic.Bool
 
 	mu        sync.Mutex // guards the following; taken after a connection's lock
 	budget    budget
 	listeners []net.Listener
-	conns     map[*conn]struct{} // open ones
+	conns     map[*conn]struct{} // open ones that net/http serves
+	parked    map[*conn]struct{} // idle ones that net/http has let go of
 	namedAt   time.Time          // when the largest holder was logged last
 	wanting   map[*conn]struct{} // have a request that may start once there is room
 	retrying  bool               // whether retry is due
@@ -87,12 +90,17 @@
 	if memory <= 0 {
 		memory = defaultMemoryBytes
 	}
-	s := &Server{Options: o, ahead: &aheadListener{started: make(chan net.Conn, startBacklog), closed: make(chan struct{})}, budget: budget{limit: memory / memoryShare}, conns: map[*conn]struct{}{}, wanting: map[*conn]struct{}{}}
+	s := &Server{Options: o, ahead: &aheadListener{started: make(chan net.Conn, startBacklog), closed: make(chan struct{})}, budget: budget{limit: memory / memoryShare}, conns: map[*conn]struct{}{}, wanting: map[*conn]struct{}{}, parked: map[*conn]struct{}{}}
 	s.http = http.Server{
 		Handler: s, ReadHeaderTimeout: o.ReadHeaderTimeout, MaxHeaderBytes: o.MaxHeaderBytes, ConnState: s.onConnState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, contextKey{}, c) },
 	}
 	o.Metrics.Gauge("caller_connections_read_ahead", s.piping.Load)
+	o.Metrics.Gauge("caller_connections_parked", func() int64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return int64(len(s.parked))
+	})
 	o.Metrics.Gauge("caller_bytes_held", s.held)
 	o.Metrics.Gauge("caller_bytes_held_by_largest", func() int64 {
 		s.mu.Lock()
@@ -105,7 +113,10 @@
 
 // Serve accepts connections until Shutdown; it then returns http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
-	s.once.Do(func() { go func() { _ = s.http.Serve(s.ahead) }() }) // it ends with the server
+	s.once.Do(func() { // both end with the server
+		go func() { _ = s.http.Serve(s.ahead) }()
+		go s.parkIdle()
+	})
 	l = &listener{Listener: l, server: s}
 	s.mu.Lock()
 	s.listeners = append(s.listeners, l)
@@ -132,10 +143,12 @@
 	for s.unsent.Load() > 0 {
 		select {
 		case <-ctx.Done():
+			s.closeParked()
 			return errors.CombineErrors(ctx.Err(), s.http.Shutdown(ctx))
 		case <-tick.C:
 		}
 	}
+	s.closeParked()
 	return s.http.Shutdown(ctx)
 }
 
@@ -217,6 +230,10 @@
 func (s *Server) onConnState(c net.Conn, state http.ConnState) {
 	switch c := c.(type) {
 	case *conn:
+		if state == http.StateClosed && c.mayPark() {
+			s.park(c)
+			return
+		}
 		s.track(c, state)
 		c.onState(state)
 	case *aheadConn:
