callerserver: reading ahead ends when a connection is idle

Cause: once requests had come ahead of a response, a goroutine read the connection for as long as it lived, and it was never parked.

Change: an idle connection goes back to being served by net/http alone, and is parked.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -159,6 +159,11 @@
 	if c.piping {
 		return c.readPiped(p)
 	}
+	return c.readPlain(p)
+}
+
+// readPlain is Read while nothing reads ahead.
+func (c *conn) readPlain(p []byte) (int, error) {
 	whole := c.framer.done()
 	if whole && !c.serving {
 		return 0, io.EOF // net/http expects more of the request than there is
@@ -341,6 +346,10 @@
 // readPiped is Read while pump reads the connection.
 func (c *conn) readPiped(p []byte) (int, error) {
 	for {
+		if !c.piping {
+			_ = c.Conn.SetReadDeadline(c.deadline) // fails only if the connection has ended, which the read tells
+			return c.readPlain(p)
+		}
 		fresh := !c.framer.begun()
 		switch {
 		case c.closed, c.closeAtEnd, fresh && c.server.stopping.Load() && len(c.queue) == 0:
@@ -360,7 +369,7 @@
 				c.firstAt = at
 			}
 			if fresh {
-				c.inOrder = false
+				c.inOrder, c.idle = false, false
 			}
 			if malformed != nil {
 				return 0, c.refuse()
@@ -368,7 +377,7 @@
 			return used, nil
 		}
 		if c.busyAhead && len(c.queue) == 0 {
-			c.busyAhead = false
+			c.busyAhead, c.wasIdle = false, false
 			c.mu.Unlock()
 			c.tellState(http.StateIdle)
 			c.mu.Lock()
@@ -527,6 +536,18 @@
 		}
 		n, err := c.Conn.Read(buffer)
 		c.mu.Lock()
+		if c.interrupted && !c.closed {
+			c.interrupted = false
+			_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection has ended, which the read tells
+			if n == 0 && isTimeout(err) {
+				ended := c.stopPump()
+				c.mu.Unlock()
+				if ended {
+					return
+				}
+				continue
+			}
+		}
 		if n > 0 && !c.closed {
 			c.receive(buffer[:n], time.Now())
 			c.readable.Broadcast()
--- a/internal/callerserver/park.go
+++ b/internal/callerserver/park.go
@@ -34,11 +34,13 @@
 	}
 }
 
-// parkIfIdle makes the read of a connection that has been idle for an interval return.
+// parkIfIdle makes the read of a connection that has been idle for an interval return. If
+// requests have come ahead of a response, that ends the reading ahead; it is parked at
+// the next time.
 func (c *conn) parkIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || c.piping || c.closed || len(c.unread) > 0 {
+	if !c.idle || c.closed || len(c.unread) > 0 || len(c.queue) > 0 {
 		return
 	}
 	if !c.wasIdle {
@@ -51,6 +53,20 @@
 	}
 }
 
+// stopPump ends the reading ahead of a connection that is idle, and reports whether it has.
+func (c *conn) stopPump() bool {
+	if !c.idle || c.serving || c.framer.begun() || len(c.unread) > 0 || len(c.queue) > 0 || c.flushing || c.busyAhead || c.closeAtEnd || c.readErr != nil || c.order.running > 0 {
+		return false
+	}
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	c.piping = false
+	c.timer, c.wake, c.unread, c.marks, c.queue = nil, nil, nil, nil, nil
+	c.readable.Broadcast()
+	return true
+}
+
 // readOn is the read of a connection that nothing reads ahead. It returns parked if net/http
 // is to let go of the connection. The caller holds the lock.
 func (c *conn) readOn(p []byte) (n int, parked bool, err error) {
--- a/internal/callerserver/park_test.go
+++ b/internal/callerserver/park_test.go
@@ -40,23 +40,33 @@
 }
 
 func TestIdleConnectionsHoldLittle(t *testing.T) {
-	const conns, most = 400, 12 << 10
+	t.Run("requests one by one", func(t *testing.T) { testIdleConnections(t, 12<<10, "/safe/1") })
+	t.Run("requests ahead", func(t *testing.T) { testIdleConnections(t, 16<<10, "/safe/1", "/safe/2", "/safe/3") })
+}
+
+// testIdleConnections expects at most so many bytes for each connection, with its caller.
+func testIdleConnections(t *testing.T, most int64, paths ...string) {
+	const conns = 400
 	s := newTestServer(t, nil)
 	s.release("*")
 	before := inUse()
 	callers := make([]net.Conn, conns)
-	response := make([]byte, 4<<10)
+	end := paths[len(paths)-1] + " "
+	responses := make([]byte, 4<<10)
 	for i := range callers {
 		c, err := net.Dial("tcp", s.address)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = c.Close() }()
-		if _, err := io.WriteString(c, get("/safe/1")); err != nil {
+		if _, err := io.WriteString(c, get(paths...)); err != nil {
 			t.Fatal(err)
 		}
-		if n, err := c.Read(response); err != nil || !strings.HasPrefix(string(response[:n]), "HTTP/1.1 200 ") {
-			t.Fatalf("%q, %v", response[:n], err)
+		for n := 0; !strings.HasSuffix(string(responses[:n]), end); {
+			more, err := c.Read(responses[n:])
+			if n += more; err != nil {
+				t.Fatalf("%q, %v", responses[:n], err)
+			}
 		}
 		callers[i] = c
 	}
@@ -83,9 +93,20 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
-	c.send(get("/safe/4", "/safe/5", "/safe/6"))
-	c.expect("/safe/4", "/safe/5", "/safe/6")
-	s.waitParked(0) // requests are read ahead
+	for range 2 {
+		c.send(get("/safe/4", "/safe/5", "/safe/6"))
+		c.expect("/safe/4", "/safe/5", "/safe/6")
+		if n := s.server.piping.Load(); n != 1 {
+			t.Errorf("%d connections are read ahead", n)
+		}
+		s.waitParked(1)
+		if n := s.server.piping.Load(); n != 0 {
+			t.Errorf("%d connections are read ahead", n)
+		}
+	}
+	if held := s.server.held(); held != 0 {
+		t.Errorf("%d bytes are held", held)
+	}
 }
 
 func TestConnectionsInUseAreNotParked(t *testing.T) {
