callerserver: parking does not end the connection

Cause: a connection that net/http was letting go of still counted as idle. If idle connections were looked for at that moment, the deadline that ends its read was set again, and the wait for its next bytes took that for its end: the connection was closed.

Change: it does not count as idle from then on.

--- a/internal/callerserver/park.go
+++ b/internal/callerserver/park.go
@@ -78,7 +78,7 @@
 			c.interrupted = false
 			_ = c.Conn.SetReadDeadline(c.deadline) // as above
 			if n == 0 && c.idle && !c.closed && isTimeout(err) {
-				c.parking = true
+				c.parking, c.idle = true, false
 				return 0, true, nil
 			}
 		}
--- a/internal/callerserver/park_test.go
+++ b/internal/callerserver/park_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -109,6 +112,55 @@
 	}
 }
 
+// Connections are looked at all the time, also while they are being parked and resumed.
+func TestNoConnectionIsLostByParking(t *testing.T) {
+	s := newTestServer(t, nil)
+	s.release("*")
+	stop := make(chan struct{})
+	var looking sync.WaitGroup
+	defer looking.Wait()
+	defer close(stop)
+	for range 2 {
+		looking.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				s.server.mu.Lock()
+				conns := slices.Collect(maps.Keys(s.server.conns))
+				s.server.mu.Unlock()
+				for _, c := range conns {
+					c.parkIfIdle()
+				}
+				runtime.Gosched()
+			}
+		})
+	}
+	var callers sync.WaitGroup
+	for i := range 4 {
+		c := s.dial()
+		callers.Go(func() {
+			for n := range 150 {
+				paths := []string{"/safe/1", "/safe/2", "/once/3"}[:1+n%3*(i%2)]
+				if _, err := io.WriteString(c, get(paths...)); err != nil {
+					t.Error(err)
+					return
+				}
+				for _, path := range paths {
+					if status, body, err := c.response(); status != 200 || body != path+" " || err != nil {
+						t.Errorf("request %d: %d %q %v", n, status, body, err)
+						return
+					}
+				}
+				time.Sleep(time.Duration(n%5) * 200 * time.Microsecond)
+			}
+		})
+	}
+	callers.Wait()
+}
+
 func TestConnectionsInUseAreNotParked(t *testing.T) {
 	s := newTestServer(t, nil)
 	c, begun, fresh := s.dial(), s.dial(), s.dial()
