gateway: a caller that reads slowly all the time is not broken off

Cause: a response of which no more may be held was broken off once no write to its caller had ended for 2 s. A write to a connection whose buffers are full goes on only once about a third of the send buffer is free, which takes a caller that reads 160 KB/s several seconds.

Change: what the caller's machine has acknowledged (TCP_INFO) counts as progress, too. It is asked for only where no more may be held.

--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -15,10 +15,12 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
+	"golang.org/x/sys/unix"
 
 	"github.com/turmericfield/turmericfield/internal/metrics"
 )
@@ -227,6 +229,38 @@
 	return nil, false
 }
 
+// Received returns how many bytes the caller's machine has acknowledged on the request's
+// connection, of all its responses together, and 0 if that is unknown.
+func Received(r *http.Request) uint64 {
+	switch c := r.Context().Value(contextKey{}).(type) {
+	case *conn:
+		return acknowledged(c.Conn)
+	case *aheadConn:
+		return acknowledged(c.conn.Conn)
+	}
+	return 0
+}
+
+func acknowledged(c net.Conn) (bytes uint64) {
+	tcp, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	err = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			bytes = info.Bytes_acked
+		}
+	})
+	if err != nil {
+		return 0 // the connection has ended
+	}
+	return bytes
+}
+
 func (s *Server) onConnState(c net.Conn, state http.ConnState) {
 	switch c := c.(type) {
 	case *conn:
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -64,6 +64,8 @@
 	hold func(bytes int) (release func(), ok bool)
 	// complete is called once source has been read to its end.
 	complete func()
+	// received returns how many bytes have reached the caller on its connection.
+	received func() uint64
 	// cancel breaks source off.
 	cancel func()
 	done   chan struct{} // closed when source is not used any more
@@ -76,18 +78,20 @@
 	filling *piece // that source is being read into
 	waiting bool   // whether Read waits for bytes
 	takenAt time.Time
-	held    int   // pieces that were counted as held, also those taken since
-	err     error // of source, or why the caller gets no more
-	ended   bool  // whether the caller gets no more
-	whole   bool  // whether source has been read to its end
+	// receivedBefore is the latest result of received.
+	receivedBefore uint64
+	held           int   // pieces that were counted as held, also those taken since
+	err            error // of source, or why the caller gets no more
+	ended          bool  // whether the caller gets no more
+	whole          bool  // whether source has been read to its end
 	// brokenOff is set if source was broken off since the caller took nothing.
 	brokenOff bool
 }
 
 // newUnreadBody begins to read a response's body from source. begun is what was read of it
 // before.
-func newUnreadBody(begun []byte, source io.Reader, hold func(int) (func(), bool), complete, cancel func()) *unreadBody {
-	b := &unreadBody{source: source, hold: hold, complete: complete, cancel: cancel, done: make(chan struct{}), takenAt: time.Now()}
+func newUnreadBody(begun []byte, source io.Reader, hold func(int) (func(), bool), received func() uint64, complete, cancel func()) *unreadBody {
+	b := &unreadBody{source: source, hold: hold, received: received, complete: complete, cancel: cancel, done: make(chan struct{}), takenAt: time.Now()}
 	b.changed.L = &b.mu
 	if len(begun) > 0 {
 		b.pieces = append(b.pieces, &piece{data: slices.Clip(begun)})
@@ -186,6 +190,12 @@
 		room := untaken >= slowCallerTime && partial
 		if untaken >= slowCallerTime && !partial {
 			release, room = b.hold(pieceSize)
+			// A write goes on only once much of the connection's buffers is free.
+			if !room {
+				if n := b.received(); n != b.receivedBefore {
+					b.receivedBefore, b.takenAt, untaken = n, time.Now(), 0
+				}
+			}
 		}
 		switch nextUnreadStep(untaken, room) {
 		case holdMore:
--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -208,3 +208,27 @@
 	}
 	call.noneHeld()
 }
+
+// A caller that reads slowly all the time takes something, also while the buffers of its
+// connection are so full that no write to it goes on.
+func TestCallerThatReadsSlowlyIsNotBrokenOff(t *testing.T) {
+	t.Parallel()
+	target, sent := newLongTarget(t, randomBytes(longResponse))
+	call := newCallerWith(t, func(o *callerserver.Options) { o.MemoryBytes = 8 << 20 }, target)
+	conn, reader := call.slowly("/once/1")
+	_ = conn.SetReadDeadline(time.Now().Add(2 * testTimeout))
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(testTimeout - time.Second); err == nil && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		_, err = io.CopyN(io.Discard, response.Body, 8<<10)
+		select {
+		case err = <-sent:
+		default:
+		}
+	}
+	if err != nil {
+		t.Errorf("the response was broken off: %v", err)
+	}
+}
