gateway: a response that waits for its turn is not broken off

Cause: a long response to a request that ran ahead was broken off after 2 s where no more may be held, also while its turn had not come since the target of an earlier request was at work. The caller, which had read all it got, lost the response and what ran behind it.

Change: a response is not broken off while all that was written to the connection has been acknowledged. Behind a caller that does not read, something waits, and it still is.

--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -230,35 +230,35 @@
 }
 
 // Received returns how many bytes the caller's machine has acknowledged on the request's
-// connection, of all its responses together, and 0 if that is unknown.
-func Received(r *http.Request) uint64 {
+// connection, of all its responses together, and whether some that were written are not
+// acknowledged yet. If that is unknown it returns 0 and true.
+func Received(r *http.Request) (bytes uint64, pending bool) {
 	switch c := r.Context().Value(contextKey{}).(type) {
 	case *conn:
 		return acknowledged(c.Conn)
 	case *aheadConn:
 		return acknowledged(c.conn.Conn)
 	}
-	return 0
+	return 0, true
 }
 
-func acknowledged(c net.Conn) (bytes uint64) {
+func acknowledged(c net.Conn) (bytes uint64, pending bool) {
 	tcp, ok := c.(syscall.Conn)
 	if !ok {
-		return 0
+		return 0, true
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return 0
+		return 0, true
 	}
-	err = raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			bytes = info.Bytes_acked
-		}
+	var info *unix.TCPInfo
+	controlErr := raw.Control(func(fd uintptr) {
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err != nil {
-		return 0 // the connection has ended
+	if controlErr != nil || err != nil {
+		return 0, true // the connection has ended, or the system does not tell
 	}
-	return bytes
+	return info.Bytes_acked, info.Unacked > 0 || info.Notsent_bytes > 0
 }
 
 func (s *Server) onConnState(c net.Conn, state http.ConnState) {
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -64,8 +64,9 @@
 	hold func(bytes int) (release func(), ok bool)
 	// complete is called once source has been read to its end.
 	complete func()
-	// received returns how many bytes have reached the caller on its connection.
-	received func() uint64
+	// received returns how many bytes have reached the caller on its connection, and
+	// whether there are some that have not.
+	received func() (bytes uint64, pending bool)
 	// cancel breaks source off.
 	cancel func()
 	done   chan struct{} // closed when source is not used any more
@@ -78,7 +79,7 @@
 	filling *piece // that source is being read into
 	waiting bool   // whether Read waits for bytes
 	takenAt time.Time
-	// receivedBefore is the latest result of received.
+	// receivedBefore is the latest number of bytes from received.
 	receivedBefore uint64
 	held           int   // pieces that were counted as held, also those taken since
 	err            error // of source, or why the caller gets no more
@@ -90,7 +91,7 @@
 
 // newUnreadBody begins to read a response's body from source. begun is what was read of it
 // before.
-func newUnreadBody(begun []byte, source io.Reader, hold func(int) (func(), bool), received func() uint64, complete, cancel func()) *unreadBody {
+func newUnreadBody(begun []byte, source io.Reader, hold func(int) (func(), bool), received func() (uint64, bool), complete, cancel func()) *unreadBody {
 	b := &unreadBody{source: source, hold: hold, received: received, complete: complete, cancel: cancel, done: make(chan struct{}), takenAt: time.Now()}
 	b.changed.L = &b.mu
 	if len(begun) > 0 {
@@ -190,11 +191,8 @@
 		room := untaken >= slowCallerTime && partial
 		if untaken >= slowCallerTime && !partial {
 			release, room = b.hold(pieceSize)
-			// A write goes on only once much of the connection's buffers is free.
-			if !room {
-				if n := b.received(); n != b.receivedBefore {
-					b.receivedBefore, b.takenAt, untaken = n, time.Now(), 0
-				}
+			if !room && b.progressed() {
+				b.takenAt, untaken = time.Now(), 0
 			}
 		}
 		switch nextUnreadStep(untaken, room) {
@@ -216,6 +214,16 @@
 	return nil
 }
 
+// progressed reports whether more has reached the caller than before, or all that was
+// written to it. A write to a connection goes on only once much of its buffers is free,
+// and a response waits for its turn while the targets of earlier ones are at work.
+func (b *unreadBody) progressed() bool {
+	n, pending := b.received()
+	more := n != b.receivedBefore
+	b.receivedBefore = n
+	return more || !pending
+}
+
 // waitAtMost waits for a change.
 func (b *unreadBody) waitAtMost(limit time.Duration) {
 	if b.timer == nil {
--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -232,3 +232,36 @@
 		t.Errorf("the response was broken off: %v", err)
 	}
 }
+
+// A response that waits for its turn, since the target of an earlier one is at work, is not
+// unread by its caller's fault.
+func TestLongResponseThatWaitsForItsTurnIsNotBrokenOff(t *testing.T) {
+	t.Parallel()
+	body := randomBytes(longResponse)
+	first, second := make(chan struct{}), make(chan struct{}, 8)
+	target := newRawTarget(t, func(c *net.TCPConn, r received) bool {
+		if r.path == "/safe/1" {
+			<-first
+			return write(c, success(r.id, "ok"))
+		}
+		second <- struct{}{}
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nContent-Length: %d\r\n\r\n", r.id, len(body))
+		if err == nil {
+			_, err = c.Write(body)
+		}
+		return err == nil
+	})
+	call := newCallerWith(t, func(o *callerserver.Options) { o.MemoryBytes = 8 << 20 }, target)
+	conn, reader := call.pipeline("/safe/1", "/safe/2")
+	<-second
+	time.Sleep(maxUnreadTime + slowCallerTime + 250*time.Millisecond)
+	close(first)
+	_ = conn.SetReadDeadline(time.Now().Add(testTimeout))
+	if r, _, err := readAnswer(reader); err != nil || r.StatusCode != 200 {
+		t.Fatal(r, err)
+	}
+	r, got, err := readAnswer(reader)
+	if err != nil || r.StatusCode != 200 || sha256.Sum256([]byte(got)) != sha256.Sum256(body) {
+		t.Errorf("%v, %d bytes, %v", r, len(got), err)
+	}
+}
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -107,7 +107,7 @@
 // that has yet to take what is held.
 func (c *call) passOn(x *exchange) (whole bool, err error) {
 	hold := func(bytes int) (func(), bool) { return callerserver.TryHold(c.request, bytes) }
-	received := func() uint64 { return callerserver.Received(c.request) }
+	received := func() (uint64, bool) { return callerserver.Received(c.request) }
 	body := newUnreadBody(x.body, x.response.Body, hold, received, func() { c.finish(x) }, func() { _ = x.conn.Close() })
 	// The context also ends when the reading of a streamed request body is interrupted.
 	timer := time.AfterFunc(c.remaining(), func() { body.end(context.DeadlineExceeded) })
