--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -71,13 +71,20 @@
 	busyAhead    bool  // whether the connection is not idle only because of queue
 	inOrder      bool  // whether the next request in unread waits for its turn
 	readErr      error // end of the stream
-	held         int64 // bytes of the server's budget
+	held         int64 // bytes of the server's budget; guarded by the server's lock
 	flushing     bool  // whether output of queue[0] is being written
 	closeAtEnd   bool  // whether to close once the queue is empty
 	closed       bool
 	hardClose    bool      // whether to close without waiting for the caller to take the response
 	askedAt      time.Time // when waitForRoom last asked whether the caller has left; pump's own
 	refusedCount bool      // whether the present refusal to read on was counted
+
+	idle        bool // whether net/http waits for the first byte of a further request
+	wasIdle     bool // whether it was when idle connections were looked for last
+	interrupted bool // whether the read of an idle connection was made to return
+	parking     bool // whether net/http is to let go of the connection, or has
+	letGo       bool // whether net/http has, which closes it
+	resumed     bool // whether no byte has been read since it was parked
 }
 
 func newConn(c net.Conn, s *Server) *conn {
@@ -120,11 +127,13 @@
 	c.mu.Lock()
 	switch state {
 	case http.StateActive:
-		c.serving = true
+		c.serving, c.idle = true, false
 	case http.StateIdle:
 		c.serving, c.request, c.framer = false, nil, newFramer()
+		c.idle, c.wasIdle = true, false
 		if c.order.running > 0 {
 			c.order.answered(false)
+			c.startAhead()
 		}
 		c.advance()
 		if c.busyAhead = len(c.queue) > 0; c.busyAhead {
@@ -150,18 +159,25 @@
 	if c.piping {
 		return c.readPiped(p)
 	}
+	return c.readPlain(p)
+}
+
+// readPlain is Read while nothing reads ahead.
+func (c *conn) readPlain(p []byte) (int, error) {
 	whole := c.framer.done()
 	if whole && !c.serving {
 		return 0, io.EOF // net/http expects more of the request than there is
 	}
 	early := 0
 	if !whole && len(c.unread) > 0 && len(p) > 1 {
+		c.idle = false
 		early = copy(p, c.unread)
 		c.firstAt = c.take(early)
 	}
-	c.mu.Unlock()
-	n, err := c.Conn.Read(p[early:])
-	c.mu.Lock()
+	n, parked, err := c.readOn(p[early:])
+	if parked {
+		return 0, io.EOF
+	}
 	if n += early; n == 0 {
 		return n, err
 	}
@@ -174,7 +190,7 @@
 		c.takeOver(nil, now)
 		return c.readPiped(p)
 	}
-	if !c.framer.begun() && early == 0 {
+	if !c.framer.lineBegun() && early == 0 {
 		c.firstAt = now
 	}
 	used, malformed := c.framer.feed(p[:n])
@@ -241,13 +257,18 @@
 }
 
 // take removes n bytes that a request has taken from the unread ones and returns when the
-// first of them was read.
+// first of them was read, without empty lines before it.
 func (c *conn) take(n int) time.Time {
-	first := 0
-	for first+1 < len(c.marks) && c.marks[first+1].offset <= c.offset {
-		first++
+	begin := c.offset + int64(n-len(bytes.TrimLeft(c.unread[:n], "\r\n")))
+	first, at := 0, c.marks[0].at
+	for i, m := range c.marks {
+		if m.offset <= c.offset {
+			first = i
+		}
+		if m.offset <= begin {
+			at = m.at
+		}
 	}
-	at := c.marks[first].at
 	c.marks = slices.Delete(c.marks, 0, first)
 	c.offset += int64(n)
 	if c.unread = c.unread[n:]; len(c.unread) == 0 {
@@ -265,10 +286,14 @@
 func (c *conn) holdFor(n int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.held += n
-	c.server.mu.Lock()
-	c.server.budget.change(n)
-	c.server.mu.Unlock()
+	c.server.changeHeld(c, n)
+}
+
+// reserveFor holds n more bytes for the sake of a handler if that is allowed.
+func (c *conn) reserveFor(n int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed && c.reserve(n)
 }
 
 // hold changes what the connection holds of the budget once pump reads it.
@@ -276,10 +301,7 @@
 	if !c.piping {
 		return // at most a byte
 	}
-	c.held += n
-	c.server.mu.Lock()
-	c.server.budget.change(n)
-	c.server.mu.Unlock()
+	c.server.changeHeld(c, n)
 }
 
 // allowed reports whether the connection may hold need more bytes.
@@ -308,6 +330,7 @@
 func (c *conn) noteAllowed(ok bool) {
 	if !ok && !c.refusedCount {
 		c.server.Metrics.Add("caller_read_ahead_refused_total", 1)
+		c.server.nameLargest(time.Now())
 	}
 	c.refusedCount = !ok
 }
@@ -323,6 +346,10 @@
 // readPiped is Read while pump reads the connection.
 func (c *conn) readPiped(p []byte) (int, error) {
 	for {
+		if !c.piping {
+			_ = c.Conn.SetReadDeadline(c.deadline) // fails only if the connection has ended, which the read tells
+			return c.readPlain(p)
+		}
 		fresh := !c.framer.begun()
 		switch {
 		case c.closed, c.closeAtEnd, fresh && c.server.stopping.Load() && len(c.queue) == 0:
@@ -335,10 +362,14 @@
 			return 0, c.readErr // a caller that left gets no further requests served
 		case !c.framer.done() && len(c.unread) > 0 && (!fresh || len(c.queue) == 0):
 			n := copy(p, c.unread)
+			first := !c.framer.lineBegun()
 			used, malformed := c.framer.feed(p[:n])
 			at := c.take(used)
+			if first {
+				c.firstAt = at
+			}
 			if fresh {
-				c.firstAt, c.inOrder = at, false
+				c.inOrder, c.idle = false, false
 			}
 			if malformed != nil {
 				return 0, c.refuse()
@@ -346,7 +377,7 @@
 			return used, nil
 		}
 		if c.busyAhead && len(c.queue) == 0 {
-			c.busyAhead = false
+			c.busyAhead, c.wasIdle = false, false
 			c.mu.Unlock()
 			c.tellState(http.StateIdle)
 			c.mu.Lock()
@@ -433,6 +464,10 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.parking && !c.letGo {
+		c.letGo = true
+		return nil
+	}
 	if !c.serving && !c.closed && len(c.queue) > 0 {
 		c.closeAtEnd, c.order.stopped = true, true
 		c.readable.Broadcast()
@@ -501,6 +536,18 @@
 		}
 		n, err := c.Conn.Read(buffer)
 		c.mu.Lock()
+		if c.interrupted && !c.closed {
+			c.interrupted = false
+			_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection has ended, which the read tells
+			if n == 0 && isTimeout(err) {
+				ended := c.stopPump()
+				c.mu.Unlock()
+				if ended {
+					return
+				}
+				continue
+			}
+		}
 		if n > 0 && !c.closed {
 			c.receive(buffer[:n], time.Now())
 			c.readable.Broadcast()
@@ -586,6 +633,7 @@
 		// The handler may hold the request's body beside its response.
 		spare, cost := int64(size+c.server.ResponseBytes), requestCost+int64(size)
 		if !c.reserve(cost + spare) {
+			c.server.wantRoom(c, cost+spare)
 			return
 		}
 		a := &aheadConn{conn: c, data: bytes.Clone(c.unread[:size]), held: cost + spare, cost: cost, spare: spare, counted: spare}
@@ -676,6 +724,7 @@
 			_ = c.finish() // nobody can be told of an error
 			return
 		}
+		c.startAhead() // pump may wait for further bytes
 		c.poke()
 	}
 	if len(c.queue) == 0 {
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -15,9 +15,12 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	"golang.org/x/sys/unix"
 
 	"github.com/turmericfield/turmericfield/internal/metrics"
 )
@@ -32,6 +35,11 @@
 	defaultHeaderBytes = http.DefaultMaxHeaderBytes
 	// minHold is the number of bytes from which on Hold counts.
 	minHold = 4 << 10
+	// nameInterval is the least time between two log lines that name the largest holder.
+	nameInterval = time.Second
+	// retryDelay is the time from when bytes are given back until connections that wanted
+	// room for a further request try again.
+	retryDelay = 20 * time.Millisecond
 	// startBacklog bounds the requests that were started and not yet taken up.
 	startBacklog = 256
 )
@@ -51,6 +59,7 @@
 	// ConnState is told when a connection is new, active, idle and closed, as by net/http.
 	ConnState func(net.Conn, http.ConnState)
 	Metrics   *metrics.Set
+	Log       *log.Logger // may be nil
 }
 
 // Server serves callers' connections.
@@ -62,12 +71,19 @@
 	piping atomic.Int64 // connections whose requests are read ahead
 	unsent atomic.Int64 // requests started ahead of their turn whose responses were not sent
 
+	// ended is set once no further idle connection may be parked.
+	ended atomic.Bool
 	// stopping is set once no further request may start ahead of its turn.
 	stopping atomic.Bool
 
 	mu        sync.Mutex // guards the following; taken after a connection's lock
 	budget    budget
 	listeners []net.Listener
+	conns     map[*conn]struct{} // open ones that net/http serves
+	parked    map[*conn]struct{} // idle ones that net/http has let go of
+	namedAt   time.Time          // when the largest holder was logged last
+	wanting   map[*conn]struct{} // have a request that may start once there is room
+	retrying  bool               // whether retry is due
 }
 
 // New returns a server that does not serve yet.
@@ -76,19 +92,33 @@
 	if memory <= 0 {
 		memory = defaultMemoryBytes
 	}
-	s := &Server{Options: o, ahead: &aheadListener{started: make(chan net.Conn, startBacklog), closed: make(chan struct{})}, budget: budget{limit: memory / memoryShare}}
+	s := &Server{Options: o, ahead: &aheadListener{started: make(chan net.Conn, startBacklog), closed: make(chan struct{})}, budget: budget{limit: memory / memoryShare}, conns: map[*conn]struct{}{}, wanting: map[*conn]struct{}{}, parked: map[*conn]struct{}{}}
 	s.http = http.Server{
 		Handler: s, ReadHeaderTimeout: o.ReadHeaderTimeout, MaxHeaderBytes: o.MaxHeaderBytes, ConnState: s.onConnState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, contextKey{}, c) },
 	}
 	o.Metrics.Gauge("caller_connections_read_ahead", s.piping.Load)
+	o.Metrics.Gauge("caller_connections_parked", func() int64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return int64(len(s.parked))
+	})
 	o.Metrics.Gauge("caller_bytes_held", s.held)
+	o.Metrics.Gauge("caller_bytes_held_by_largest", func() int64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_, bytes := s.largest()
+		return bytes
+	})
 	return s
 }
 
 // Serve accepts connections until Shutdown; it then returns http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
-	s.once.Do(func() { go func() { _ = s.http.Serve(s.ahead) }() }) // it ends with the server
+	s.once.Do(func() { // both end with the server
+		go func() { _ = s.http.Serve(s.ahead) }()
+		go s.parkIdle()
+	})
 	l = &listener{Listener: l, server: s}
 	s.mu.Lock()
 	s.listeners = append(s.listeners, l)
@@ -115,10 +145,12 @@
 	for s.unsent.Load() > 0 {
 		select {
 		case <-ctx.Done():
+			s.closeParked()
 			return errors.CombineErrors(ctx.Err(), s.http.Shutdown(ctx))
 		case <-tick.C:
 		}
 	}
+	s.closeParked()
 	return s.http.Shutdown(ctx)
 }
 
@@ -181,9 +213,62 @@
 	return func() { c.holdFor(int64(-bytes)) }
 }
 
+// TryHold is Hold for bytes that need not be held: they are counted only if the connection
+// may hold so many more. Those of other servers' requests may not.
+func TryHold(r *http.Request, bytes int) (release func(), ok bool) {
+	switch c := r.Context().Value(contextKey{}).(type) {
+	case *conn:
+		if c.reserveFor(int64(bytes)) {
+			return func() { c.holdFor(int64(-bytes)) }, true
+		}
+	case *aheadConn:
+		if c.tryHold(int64(bytes)) {
+			return func() { c.holdFor(int64(-bytes)) }, true
+		}
+	}
+	return nil, false
+}
+
+// Received returns how many bytes the caller's machine has acknowledged on the request's
+// connection, of all its responses together, and whether some that were written are not
+// acknowledged yet. If that is unknown it returns 0 and true.
+func Received(r *http.Request) (bytes uint64, pending bool) {
+	switch c := r.Context().Value(contextKey{}).(type) {
+	case *conn:
+		return acknowledged(c.Conn)
+	case *aheadConn:
+		return acknowledged(c.conn.Conn)
+	}
+	return 0, true
+}
+
+func acknowledged(c net.Conn) (bytes uint64, pending bool) {
+	tcp, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, true
+	}
+	var info *unix.TCPInfo
+	controlErr := raw.Control(func(fd uintptr) {
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if controlErr != nil || err != nil {
+		return 0, true // the connection has ended, or the system does not tell
+	}
+	return info.Bytes_acked, info.Unacked > 0 || info.Notsent_bytes > 0
+}
+
 func (s *Server) onConnState(c net.Conn, state http.ConnState) {
 	switch c := c.(type) {
 	case *conn:
+		if state == http.StateClosed && c.mayPark() {
+			s.park(c)
+			return
+		}
+		s.track(c, state)
 		c.onState(state)
 	case *aheadConn:
 		if state == http.StateIdle {
@@ -192,6 +277,90 @@
 	}
 }
 
+// track keeps the set of open connections.
+func (s *Server) track(c *conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns[c] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+		delete(s.wanting, c)
+	}
+}
+
+// changeHeld changes what a connection holds.
+func (s *Server) changeHeld(c *conn, n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.held += n
+	s.budget.change(n)
+	if n < 0 && len(s.wanting) > 0 {
+		s.retrySoon()
+	}
+}
+
+// wantRoom makes the connection try again to start a request once bytes are given back, as
+// it was refused need bytes.
+func (s *Server) wantRoom(c *conn, need int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wanting[c] = struct{}{}
+	if s.budget.allows(c.held, need) {
+		s.retrySoon() // given back since it was refused
+	}
+}
+
+// retrySoon makes retry run once. The caller holds the lock.
+func (s *Server) retrySoon() {
+	if !s.retrying {
+		s.retrying = true
+		time.AfterFunc(retryDelay, s.retry)
+	}
+}
+
+// retry lets the connections that want room try again, in no order.
+func (s *Server) retry() {
+	s.mu.Lock()
+	wanting := s.wanting
+	s.wanting, s.retrying = map[*conn]struct{}{}, false
+	s.mu.Unlock()
+	for c := range wanting {
+		c.mu.Lock()
+		c.startAhead()
+		c.mu.Unlock()
+	}
+}
+
+// largest returns the connection for which the most is held, or nil, and how many bytes. The
+// caller holds the lock.
+func (s *Server) largest() (holder *conn, bytes int64) {
+	for c := range s.conns {
+		if c.held > bytes {
+			holder, bytes = c, c.held
+		}
+	}
+	return holder, bytes
+}
+
+// nameLargest logs the largest holder, which is the first that may hold no more.
+func (s *Server) nameLargest(now time.Time) {
+	s.mu.Lock()
+	if s.Log == nil || !s.namedAt.IsZero() && now.Sub(s.namedAt) < nameInterval {
+		s.mu.Unlock()
+		return
+	}
+	s.namedAt = now
+	c, bytes := s.largest()
+	held, limit := s.budget.held, s.budget.limit
+	s.mu.Unlock()
+	if c != nil {
+		s.Log.Warn().Str("caller", c.RemoteAddr().String()).Int64("bytes", bytes).Int64("held", held).Int64("limit", limit).
+			Msg("callers: a connection may hold no more; largest holder")
+	}
+}
+
 // held returns the bytes that are held for callers.
 func (s *Server) held() int64 {
 	s.mu.Lock()
--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/turmericfield/turmericfield/internal/logging"
 	"github.com/turmericfield/turmericfield/internal/metrics"
 )
 
@@ -293,6 +294,63 @@
 	c.expect(paths...)
 }
 
+func TestNextRequestStartsOnceOneIsAnswered(t *testing.T) {
+	s := newTestServer(t, nil)
+	c := s.dial()
+	var paths []string
+	for i := range maxAhead + 4 {
+		paths = append(paths, fmt.Sprint("/safe/", i))
+	}
+	c.send(get(paths...))
+	s.waitStarted(paths[:maxAhead]...)
+	s.startedNow() // by now all is read
+	for i := range 3 {
+		s.release(paths[i])
+		s.waitStarted(paths[maxAhead+i])
+	}
+	s.release("*")
+	c.expect(paths...)
+}
+
+func TestRequestStartsAheadOnceOtherConnectionsLeaveRoom(t *testing.T) {
+	s := newTestServer(t, func(o *Options) { o.MemoryBytes, o.ResponseBytes = 16<<20, 128<<10 })
+	var held []string
+	var others []*testCaller
+	for i := range 12 {
+		c := s.dial()
+		c.send(get(fmt.Sprint("/safe/first", i)))
+		s.waitStarted(fmt.Sprint("/safe/first", i))
+		others = append(others, c)
+	}
+	for range 20 {
+		held = append(held, "/safe/held")
+	}
+	s.release("/safe/held")
+	for _, c := range others {
+		c.send(get(held...))
+	}
+	s.startedNow()
+	c := s.dial()
+	c.send(get("/safe/mine"))
+	s.waitStarted("/safe/mine")
+	c.send(get("/safe/late"))
+	if slices.Contains(s.startedNow(), "/safe/late") {
+		t.Fatal("there is room for one more request")
+	}
+	for i, o := range others {
+		s.release(fmt.Sprint("/safe/first", i))
+		o.expect(fmt.Sprint("/safe/first", i))
+		for range held {
+			if _, body, err := o.response(); err != nil || !strings.HasSuffix(body, "/safe/held ") {
+				t.Fatalf("%d bytes, %v", len(body), err)
+			}
+		}
+	}
+	s.waitStarted("/safe/late")
+	s.release("*")
+	c.expect("/safe/mine", "/safe/late")
+}
+
 func TestCallerLeavesWithRequestsQueued(t *testing.T) {
 	for name, behind := range map[string]string{
 		"little behind":        get("/safe/2", "/safe/3", "/once/4"),
@@ -599,6 +657,37 @@
 	}
 }
 
+// Some callers send an empty line behind a body. It belongs to no request.
+func TestAgeDoesNotCountFromAnEmptyLine(t *testing.T) {
+	for _, piped := range []bool{false, true} {
+		s := newTestServer(t, nil)
+		s.release("*")
+		c := s.dial()
+		if piped {
+			s.release("*")
+			c.send(get("/safe/1", "/safe/2", "/safe/3"))
+			c.expect("/safe/1", "/safe/2", "/safe/3")
+		}
+		c.send("POST /once/4 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+		if status, body, err := c.response(); status != 200 || body != "/once/4 x" || err != nil {
+			t.Fatal(status, body, err)
+		}
+		c.send("\r\n")
+		time.Sleep(300 * time.Millisecond)
+		begin := time.Now()
+		c.send("GET /once/5 ")
+		time.Sleep(100 * time.Millisecond)
+		c.send(get("")[len("GET  "):])
+		c.expect("/once/5")
+		longest := time.Since(begin)
+		s.mu.Lock()
+		if age := s.ages["/once/5"]; age < 90*time.Millisecond || age > longest {
+			t.Errorf("piped %v: age %v", piped, age)
+		}
+		s.mu.Unlock()
+	}
+}
+
 func TestIdleOnlyWhenAllAreAnswered(t *testing.T) {
 	s := newTestServer(t, nil)
 	c := s.dial()
@@ -643,6 +732,69 @@
 	c.expect("/safe/1", "/safe/2", "/safe/3")
 }
 
+func TestLargestHolderIsNamed(t *testing.T) {
+	const memory = 16 << 20
+	var out bytes.Buffer
+	logs := logging.New(&out, "info")
+	s := newTestServer(t, func(o *Options) { o.MemoryBytes, o.Log = memory, logs.Part("callers") })
+	paths := func(name string, n int) (list []string) {
+		for i := range n {
+			list = append(list, fmt.Sprint("/safe/", name, i))
+		}
+		return list
+	}
+	var small []*testCaller
+	for i := range 5 {
+		c := s.dial()
+		first := fmt.Sprint("/safe/first", i)
+		c.send(get(first))
+		s.waitStarted(first)
+		c.send(get(paths(fmt.Sprint("small", i, "-"), 3)...))
+		small = append(small, c)
+	}
+	greedy := s.dial()
+	greedy.send(get("/safe/first"))
+	s.waitStarted("/safe/first")
+	s.release(paths("big", 60)...)
+	begin := time.Now()
+	greedy.send(get(paths("big", 60)...))
+	refused := func() bool { return strings.Contains(s.server.Metrics.Text(), "caller_read_ahead_refused_total") }
+	for end := time.Now().Add(patience); !refused(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the greedy caller may hold everything")
+		}
+	}
+	for i := range small { // they still run ahead
+		s.waitStarted(paths(fmt.Sprint("small", i, "-"), 3)...)
+	}
+	var largest int64
+	for line := range strings.Lines(s.server.Metrics.Text()) {
+		_, _ = fmt.Sscanf(line, "turmericfield_caller_bytes_held_by_largest %d", &largest) // most lines are others
+	}
+	if largest < memory/memoryShare/3 || largest > s.server.held() {
+		t.Errorf("the largest holds %d of %d bytes", largest, s.server.held())
+	}
+	s.server.nameLargest(time.Now())
+	early := time.Since(begin) < nameInterval
+	s.server.nameLargest(time.Now().Add(nameInterval))
+	if err := logs.Close(); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if early && len(lines) != 2 {
+		t.Errorf("%d lines, want two, which are an interval apart", len(lines))
+	}
+	for _, line := range lines {
+		if !strings.Contains(line, fmt.Sprintf(`"caller":%q`, greedy.LocalAddr())) || !strings.Contains(line, `"limit":2097152`) {
+			t.Errorf("does not name the greedy caller %v: %s", greedy.LocalAddr(), line)
+		}
+	}
+	s.release("*")
+	for i, c := range small {
+		c.expect(append([]string{fmt.Sprint("/safe/first", i)}, paths(fmt.Sprint("small", i, "-"), 3)...)...)
+	}
+}
+
 // heldSize is the size in bytes of the responses that the handler counts by Hold.
 const heldSize = 127 << 10
 
