affinity: an absurd load of one target does not keep requests from its group

Cause: the load that a target reports went into its group's mean without a bound. A single report of a billion requests made all targets of the group look full, as soon as their own last reports were half a second old: for all requests until many reports had averaged it away, and for requests that yield also over a longer pause between reports.

Change: a target counts in the group's mean with 10 requests per slot at most.

Result: the test, in which another target of the group has free slots, was refused before, with and without yielding; now both are sent there.

--- a/internal/affinity/group.go
+++ b/internal/affinity/group.go
@@ -6,6 +6,10 @@
 // of a group's load.
 const groupLoadWeight = 0.1
 
+// maxGroupLoad bounds the requests per slot of one target that count in its group's load, so
+// that a target which reports more than it can have does not keep requests from the others.
+const maxGroupLoad = 10.0
+
 const (
 	// lastingReports is the number of reports over which an instance that hears rarely of a
 	// group keeps its load: twice as many as the average holds.
@@ -47,6 +51,7 @@
 
 // recordLoad adds a target's report to the moving average.
 func (g *targetGroup) recordLoad(othersPerSlot float64, now time.Duration) {
+	othersPerSlot = min(othersPerSlot, maxGroupLoad)
 	if reportWeight(g.reportedAt, now) == 0 {
 		g.load = othersPerSlot
 	}
--- a/internal/affinity/group_test.go
+++ b/internal/affinity/group_test.go
@@ -130,3 +130,23 @@
 		}
 	}
 }
+
+// A target that reports a load that it cannot have does not keep requests from the others.
+func TestAbsurdLoadOfATargetDoesNotRepelRequestsFromOthers(t *testing.T) {
+	for _, yields := range []bool{false, true} {
+		b := newBalancer("a", "r0", newTargets(12, 6)) // four in each region
+		now := time.Minute
+		absurd, other := objectOf(t, b, "t00", now), objectOf(t, b, "t03", now)
+		report(t, b, mustChoose(t, b, homeRequest(other), now), 3, now)
+		now += time.Second
+		report(t, b, mustChoose(t, b, homeRequest(absurd), now), 1_000_000_000, now)
+		r := homeRequest(other)
+		if yields {
+			r.YieldTo, r.YieldShare = r.Objective, 1
+		}
+		now += 500 * ms
+		if g, ok := b.Choose(r, now); !ok || g.Target.ID != "t03" {
+			t.Errorf("yields %v: granted %v at %s, want t03, which reported free slots", yields, ok, g.Target.ID)
+		}
+	}
+}
