admission: longer objectives leave more room for a higher priority, told and tested

Where a higher priority competes, requests with a longer objective are: they leave twice as much room for it as those with a much shorter one. No test told so.

--- a/internal/admission/claims.go
+++ b/internal/admission/claims.go
@@ -154,8 +154,9 @@
 
 // yield returns how far requests of a rank give way to the higher ones that ask for a
 // noticeable part of the service: by their protection, to the shortest of their objectives,
-// halved for each higher priority. Where few requests tell how often a higher one is sent, its
-// lower ones wait no longer than it does itself, even while it is not protected.
+// halved for each higher priority and, below one, once more if a shorter objective of their
+// own priority competes too. Where few requests tell how often a higher one is sent, its lower
+// ones wait no longer than it does itself, even while it is not protected.
 func (c claims) yield(service string, of rank, now time.Duration) Yield {
 	var y Yield
 	w, least := c.noticeable(service, now)
--- a/internal/admission/line_test.go
+++ b/internal/admission/line_test.go
@@ -307,3 +307,20 @@
 	equal(t, yieldTo(0, 0), time.Duration(0), "the highest")
 	equal(t, yieldTo(2, time.Minute), time.Duration(0), "once they ask no more")
 }
+
+func TestLongObjectivesLeaveMoreRoomBelowAHigherPriority(t *testing.T) {
+	l := NewLine(10)
+	first := Request{Priority: 0, Route: "first", Objective: 500 * time.Millisecond}
+	short := Request{Priority: 1, Route: "short", Objective: 300 * time.Millisecond}
+	long := Request{Priority: 1, Route: "long", Objective: 1500 * time.Millisecond}
+	for range 40 {
+		for _, r := range []Request{first, short, long} {
+			l.Asked(service, r, 0)
+			l.Sent(service, r, 0)
+		}
+	}
+	equal(t, l.Yield(service, first, 0).Objective, time.Duration(0), "the first priority")
+	equal(t, l.Yield(service, short, 0).Objective, 250*time.Millisecond, "the short one")
+	equal(t, l.Yield(service, long, 0).Objective, 125*time.Millisecond, "the long one")
+	equal(t, l.Yield(service, Request{Priority: 2, Route: "last"}, 0).Objective, 125*time.Millisecond, "the next priority")
+}
