--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -59,7 +59,8 @@
 		parts[i] = max(instance.Capacity/largest, leastRatio)
 		sum += parts[i]
 	}
-	// The largest is in nearly each answer, so that callers keep as many connections as they can.
+	// Up to MaxNamed the largest is in nearly each answer, so that callers keep as many
+	// connections as they can.
 	c.named = min(max(int(sum), MinNamed), c.named)
 	c.probability = probabilities(parts, float64(c.named))
 	return c
--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -281,3 +281,17 @@
 		})
 	}
 }
+
+func TestLargestInstanceIsNamedInMostAnswersOfUpToMaxNamed(t *testing.T) {
+	for name, sizes := range deployments {
+		for fleet := 7; fleet <= 300; fleet++ {
+			c := NewChooser(region(fleet, sizes))
+			if c.probability == nil || c.named == MaxNamed {
+				continue
+			}
+			if largest := slices.Max(c.probability); largest < 2.0/3 {
+				t.Errorf("%s, %d instances: the largest is in %.2f of the answers", name, fleet, largest)
+			}
+		}
+	}
+}
