admission: requests of one priority do not yield by their objectives

Cause: where only some targets of a service are full, requests with a long objective left room at the others for shorter ones that nobody took.

Change: requests yield to higher priorities only, as before.

--- a/internal/admission/claims.go
+++ b/internal/admission/claims.go
@@ -6,18 +6,7 @@
 	"time"
 )
 
-// rank orders requests by who gives way to whom in the targets' queues: those of lower
-// priority to those of higher, and of the same priority those with a longer objective to those
-// with a much shorter one, which would find the queue too long otherwise.
-type rank struct{ priority, objective int }
-
-func rankOf(r Request) rank { return rank{r.Priority, scale(r.Objective)} }
-
-func compareRanks(a, b rank) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.objective, b.objective))
-}
-
-// window is a time over which the requests of a rank are counted.
+// window is a time over which the requests of a priority are counted.
 type window int
 
 const (
@@ -34,13 +23,13 @@
 	return lastingMemory
 }
 
-// claim is what requests of one rank ask of a service.
+// claim is what requests of one priority ask of a service.
 type claim struct {
 	counters  [windows]counter
 	askedAt   time.Duration // last request
-	rank      rank
+	priority  int
 	objective time.Duration // the shortest of those counted
-	// protection, 0 to 1, is how far requests of lower ranks give way.
+	// protection, 0 to 1, is how far requests of lower priority give way.
 	protection float64
 }
 
@@ -61,30 +50,29 @@
 
 const (
 	// lastingMemory is the time over which requests are counted where shareMemory holds too
-	// few. A rank that has not asked for so long is forgotten.
+	// few. A priority that has not asked for so long is forgotten.
 	lastingMemory = 30 * time.Second
 	// minRecent is the number of requests for a service from which those of shareMemory tell
 	// its priorities.
 	minRecent = 2 * minCounted
-	// minClaim is the part of a service's requests that those of a rank make up at least
+	// minClaim is the part of a service's requests that those of a priority make up at least
 	// for lower ones to yield to them.
 	minClaim = 0.05
 	// minClaimed is the number of requests, of which those of the past count less, that a
-	// rank has at least for lower ones to yield to it.
+	// priority has at least for lower ones to yield to it.
 	minClaimed = 0.5
 	// yieldStep is the factor by which requests of each lower priority leave more room than
 	// those of the next higher one.
 	yieldStep = 0.5
 	// balanceTime is the time in which the protection of a priority rises from none to full
 	// while it is sent less often than a lower one, or falls back. Protecting it further would
-	// cost more requests than it saves, as the room that stays free is partly lost for all. In
-	// a longer window it takes longer in proportion.
+	// cost more requests than it saves, as the room that stays free is partly lost for all.
 	balanceTime = time.Second
 	// minLag is by how much less often, as a share of requests, that is.
 	minLag = 0.02
 )
 
-// Yield is how far a request gives way to those of higher rank at the same service.
+// Yield is how far a request gives way to those of higher priority at the same service.
 type Yield struct {
 	// Objective is the latency objective for which it leaves room in the targets' queues; 0 if
 	// there is nothing to give way to.
@@ -93,20 +81,20 @@
 	Share float64
 }
 
-// claims tells which ranks compete for a service; the highest one comes first.
+// claims tells which priorities compete for a service; the highest priority comes first.
 type claims map[string][]*claim
 
 // asked counts a request.
 func (c claims) asked(service string, r Request, now time.Duration) {
-	list, of := c[service], rankOf(r)
-	i, known := slices.BinarySearchFunc(list, of, compareClaim)
+	list := c[service]
+	i, known := slices.BinarySearchFunc(list, r.Priority, func(e *claim, p int) int { return cmp.Compare(e.priority, p) })
 	if !known {
 		list = slices.DeleteFunc(list, func(e *claim) bool {
 			e.decay(now)
 			return e.counters[recent].asked < 1 && now-e.askedAt > lastingMemory
 		})
-		i, _ = slices.BinarySearchFunc(list, of, compareClaim)
-		list = slices.Insert(list, i, &claim{counters: [windows]counter{{at: now}, {at: now}}, rank: of, objective: r.Objective})
+		i, _ = slices.BinarySearchFunc(list, r.Priority, func(e *claim, p int) int { return cmp.Compare(e.priority, p) })
+		list = slices.Insert(list, i, &claim{counters: [windows]counter{{at: now}, {at: now}}, priority: r.Priority, objective: r.Objective})
 		c[service] = list
 	}
 	c.protect(service, now)
@@ -122,19 +110,19 @@
 
 // sent counts a request that was sent.
 func (c claims) sent(service string, r Request, now time.Duration) {
-	i, known := slices.BinarySearchFunc(c[service], rankOf(r), compareClaim)
-	if !known {
-		return
-	}
-	for w := range windows {
-		c[service][i].counters[w].sent++
+	for _, e := range c[service] {
+		if e.priority == r.Priority {
+			for w := range windows {
+				e.counters[w].sent++
+			}
+		}
 	}
 }
 
-// protect ages the counts of a service, and updates the protection of each rank by what
+// protect ages the counts of a service, and updates the protection of each priority by what
 // its requests have got until now.
 func (c claims) protect(service string, now time.Duration) {
-	var lower [windows]float64 // largest share of the lower ranks
+	var lower [windows]float64 // largest share of the lower priorities
 	for _, e := range slices.Backward(c[service]) {
 		w := e.window()
 		step := float64(max(now-e.counters[w].at, 0)) / float64(balanceTime) * float64(shareMemory) / float64(w.memory())
@@ -152,26 +140,20 @@
 	}
 }
 
-// yield returns how far requests of a rank give way to the higher ones that ask for a
+// yield returns how far requests of a priority give way to the higher ones that ask for a
 // noticeable part of the service: by their protection, to the shortest of their objectives,
-// halved for each higher priority and, below one, once more if a shorter objective of their
-// own priority competes too. Where few requests tell how often a higher one is sent, its lower
-// ones wait no longer than it does itself, even while it is not protected.
-func (c claims) yield(service string, of rank, now time.Duration) Yield {
+// halved for each of them. Where few requests tell how often a higher one is sent, its
+// lower ones wait no longer than it does itself, even while it is not protected.
+func (c claims) yield(service string, priority int, now time.Duration) Yield {
 	var y Yield
 	w, least := c.noticeable(service, now)
-	asked, halvedFor := 0.0, of.priority
 	for _, e := range c[service] {
-		if compareRanks(e.rank, of) >= 0 {
+		if e.priority >= priority {
 			break
 		}
-		if e.objective <= 0 {
+		if !e.asks(w, least, now) || e.objective <= 0 {
 			continue
 		}
-		if asked += e.asked(w, now); asked < least {
-			continue // those that are few count together with the next ones
-		}
-		asked = 0
 		if y.Objective == 0 || e.objective < y.Objective {
 			y.Objective = e.objective
 		}
@@ -179,10 +161,7 @@
 		if e.window() != recent {
 			step, share = 1-(1-yieldStep)*e.protection, 1
 		}
-		if e.rank.priority != halvedFor {
-			y.Objective = time.Duration(step * float64(y.Objective))
-			halvedFor = e.rank.priority
-		}
+		y.Objective = time.Duration(step * float64(y.Objective))
 		y.Share = max(y.Share, share)
 	}
 	return y
@@ -191,21 +170,17 @@
 // compete reports whether requests of different priority ask for a noticeable part of the
 // service each.
 func (c claims) compete(service string, now time.Duration) bool {
+	priorities := 0
 	w, least := c.noticeable(service, now)
-	priorities, asked := 0, 0.0
-	for i, e := range c[service] {
-		if i > 0 && c[service][i-1].rank.priority != e.rank.priority {
-			asked = 0
-		}
-		before := asked
-		if asked += e.asked(w, now); before < least && asked >= least {
+	for _, e := range c[service] {
+		if e.asks(w, least, now) {
 			priorities++
 		}
 	}
 	return priorities > 1
 }
 
-// noticeable returns from how many requests, counted in which window, others ask for
+// noticeable returns from how many requests, counted in which window, a priority asks for
 // a noticeable part of a service.
 func (c claims) noticeable(service string, now time.Duration) (window, float64) {
 	c.protect(service, now)
@@ -222,12 +197,7 @@
 	return w, max(minClaim*all[w], minClaimed)
 }
 
-// asked returns the number of requests in a window; 0 if the last one is long past.
-func (e *claim) asked(w window, now time.Duration) float64 {
-	if now-e.askedAt > lastingMemory {
-		return 0
-	}
-	return e.counters[w].asked
+// asks reports whether the priority has asked at least so often, and lately.
+func (e *claim) asks(w window, least float64, now time.Duration) bool {
+	return e.counters[w].asked >= least && now-e.askedAt <= lastingMemory
 }
-
-func compareClaim(e *claim, of rank) int { return compareRanks(e.rank, of) }
--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -161,13 +161,13 @@
 	return true
 }
 
-// Yield returns how far a request gives way to requests of higher priority, or of the same
-// and a much shorter objective, that compete with it for a service lately. A starving one does not.
+// Yield returns how far a request gives way to requests of higher priority that compete with
+// it for a service lately. A starving one does not.
 func (l *Line) Yield(service string, r Request, now time.Duration) Yield {
 	if l.Starving(service, r, now) {
 		return Yield{}
 	}
-	return l.claims.yield(service, rankOf(r), now)
+	return l.claims.yield(service, r.Priority, now)
 }
 
 // Starving reports whether the request's route or workspace gets less than a quarter of the
@@ -283,16 +283,16 @@
 // compare orders waiting requests: by priority, then those first that need much less work,
 // so that more are answered in all, then those with less time left.
 func compare(a, b *waiter) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(scale(a.Work), scale(b.Work)), cmp.Compare(a.latestStart, b.latestStart))
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(workClass(a.Work), workClass(b.Work)), cmp.Compare(a.latestStart, b.latestStart))
 }
 
-// scale returns the same number for durations within a factor of two, as expectations of work are
-// no more exact than that.
-func scale(d time.Duration) int {
-	n := 0
-	for d > time.Millisecond {
-		d /= 2
-		n++
+// workClass returns the same number for amounts of work within a factor of two, since
+// expectations are no more exact than that.
+func workClass(work time.Duration) int {
+	class := 0
+	for work > time.Millisecond {
+		work /= 2
+		class++
 	}
-	return n
+	return class
 }
--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -63,7 +63,7 @@
 	// Urgent marks a request of high priority, which may wait longer for a slot
 	// before it is refused.
 	Urgent bool
-	// YieldTo is the latency objective of requests that go first at the service, for
+	// YieldTo is the latency objective of requests of higher priority at the service, for
 	// which a part of the targets' queues stays free; 0 if there are none. YieldShare, 0 to 1,
 	// is by how much the wait that is acceptable approaches the one that leaves that room.
 	YieldTo    time.Duration
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -35,7 +35,7 @@
 	"quota":               "the workspace's rate and burst in the whole fleet are used up; look for 'hub: lost' if they should not be",
 	"no-target":           "no registered target may run the request: look at 'targets: changed', 'zones: changed' and the route's homes",
 	"unavailable":         "every target that may run the request leaves or pauses: the lines 'target: changed' above tell which, by what source and for how long; wait_ms is the time to the first end of a pause, 0 if all leave",
-	"full":                "the target that knows the object had a queue too long for the objective, by its last report or by those of the region's other targets, and the targets that may run the request had no room to teach another; with yields_to_ms it left room there for requests of higher priority, or of a much shorter objective",
+	"full":                "the target that knows the object had a queue too long for the objective, by its last report or by those of the region's other targets, and the targets that may run the request had no room to teach another; with yields_to_ms it left room there for requests of higher priority",
 	"outranked":           "it waited here for room at its target, and requests of higher priority, or with less work, left it no time: waited_ms tells how long it waited",
 	"rejected":            "the targets asked said that they did not run it",
 	"address-reused":      "another target had the address: the log names the one that was there before; look at 'targets: changed'",
