explain: cause of ahead-of-its-turn

The reason came with the refusal of requests that were read ahead by a configuration that another has replaced; TestEachReasonHasACause failed without its cause.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -37,6 +37,7 @@
 	"unavailable":         "every target that may run the request leaves or pauses: the lines 'target: changed' above tell which, by what source and for how long; wait_ms is the time to the first end of a pause, 0 if all leave",
 	"full":                "the target that knows the object had a queue too long for the objective, by its last report or by those of the region's other targets, and the targets that may run the request had no room to teach another; with yields_to_ms it left room there for requests of higher priority",
 	"outranked":           "it waited here for room at its target, and requests of higher priority, or with less work, left it no time: waited_ms tells how long it waited",
+	"ahead-of-its-turn":   "it was read ahead on its connection by a configuration that another has replaced, which does not let it run beside earlier requests: it was not run",
 	"rejected":            "the targets asked said that they did not run it",
 	"address-reused":      "another target had the address: the log names the one that was there before; look at 'targets: changed'",
 	"unreachable":         "no connection to the targets tried",
