edge: an instance that starts trusts keys once the store's era is settled

An instance that starts knows neither the version in force before nor when the store came back as an older copy. It took the configuration of its first listing as current, so that a key withdrawn in the lost seconds counted again until the operator had written again. The same held for a start below a neighbour that was itself still within its proof delay.

In an era above 0, the first copy now proves the configuration after the proof delay of 1.5 s only, or as soon as the era is known to be settled: by a neighbour that says so in Follow and Copy (new field settled, false from earlier versions), or by a mark in the store, turmericfield/era, that an instance at the store writes 1.5 s after its copy was settled. A restored copy has an earlier era's mark. Open routes are served at once; era 0 is as before.

--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -201,6 +201,7 @@
 	}
 	state, err = proto.Marshal(&fleetpb.FollowResponse{
 		Revision: revision, Via: f.via, Lost: f.lost || f.currentAsOf == 0, AgeNs: int64(now() - f.currentAsOf),
+		Settled: f.mirror.IsSettled(f.currentAsOf),
 	})
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "copy of the store")
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -39,8 +39,9 @@
 	updated     chan struct{} // closed and replaced when there is something to tell followers
 	serialized  *serializedCopy
 	budget      *changefeed.Budget // of what is held for followers
-	refusedAt   time.Duration      // time since boot of the last log line of a refusal; 0 if none
-	restoring   *mirror.Judgement  // of the store that came back as an older copy, until restoreEnds; nil if it did not
+	settled     settledEra
+	refusedAt   time.Duration     // time since boot of the last log line of a refusal; 0 if none
+	restoring   *mirror.Judgement // of the store that came back as an older copy, until restoreEnds; nil if it did not
 	restoreEnds time.Duration
 	dropped     int // entries that were not written again by then
 
@@ -248,6 +249,11 @@
 		f.logOmitted(e)
 	}
 	f.apply(f.mirror, f.replace(a.entries, a.revision))
+	if a.source == changefeed.StoreSource {
+		f.checkEraMark(a.currentAsOf)
+	} else if a.settled {
+		f.mirror.NoteSettled(platform.RevisionEra(a.revision), a.currentAsOf)
+	}
 	f.confirmConfiguration() // not before the changes are in force
 	f.confirmInstances(f.currentAsOf)
 	f.notifyFollowers()
@@ -308,6 +314,9 @@
 	}
 	hasNew := f.feed.Apply(changes, revision)
 	f.apply(f.mirror, f.mirror.Apply(changes, revision, now()))
+	if source == changefeed.StoreSource {
+		f.checkEraMark(currentAsOf)
+	}
 	f.confirmConfiguration() // not before the changes are in force
 	f.confirmInstances(f.currentAsOf)
 	if hasNew || regained {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -388,6 +388,9 @@
 		if err := e.renew(ctx, &lease, &written); err != nil && ctx.Err() == nil {
 			e.log.Warn().Err(err).Uint64("lease", lease).Msg("registration: not renewed")
 		}
+		if err := e.follower.markEra(ctx); err != nil && ctx.Err() == nil {
+			e.log.Warn().Err(err).Msg("store: era not marked as settled")
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(renewInterval):
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -70,7 +70,7 @@
 	at := now()
 	out := &fleetpb.FollowResponse{
 		Revision: batch.Revision, More: batch.More, List: !ok, Via: f.via, Lost: f.lost || f.currentAsOf == 0,
-		AgeNs: int64(at - f.currentAsOf), HeldNs: int64(at - arrivedAt),
+		AgeNs: int64(at - f.currentAsOf), HeldNs: int64(at - arrivedAt), Settled: f.mirror.IsSettled(f.currentAsOf),
 	}
 	for _, g := range batch.Gaps {
 		out.Gaps = append(out.Gaps, &fleetpb.Gap{From: g.From, To: g.To})
@@ -150,6 +150,7 @@
 	currentAsOf time.Duration     // time since boot at which the source's copy was known to be current
 	via         []string          // instances between this one and the store, nearest first
 	lost        bool              // the source has no current source itself
+	settled     bool              // the source's copy is settled in the era of the revision
 }
 
 // ask asks a source during a search.
@@ -210,7 +211,7 @@
 // it is.
 func answerFromProto(name string, r *fleetpb.FollowResponse, askedAt time.Duration) answer {
 	return answer{
-		source: name, revision: r.GetRevision(), more: r.GetMore(), lost: r.GetLost(), via: append([]string{name}, r.GetVia()...),
+		source: name, revision: r.GetRevision(), more: r.GetMore(), lost: r.GetLost(), settled: r.GetSettled(), via: append([]string{name}, r.GetVia()...),
 		currentAsOf: askedAt + time.Duration(r.GetHeldNs()-r.GetAgeNs()),
 	}
 }
@@ -234,6 +235,7 @@
 		f.applyUnconfirmed(a.changes, a.revision)
 		return err
 	}
+	f.noteSettled(a)
 	f.applyCurrent(a.changes, a.revision, a.currentAsOf, a.via)
 	return nil
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -42,7 +42,8 @@
 	// than the one known before. Nil means that none does.
 	IsOutdated func(known, listed platform.Entry) bool
 	// ProofDelay is how long after such a return an entry that is listed may still be
-	// outdated, because its owner has yet to write it again.
+	// outdated, because its owner has yet to write it again. A mirror whose first listing is
+	// of an era above 0 cannot tell when that was, and counts from the listing.
 	ProofDelay time.Duration
 }
 
@@ -62,7 +63,7 @@
 	outageEnded bool
 
 	restored   uint64        // revision of the first copy of the present era; 0 if the era has not risen
-	provenFrom time.Duration // end of ProofDelay
+	provenFrom time.Duration // end of ProofDelay; 0 if the store is not known to have come back
 	keptUntil  time.Duration // end of the grace period of entries of lower eras
 }
 
@@ -90,6 +91,9 @@
 	if m.IsRestored(revision) {
 		return m.replaceRestored(entries, revision, now)
 	}
+	if !m.hasListing && platform.RevisionEra(revision) > 0 {
+		m.provenFrom = now + m.options.ProofDelay // the store may have come back just before
+	}
 	m.NoteContact(now)
 	var changed []string
 	listedRevisions := make(map[string]uint64, len(entries))
--- a/internal/mirror/restored.go
+++ b/internal/mirror/restored.go
@@ -137,8 +137,16 @@
 // and the owner of the entry may still have to write it, or a later one, again.
 func (m *Mirror) IsProven(key string, now time.Duration) bool {
 	e, ok := m.entries[key]
-	if m.restored == 0 {
-		return ok
+	return ok && m.IsSettled(now) && platform.RevisionEra(e.Revision) == platform.RevisionEra(m.revision)
+}
+
+// IsSettled reports whether a copy that is current as of the time now has what was written
+// within ProofDelay after the store came back as an older copy.
+func (m *Mirror) IsSettled(now time.Duration) bool { return now >= m.provenFrom }
+
+// NoteSettled records that a copy of an era that is current as of the time from on is known to be settled.
+func (m *Mirror) NoteSettled(era uint64, from time.Duration) {
+	if era == platform.RevisionEra(m.revision) {
+		m.provenFrom = min(m.provenFrom, from)
 	}
-	return ok && now >= m.provenFrom && platform.RevisionEra(e.Revision) == platform.RevisionEra(m.revision)
 }
--- a/internal/mirror/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -219,3 +219,26 @@
 		t.Errorf("configuration %q, gone target is back: %v", holds(m, "configuration"), has(m, "servers/gone"))
 	}
 }
+
+// An instance that starts does not know when the store came back.
+func TestFirstListingIsProvenAfterADelayOnly(t *testing.T) {
+	for name, c := range map[string]struct {
+		era      uint64
+		settle   func(m *Mirror)
+		provenAt time.Duration
+	}{
+		"store without eras":         {0, func(*Mirror) {}, 0},
+		"no word of the era":         {2, func(*Mirror) {}, time.Second + proofDelay},
+		"settled before the listing": {2, func(m *Mirror) { m.NoteSettled(2, time.Second) }, time.Second},
+		"settled later":              {2, func(m *Mirror) { m.NoteSettled(2, time.Minute) }, time.Second + proofDelay},
+		"another era is settled":     {2, func(m *Mirror) { m.NoteSettled(1, time.Second); m.NoteSettled(3, time.Second) }, time.Second + proofDelay},
+	} {
+		m := New(Options{LastingKey: "configuration", ProofDelay: proofDelay})
+		list(m, at(c.era, 50), time.Second, value("configuration", "5", c.era, 40))
+		list(m, at(c.era, 60), 1100*time.Millisecond, value("configuration", "5", c.era, 40)) // does not prolong it
+		c.settle(m)
+		if m.IsProven("configuration", c.provenAt-1) && c.era > 0 || !m.IsProven("configuration", c.provenAt) {
+			t.Errorf("%s: not proven from %v on", name, c.provenAt)
+		}
+	}
+}
