edge: an instance that stops removes its entry and leaves its lease to end

At SIGTERM, an instance ended its lease by id. If the store had come back as an older copy that the instance had not heard of, the id could have been granted to another instance, whose registration then vanished. The same holds for a call that the store carries out late.

It now deletes its entry on the condition of the entry's revision; on a conflict only if the present entry is of its own lease. An ordinary stop still takes one call. The store interface no longer has the end of a lease.

TestInstanceThatStopsAfterARestoreLeavesOthersRegistered failed before (the lease of another instance had ended).

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -407,11 +407,38 @@
 	}
 	end, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
-	if err := e.store.RevokeLease(end, lease); err != nil {
+	if err := e.removeMember(end, lease); err != nil {
 		e.log.Warn().Err(err).Msg("registration: not removed, its lease will end")
 	}
 }
 
+// removeMember removes this instance's entry unless another process of the same name has
+// replaced it. It does not end the lease: if the store came back as an older copy, its id
+// may be that of another instance's lease.
+func (e *Edge) removeMember(ctx context.Context, lease uint64) error {
+	e.follower.mu.Lock()
+	known := platform.Entry{Key: e.storeKeys.OwnPrefix + instancePrefix + e.Name, Revision: e.registeredAt, LeaseID: lease}
+	e.registeredAt = 0
+	e.follower.mu.Unlock()
+	if known.Revision == 0 { // the response to the write may have been lost
+		var err error
+		if known, err = e.store.Get(ctx, known.Key); err != nil {
+			return err
+		}
+	}
+	for range 2 {
+		if known.Revision == 0 || known.LeaseID != lease {
+			return nil
+		}
+		ok, now, err := e.store.CompareAndSwap(ctx, platform.Write{Key: known.Key, ExpectedRevision: known.Revision, Delete: true})
+		if err != nil || ok {
+			return err
+		}
+		known = now
+	}
+	return errors.Newf("entry %s was changed during each attempt to remove it", known.Key)
+}
+
 // registerAgain makes this instance renew its registration at once, as the store came
 // back as an older copy. entryLost says that its entry is gone.
 func (e *Edge) registerAgain(entryLost bool) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -110,7 +110,7 @@
 	return classifyWriteError(err)
 }
 
-// RevokeLease implements Store.
+// RevokeLease ends a lease and deletes the keys written with it.
 func (c *Client) RevokeLease(ctx context.Context, id uint64) error {
 	_, err := c.rpc.RevokeLease(ctx, &platformpb.RevokeLeaseRequest{LeaseId: id})
 	return classifyWriteError(err)
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -98,8 +98,6 @@
 	GrantLease(ctx context.Context, ttl time.Duration) (uint64, error)
 	// RenewLease restarts the lease's time to live.
 	RenewLease(ctx context.Context, id uint64) error
-	// RevokeLease ends a lease and deletes the keys written with it.
-	RevokeLease(ctx context.Context, id uint64) error
 	// Watch calls onChange with the changes of keys with the prefix whose revision
 	// is above afterRevision, until the context ends or the connection breaks. A
 	// call without changes shows progress: all changes up to the revision have
