edge: instances register again by one write, and refused ones spread out

After a restore each instance first wrote its entry as if there was none: where the copy had one, that was a conflict and a second write. And instances that the store refused for its limit came back all at once a second later.

The first attempt is now conditioned on the entry that the instance's copy has, if it is of the present era, and after an error the next attempt comes 0.5 to 1.5 s later.

TestInstanceRegistersAgainByOneWrite failed before with 4 writes of two instances, TestRefusedRegistrationsAreSpread with pauses that differed by 0.3 ms.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -385,7 +385,10 @@
 	var lease uint64
 	written := false
 	for ctx.Err() == nil {
+		pause := renewInterval
 		if err := e.renew(ctx, &lease, &written); err != nil && ctx.Err() == nil {
+			// Instances that the store refuses at the same moment do not come back at the same one.
+			pause = renewInterval/2 + rand.N(renewInterval)
 			e.log.Warn().Err(err).Uint64("lease", lease).Msg("registration: not renewed")
 		}
 		if err := e.follower.markEra(ctx); err != nil && ctx.Err() == nil {
@@ -393,7 +396,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(renewInterval):
+		case <-time.After(pause):
 		case <-e.reregister:
 			time.Sleep(rand.N(maxReregisterDelay))
 		}
@@ -487,7 +490,7 @@
 		return errors.Wrap(err, "instance")
 	}
 	key := e.storeKeys.OwnPrefix + instancePrefix + e.Name
-	known := platform.Entry{}
+	known := e.knownEntry(key)
 	for range 3 {
 		ok, now, err := e.store.CompareAndSwap(ctx, platform.Write{Key: key, ExpectedRevision: known.Revision, Value: value, LeaseID: lease})
 		switch {
@@ -502,3 +505,16 @@
 	}
 	return errors.Newf("entry %s was changed by another process during each attempt to write it", key)
 }
+
+// knownEntry returns the entry of a key in the copy if it can be the store's present one;
+// one of an earlier era cannot.
+func (e *Edge) knownEntry(key string) platform.Entry {
+	e.follower.mu.Lock()
+	defer e.follower.mu.Unlock()
+	m := e.follower.mirror
+	known, _ := m.Get(key)
+	if platform.RevisionEra(known.Revision) != platform.RevisionEra(m.Revision()) {
+		return platform.Entry{}
+	}
+	return known
+}
