--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -405,3 +406,28 @@
 		}
 	}
 }
+
+// An entry of a lower era that nobody has written again is gone for new followers, and one
+// that was written again, or of the present era, stays.
+func TestOnlyEntriesOfALowerEraAreDropped(t *testing.T) {
+	revision := func(era, number uint64) uint64 {
+		r, err := platform.ComposeRevision(era, number)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	f := NewFeed(sameFirstByte)
+	f.Replace(nil, revision(1, 90))
+	f.Reset([]platform.Entry{
+		{Key: "kept", Value: []byte("a"), Revision: revision(1, 80)}, {Key: "written again", Value: []byte("a"), Revision: revision(1, 81)},
+		{Key: "present", Value: []byte("a"), Revision: revision(2, 40)},
+	}, revision(2, 50))
+	f.Apply([]platform.Change{put("written again", "a", revision(2, 51))}, revision(2, 51))
+	f.Drop([]string{"kept", "written again", "present", "unknown"})
+	entries, _ := f.Entries()
+	slices.SortFunc(entries, func(a, b platform.Entry) int { return cmp.Compare(a.Key, b.Key) })
+	if len(entries) != 2 || entries[0].Key != "present" || entries[1].Key != "written again" {
+		t.Errorf("left are %v", entries)
+	}
+}
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -163,3 +163,40 @@
 		}
 	}
 }
+
+// Followers must learn that an entry was written again, or they drop it.
+func TestEntryThatIsWrittenAgainInTheNextEraIsPassedOn(t *testing.T) {
+	f := newStartedFollower(t)
+	for _, key := range []string{"targets/t", "configuration"} {
+		known := entryAt(key, "1", inEra(t, 1, 5))
+		if !f.sameEntry(known, entryAt(key, "1", inEra(t, 1, 6))) {
+			t.Errorf("%s: a heartbeat is passed on", key)
+		}
+		if f.sameEntry(known, entryAt(key, "1", inEra(t, 2, 3))) {
+			t.Errorf("%s: written again, is not passed on", key)
+		}
+	}
+}
+
+// An instance must write its entry again at once, though it does not miss it.
+func TestInstanceRegistersAgainWhenTheEraRisesOnly(t *testing.T) {
+	f := newStartedFollower(t)
+	for _, c := range []struct {
+		revision uint64
+		again    bool
+	}{{inEra(t, 1, 5), false}, {inEra(t, 1, 9), false}, {inEra(t, 2, 3), true}, {inEra(t, 2, 4), false}} {
+		if err := f.applyCopy(storeCopy(c.revision)); err != nil {
+			t.Fatal(err)
+		}
+		again := false
+		select {
+		case <-f.reregister:
+			again = true
+		default:
+		}
+		if again != c.again || f.entryLost.Load() {
+			t.Errorf("number %d of era %d: registers again %v, want %v; its entry is lost: %v",
+				platform.RevisionNumber(c.revision), platform.RevisionEra(c.revision), again, c.again, f.entryLost.Load())
+		}
+	}
+}
