edge: the mark of the era tells nothing of the instances

Any entry under the instances' own prefix made an instance take the list of instances as known. With the mark, one that starts before others have registered would have counted itself as the whole fleet. Only registrations count now.

TestMarkTellsNothingOfTheInstances failed before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -399,7 +399,7 @@
 			zones = true
 		case strings.HasPrefix(key, e.storeKeys.TargetPrefix):
 			targets = true
-		case strings.HasPrefix(key, e.storeKeys.OwnPrefix):
+		case strings.HasPrefix(key, e.storeKeys.OwnPrefix+instancePrefix):
 			own = true
 		}
 	}
--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -41,9 +41,9 @@
 }
 
 // checkEraMark ends the proof delay if the copy, which the store has confirmed as current as
-// of a time, has the mark of its era. The pages of a listing are not one snapshot: the first
-// one was read within the proof delay at most if reading all of them took as long as the
-// mark was written later. The caller holds the lock.
+// of a time, has the mark of its era. The pages of a listing are not one snapshot. As the mark
+// is written restoredProofDelay after the era was settled, all pages of a listing that took
+// less were read in a settled era. The caller holds the lock.
 func (f *follower) checkEraMark(currentAsOf time.Duration) {
 	at, era := now(), platform.RevisionEra(f.mirror.Revision())
 	if f.mirror.IsSettled(currentAsOf) || f.markedEra() != era {
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -200,3 +200,15 @@
 		}
 	}
 }
+
+// The mark outlasts the instances: it must not make one that starts with others believe
+// that it knows them.
+func TestMarkTellsNothingOfTheInstances(t *testing.T) {
+	f := newStartedFollower(t)
+	if err := f.applyCopy(storeCopy(inEra(t, 2, 5), entryAt("own/era", `{"settled":2}`, inEra(t, 2, 4)))); err != nil {
+		t.Fatal(err)
+	}
+	if f.members.known {
+		t.Error("the list of instances counts as known")
+	}
+}
--- a/internal/mirror/restored.go
+++ b/internal/mirror/restored.go
@@ -144,7 +144,8 @@
 // within ProofDelay after the store came back as an older copy.
 func (m *Mirror) IsSettled(now time.Duration) bool { return now >= m.provenFrom }
 
-// NoteSettled records that a copy of an era that is current as of the time from on is known to be settled.
+// NoteSettled records that a copy of an era is settled if it is current as of the time from,
+// or later.
 func (m *Mirror) NoteSettled(era uint64, from time.Duration) {
 	if era == platform.RevisionEra(m.revision) {
 		m.provenFrom = min(m.provenFrom, from)
