edge: the era is not marked while the store lacks the newest configuration

An instance that goes through a restore keeps the newest configuration, but wrote the mark of the era also if the operator had not written it again. The mark outlasts the instances, and one that starts alone trusted the older configuration at once. The mark is now due only once the configuration is proven. TestEraIsNotMarkedBeforeTheConfigurationIsWrittenAgain fails before ("marked") and passes now.

--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -86,12 +86,13 @@
 }
 
 // dueEraMark returns the era whose mark is to be written, 0 if none is, and the revision of
-// the present mark.
+// the present mark. None is due while the store lacks the configuration that is known here:
+// an instance that starts alone would trust the one that it finds.
 func (f *follower) dueEraMark(at time.Duration) (era, known uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	era = platform.RevisionEra(f.mirror.Revision())
-	if era == 0 || !f.mirror.IsSettled(f.currentAsOf) {
+	if era == 0 || !f.mirror.IsProven(f.storeKeys.Configuration, f.currentAsOf) {
 		return 0, 0
 	}
 	if f.settled.era != era {
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -164,6 +164,28 @@
 	}
 }
 
+// The store lacks the newest configuration, whose copies end with the instances.
+func TestEraIsNotMarkedBeforeTheConfigurationIsWrittenAgain(t *testing.T) {
+	f := newStartedFollower(t)
+	configuration := func(era uint64) platform.Entry { return entryAt("configuration", "1", inEra(t, era, 5)) }
+	for _, c := range []answer{storeCopy(inEra(t, 1, 5), configuration(1)), storeCopy(inEra(t, 2, 3))} {
+		if err := f.applyCopy(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.applyCurrent(nil, inEra(t, 2, 4), now()+restoredProofDelay, nil)
+	f.dueEraMark(now())
+	if got, _ := f.dueEraMark(now() + time.Minute); got != 0 {
+		t.Error("marked")
+	}
+	f.applyCurrent([]platform.Change{{Entry: configuration(2)}}, inEra(t, 2, 5), now()+restoredProofDelay, nil)
+	begun := now()
+	f.dueEraMark(begun)
+	if got, _ := f.dueEraMark(begun + time.Minute); got != 2 {
+		t.Error("not marked once it is written again")
+	}
+}
+
 // Followers must learn that an entry was written again, or they drop it.
 func TestEntryThatIsWrittenAgainInTheNextEraIsPassedOn(t *testing.T) {
 	f := newStartedFollower(t)
