edge: a mark of an earlier era that the copy lacks is replaced

After two restores from different copies an earlier mark can be held back from the instances' copies. Each write of the mark was then a conflict, taken for another instance's write, once a second at each instance at the store, and the era stayed unmarked until an instance started. The write is made again over the entry that the conflict tells, unless it is of this era or a later one. TestEarlierMarkThatTheCopyLacksIsReplaced fails before and passes now.

--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -58,8 +58,13 @@
 // markedEra returns the era of the mark in the copy; 0 if there is none. The caller holds
 // the lock.
 func (f *follower) markedEra() uint64 {
-	var mark eraMark
 	entry, _ := f.mirror.Get(f.storeKeys.OwnPrefix + eraKey)
+	return eraOfMark(entry)
+}
+
+// eraOfMark returns the era of a mark; 0 if the entry is none.
+func eraOfMark(entry platform.Entry) uint64 {
+	var mark eraMark
 	if err := json.Unmarshal(entry.Value, &mark); err != nil {
 		return 0 // as if it was missing: it is written again
 	}
@@ -77,12 +82,18 @@
 	if err != nil {
 		return errors.Wrap(err, "era mark")
 	}
-	// A conflict means that another instance has written it.
-	ok, _, err := f.store.CompareAndSwap(ctx, platform.Write{Key: f.storeKeys.OwnPrefix + eraKey, ExpectedRevision: known, Value: value})
-	if ok {
-		f.log.Info().Uint64("era", era).Msg("store: era marked as settled")
+	for range 2 {
+		ok, now, err := f.store.CompareAndSwap(ctx, platform.Write{Key: f.storeKeys.OwnPrefix + eraKey, ExpectedRevision: known, Value: value})
+		if ok {
+			f.log.Info().Uint64("era", era).Msg("store: era marked as settled")
+		}
+		if ok || err != nil || eraOfMark(now) == era || platform.RevisionEra(now.Revision) > era {
+			return err
+		}
+		// One that came back with the store may be held back from the copy.
+		known = now.Revision
 	}
-	return err
+	return errors.New("era mark was changed during each attempt to write it")
 }
 
 // dueEraMark returns the era whose mark is to be written, 0 if none is, and the revision of
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"testing"
@@ -186,6 +187,51 @@
 	}
 }
 
+// markedStore has an entry under the key of the mark.
+type markedStore struct {
+	platform.Store
+	entry platform.Entry
+}
+
+func (s *markedStore) CompareAndSwap(_ context.Context, w platform.Write) (bool, platform.Entry, error) {
+	if w.ExpectedRevision != s.entry.Revision {
+		return false, s.entry, nil
+	}
+	s.entry.Value, s.entry.Revision = w.Value, s.entry.Revision+1
+	return true, s.entry, nil
+}
+
+// newMarkingFollower returns a follower that knows no mark, and is due to write one of era 2.
+func newMarkingFollower(t *testing.T, s *markedStore) *follower {
+	t.Helper()
+	f := newStartedFollower(t)
+	f.store = s
+	if err := f.applyCopy(storeCopy(inEra(t, 2, 5), entryAt("configuration", "1", inEra(t, 2, 5)))); err != nil {
+		t.Fatal(err)
+	}
+	f.applyCurrent(nil, inEra(t, 2, 6), now()+restoredProofDelay, nil)
+	f.settled = settledEra{2, now() - restoredProofDelay}
+	return f
+}
+
+// An earlier mark that came back with the store may be held back from the copy.
+func TestEarlierMarkThatTheCopyLacksIsReplaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		era     uint64
+		value   string
+		written bool
+	}{
+		"earlier mark": {2, `{"settled":1}`, true}, "unreadable": {2, "?", true},
+		"present mark": {2, `{"settled":2}`, false}, "the store has come back again": {3, `{"settled":3}`, false},
+	} {
+		s := &markedStore{entry: entryAt("own/era", c.value, inEra(t, c.era, 3))}
+		before := s.entry.Revision
+		if err := newMarkingFollower(t, s).markEra(t.Context()); err != nil || (s.entry.Revision > before) != c.written {
+			t.Errorf("%s: %s, %v, want written: %v", name, s.entry.Value, err, c.written)
+		}
+	}
+}
+
 // Followers must learn that an entry was written again, or they drop it.
 func TestEntryThatIsWrittenAgainInTheNextEraIsPassedOn(t *testing.T) {
 	f := newStartedFollower(t)
