edge: a slow write of the era's mark does not delay the lease's renewal

The write of the mark is made between two renewals, and could take the store's whole call timeout, 1.5 s, so that renewals were 2.5 s and their own duration apart, with leases of 3 s. It is now given up after half a renewal interval. TestSlowWriteOfTheMarkDoesNotDelayTheNextRenewal fails before (6 s, the test's own limit) and passes now.

--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -11,6 +11,9 @@
 	"github.com/turmericfield/turmericfield/internal/platform"
 )
 
+// markTimeout bounds the write of the mark, after which the lease is renewed.
+const markTimeout = renewInterval / 2
+
 // eraKey follows StoreKeys.OwnPrefix in the key of the mark of the store's era.
 const eraKey = "era"
 
@@ -82,6 +85,8 @@
 	if err != nil {
 		return errors.Wrap(err, "era mark")
 	}
+	ctx, cancel := context.WithTimeout(ctx, markTimeout)
+	defer cancel()
 	for range 2 {
 		ok, now, err := f.store.CompareAndSwap(ctx, platform.Write{Key: f.storeKeys.OwnPrefix + eraKey, ExpectedRevision: known, Value: value})
 		if ok {
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -187,13 +187,18 @@
 	}
 }
 
-// markedStore has an entry under the key of the mark.
+// markedStore has an entry under the key of the mark, and takes writes late if slow is true.
 type markedStore struct {
 	platform.Store
 	entry platform.Entry
+	slow  bool
 }
 
-func (s *markedStore) CompareAndSwap(_ context.Context, w platform.Write) (bool, platform.Entry, error) {
+func (s *markedStore) CompareAndSwap(ctx context.Context, w platform.Write) (bool, platform.Entry, error) {
+	if s.slow {
+		<-ctx.Done()
+		return false, platform.Entry{}, ctx.Err()
+	}
 	if w.ExpectedRevision != s.entry.Revision {
 		return false, s.entry, nil
 	}
@@ -232,6 +237,19 @@
 	}
 }
 
+// The lease is renewed by the same loop.
+func TestSlowWriteOfTheMarkDoesNotDelayTheNextRenewal(t *testing.T) {
+	f, begun := newMarkingFollower(t, &markedStore{slow: true}), now()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*leaseTTL)
+	defer cancel()
+	if err := f.markEra(ctx); err == nil {
+		t.Error("no error")
+	}
+	if took := now() - begun; took > renewInterval {
+		t.Errorf("took %v", took)
+	}
+}
+
 // Followers must learn that an entry was written again, or they drop it.
 func TestEntryThatIsWrittenAgainInTheNextEraIsPassedOn(t *testing.T) {
 	f := newStartedFollower(t)
