--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -398,12 +398,18 @@
 	var lease uint64
 	written := false
 	for ctx.Err() == nil {
+		pause := renewInterval
 		if err := e.renew(ctx, &lease, &written); err != nil && ctx.Err() == nil {
+			// Instances that the store refuses at the same moment do not come back at the same one.
+			pause = renewInterval/2 + rand.N(renewInterval)
 			e.log.Warn().Err(err).Uint64("lease", lease).Msg("registration: not renewed")
 		}
+		if err := e.follower.markEra(ctx); err != nil && ctx.Err() == nil {
+			e.log.Warn().Err(err).Msg("store: era not marked as settled")
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(renewInterval):
+		case <-time.After(pause):
 		case <-e.reregister:
 			time.Sleep(rand.N(maxReregisterDelay))
 		}
@@ -417,11 +423,38 @@
 	}
 	end, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
-	if err := e.store.RevokeLease(end, lease); err != nil {
+	if err := e.removeMember(end, lease); err != nil {
 		e.log.Warn().Err(err).Msg("registration: not removed, its lease will end")
 	}
 }
 
+// removeMember removes this instance's entry unless another process of the same name has
+// replaced it. It does not end the lease: if the store came back as an older copy, its id
+// may be that of another instance's lease.
+func (e *Edge) removeMember(ctx context.Context, lease uint64) error {
+	e.follower.mu.Lock()
+	known := platform.Entry{Key: e.storeKeys.OwnPrefix + instancePrefix + e.Name, Revision: e.registeredAt, LeaseID: lease}
+	e.registeredAt = 0
+	e.follower.mu.Unlock()
+	if known.Revision == 0 { // the response to the write may have been lost
+		var err error
+		if known, err = e.store.Get(ctx, known.Key); err != nil {
+			return err
+		}
+	}
+	for range 2 {
+		if known.Revision == 0 || known.LeaseID != lease {
+			return nil
+		}
+		ok, now, err := e.store.CompareAndSwap(ctx, platform.Write{Key: known.Key, ExpectedRevision: known.Revision, Delete: true})
+		if err != nil || ok {
+			return err
+		}
+		known = now
+	}
+	return errors.Newf("entry %s was changed during each attempt to remove it", known.Key)
+}
+
 // registerAgain makes this instance renew its registration at once, as the store came
 // back as an older copy. entryLost says that its entry is gone.
 func (e *Edge) registerAgain(entryLost bool) {
@@ -470,7 +503,7 @@
 		return errors.Wrap(err, "instance")
 	}
 	key := e.storeKeys.OwnPrefix + instancePrefix + e.Name
-	known := platform.Entry{}
+	known := e.knownEntry(key)
 	for range 3 {
 		ok, now, err := e.store.CompareAndSwap(ctx, platform.Write{Key: key, ExpectedRevision: known.Revision, Value: value, LeaseID: lease})
 		switch {
@@ -485,3 +518,16 @@
 	}
 	return errors.Newf("entry %s was changed by another process during each attempt to write it", key)
 }
+
+// knownEntry returns the entry of a key in the copy if it can be the store's present one;
+// one of an earlier era cannot.
+func (e *Edge) knownEntry(key string) platform.Entry {
+	e.follower.mu.Lock()
+	defer e.follower.mu.Unlock()
+	m := e.follower.mirror
+	known, _ := m.Get(key)
+	if platform.RevisionEra(known.Revision) != platform.RevisionEra(m.Revision()) {
+		return platform.Entry{}
+	}
+	return known
+}
