quota: a started instance grants its equal share only when it knows the fleet

Cause: a started instance that reached the store and none of the others divided the quotas by the registered instances only, while all others were about to stop: not registered any more, and serving on with their shares. The same instances, when not cut off, spent half the burst of one half of the quota before their first levels arrived.

Change: until a hub with half of the fleet's shares, and not only the instance's own, has told how many share the quotas, or until the others have certainly stopped (growDelay), the equal share grants one request of each workspace. An instance without seeds takes itself for the first and is not limited, so that a lone one serves its quota at once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -93,7 +93,8 @@
 	DirectoryListen string // IP:port of lookups, by which callers find instances
 	PeerListen      string // IP:port for other instances
 	// PeerSeeds are the IP:port of some other instances, which may be gone. An instance
-	// that starts while the store turns it away asks them for a copy of the store.
+	// that starts while the store turns it away asks them for a copy of the store. One
+	// without seeds takes the registered instances for all that serve.
 	PeerSeeds     []string
 	MetricsListen string // IP:port of the metrics endpoint; empty for none
 	StoreAddress  string // IP:port
@@ -241,7 +242,10 @@
 	set.Gauge("store_revision", func() int64 { return int64(platform.RevisionNumber(e.follower.revision())) })
 	set.Gauge("store_revision_heard_of", func() int64 { return int64(platform.RevisionNumber(uint64(e.follower.heardOf.Load()))) })
 	set.Gauge("store_era", func() int64 { return int64(platform.RevisionEra(e.follower.revision())) })
-	e.gateway.WithState(func(b *affinity.Balancer, _ *quota.Limiter, _ time.Duration) {
+	e.gateway.WithState(func(b *affinity.Balancer, q *quota.Limiter, now time.Duration) {
+		if len(s.PeerSeeds) > 0 {
+			q.Join(now)
+		}
 		maxAge := s.maxConfigurationStaleness()
 		b.ShareColdTargets(maxAge, 2*maxAge+registrationGrace)
 	})
--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -157,6 +157,17 @@
 	return n
 }
 
+// hasReporters reports whether an instance reports to this one, as to its zone's aggregator if
+// zone is true, otherwise as to the fleet's hub.
+func (h *hubServer) hasReporters(zone bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if zone {
+		return h.aggregator.HasReporters(now())
+	}
+	return h.hub.HasReporters(now())
+}
+
 // zoneReport returns the zone's total usage for the fleet's hub. The second result is
 // false if no instance reports to this one, unless isAggregator says that this instance
 // is the zone's aggregator, so that reports are about to arrive.
@@ -335,15 +346,23 @@
 	}
 }
 
-// next returns the receiver of a rank, without one that is about to stop.
+// next returns the receiver of a rank, without one that is about to stop. An instance that
+// has just started knows nothing to tell itself until others report to it.
 func (r *reporter) next(rank int) member {
 	to := r.receiver(rank)
-	if to.Name == r.left && r.members.isRegistered(to.Name) {
+	leaving := to.Name == r.left && r.members.isRegistered(to.Name)
+	if leaving || to.Name == r.Name && r.joining() && !r.hub.hasReporters(r.zone) {
 		return r.receiver(rank + 1)
 	}
 	return to
 }
 
+// joining reports whether this instance does not know yet how many share the quotas.
+func (r *reporter) joining() (joining bool) {
+	r.gateway.WithState(func(_ *affinity.Balancer, q *quota.Limiter, now time.Duration) { joining = q.Joining(now) })
+	return joining
+}
+
 // key returns the name of a receiver in the pledge.
 func (r *reporter) key(to member) string { return r.logKey + " " + to.Name }
 
--- a/internal/edge/hub_test.go
+++ b/internal/edge/hub_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/turmericfield/turmericfield/internal/affinity"
 	"github.com/turmericfield/turmericfield/internal/quota"
 )
 
@@ -22,7 +23,7 @@
 			t.Fatal(err)
 		}
 		logs[name] = &bytes.Buffer{}
-		e := Provision(Settings{Name: name, Listen: "127.0.0.1:1", PeerListen: l.Addr().String(), LogLevel: "info"}, plainAdapter{}, nil, logs[name])
+		e := Provision(Settings{Name: name, Listen: "127.0.0.1:1", PeerListen: l.Addr().String(), MaxRevocationDelay: 5 * time.Second, LogLevel: "info"}, plainAdapter{}, nil, logs[name])
 		edges[name], list = e, append(list, e.members.self)
 		go e.servePeers(ctx, l)
 	}
@@ -67,3 +68,24 @@
 		t.Error("no log line of the hand-over")
 	}
 }
+
+// A hub that has just started reports to another one until others report to it.
+func TestStartedHubLearnsFromAnotherOne(t *testing.T) {
+	edges, _ := newTestHubs(t, "a", "b", "c")
+	first, next := edges["a"].members.hub(0).Name, edges["a"].members.hub(1).Name
+	own := edges[first]
+	r := &reporter{Edge: own, logKey: "hub", receiver: own.members.hub, pledge: &quota.Pledge{}, receivers: map[string]member{}}
+	if to := r.next(0).Name; to != first {
+		t.Errorf("without seeds, the first instance reports to %q, want itself, %q", to, first)
+	}
+	own.gateway.WithState(func(_ *affinity.Balancer, q *quota.Limiter, now time.Duration) { q.Join(now) })
+	if to := r.next(0).Name; to != next {
+		t.Errorf("reports to %q, want %q", to, next)
+	}
+	if _, err := own.hub.handle(quota.Report{Instance: next, Started: 1}, false); err != nil {
+		t.Fatal(err)
+	}
+	if to := r.next(0).Name; to != first {
+		t.Errorf("reports to %q although others report to it, %q", to, first)
+	}
+}
--- a/internal/quota/hub.go
+++ b/internal/quota/hub.go
@@ -60,6 +60,9 @@
 // reporters, each at its next report.
 func (h *Hub) SetLeaving(leaving bool) { h.leaving = leaving }
 
+// HasReporters reports whether any instance or aggregator has reported within reporterTTL.
+func (h *Hub) HasReporters(now time.Duration) bool { return h.reporters.heard(now) }
+
 // Handle takes the tokens for the newly admitted requests of a report and returns the
 // levels of all buckets that are not full. A reporter that comes from another hub brings
 // its share of that one's levels; one that leaves, or is sent away because this hub is
--- a/internal/quota/lost_test.go
+++ b/internal/quota/lost_test.go
@@ -209,6 +209,9 @@
 	}
 	n.limiter = New(name, n.started, 4*time.Second)
 	n.limiter.SetInstances(n.listed(), n.fleet.now)
+	if len(n.fleet.nodes) > 1 {
+		n.limiter.Join(n.fleet.now)
+	}
 	n.aggregator, n.hub = NewAggregator("zone of "+name, n.started), NewHub()
 	n.aggregator.SetWorkspaces(n.workspacesByName)
 	n.hub.SetWorkspaces(n.workspacesByName)
@@ -319,7 +322,11 @@
 	}
 	pick := func(rank int) *unstableNode {
 		to := member(rank)
-		if to == route.avoid && n.view[to.index] {
+		heard := n.hub.HasReporters(f.now)
+		if ttl == ZoneTTL {
+			heard = n.aggregator.HasReporters(f.now)
+		}
+		if to == route.avoid && n.view[to.index] || to == n && n.limiter.Joining(f.now) && !heard {
 			return member(rank + 1)
 		}
 		return to
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -148,7 +148,8 @@
 	growDelay      time.Duration
 	pendingShare   float64 // share from pendingShareAt on; 0 if no increase is pending
 	pendingShareAt time.Duration
-	leaving        bool // the share does not grow any more
+	leaving        bool          // the share does not grow any more
+	joiningUntil   time.Duration // until then, the number of instances is not known; see Join
 
 	levels    map[string]float64 // tokens left, by workspace; buckets not listed are full
 	levelsAt  time.Duration      // when the report that the levels respond to was sent, less Levels.Age
@@ -223,6 +224,15 @@
 	s.share, s.pendingShareAt = 1/float64(n), now+s.growDelay
 }
 
+// Join says that this instance has just started, and that others may have served before. Some
+// may be about to stop and not be registered any more, so their number is not known until a hub
+// that others report to tells it, or until they have certainly stopped, growDelay after now. The
+// equal share grants one request of each workspace meanwhile.
+func (s *Limiter) Join(now time.Duration) { s.joiningUntil = now + s.growDelay }
+
+// Joining reports whether the number of instances is still unknown; see Join.
+func (s *Limiter) Joining(now time.Duration) bool { return now < s.joiningUntil }
+
 // Leave keeps the share from growing, because this instance is about to stop: others may
 // be about to stop as well, and not be counted any more.
 func (s *Limiter) Leave() { s.leaving, s.pendingShare = true, 0 }
@@ -254,10 +264,15 @@
 	rate, burst := w.Rate*share, max(float64(w.Burst)*share, 1)
 	b := s.buckets[w.Name]
 	if b == nil {
-		b = &bucket{tokens: max(burst*initialFill, 1), refilledAt: now}
+		b = &bucket{tokens: 1, refilledAt: now}
+		if !s.Joining(now) {
+			b.tokens = max(burst*initialFill, 1)
+		}
 		s.buckets[w.Name] = b
 	}
-	b.tokens = min(b.tokens+rate*(now-b.refilledAt).Seconds(), burst)
+	if !s.Joining(now) {
+		b.tokens = min(b.tokens+rate*(now-max(b.refilledAt, s.joiningUntil)).Seconds(), burst)
+	}
 	b.refilledAt = now
 	if s.HasRecentLevels(now) && s.hubShare >= minReportingInstances*share {
 		if verdict := s.takeFromLevel(b, w, share, now); verdict != Admitted {
@@ -395,6 +410,9 @@
 	at := sentAt
 	sentAt -= l.Age
 	s.learnFleet(l.Fleet, at)
+	if l.Share >= completeShare && l.Members != 1 {
+		s.joiningUntil = min(s.joiningUntil, at)
+	}
 	if s.hasLevels && sentAt < s.levelsAt {
 		return
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -352,3 +352,42 @@
 		t.Errorf("reported %v, want no usage", r.Usages)
 	}
 }
+
+// A started instance that only the store tells of others must not use their quota.
+func TestJoiningInstanceGrantsNothingUntilItKnowsTheFleet(t *testing.T) {
+	const growDelay = 4 * time.Second
+	w := &config.Workspace{Name: "w", Rate: 100, Burst: 100}
+	admitted := func(s *Limiter, now time.Duration) (n int) {
+		for range 1000 {
+			if verdict, wait := s.Take(w, now); verdict != Admitted && wait > time.Second {
+				t.Fatalf("a token is expected after %v", wait)
+			} else if verdict == Admitted {
+				n++
+			}
+		}
+		return n
+	}
+	start := func() *Limiter {
+		s := New("a", 1, growDelay)
+		s.SetInstances(1, 0)
+		s.Join(0)
+		return s
+	}
+	alone := start()
+	alone.SetLevels(Report{}, Levels{Share: 1, Members: 1, Joined: true, Fleet: 1}, time.Second)
+	if n := admitted(alone, 0) + admitted(alone, 2*time.Second) + admitted(alone, growDelay-1); n > 1 {
+		t.Errorf("%d requests admitted before others have certainly stopped, want 1 at most", n)
+	}
+	if n := admitted(alone, growDelay+time.Second); n != 100 {
+		t.Errorf("%d requests admitted a second after that, want 100", n)
+	}
+	told := start()
+	told.SetLevels(Report{}, Levels{Share: 1, Part: 1, Members: 4, Joined: true, Fleet: 4}, 0)
+	if n := admitted(told, 0); n < 100 {
+		t.Errorf("%d requests admitted by a hub's levels, want 100 at least", n)
+	}
+	told.SetInstances(4, 0)
+	if told.Joining(0) || told.Instances(0) != 4 {
+		t.Errorf("joining: %v, %d instances, want 4", told.Joining(0), told.Instances(0))
+	}
+}
