quota: a new hub counts instances that were registered lately until they had time to report

Cause: the last instance to stop in a round became the hub while all others were about to stop, and so were not registered. Until their reports arrived, which tell by how many they divide, it counted itself as the whole fleet and gave out all quotas to itself.

--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -109,9 +109,9 @@
 // fleet's hub, and returns the resulting quota levels.
 func (h *hubServer) handle(r quota.Report, zone bool) (quota.Levels, error) {
 	leaving := h.members.hands(zone)
-	instances := 0
+	registered, lately := 0, 0
 	if !zone {
-		instances = h.instances()
+		registered, lately = h.instances()
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -133,7 +133,7 @@
 		}
 		return levels, nil
 	}
-	h.hub.SetInstances(instances)
+	h.hub.SetInstances(registered, lately)
 	if t != nil {
 		h.hub.SetWorkspaces(t.Workspaces)
 	}
@@ -145,16 +145,16 @@
 	return levels, nil
 }
 
-// instances returns the number of instances that share the quotas. One that is about to
-// stop does not count fewer than before, since others may be about to stop too.
-func (h *hubServer) instances() int {
-	n := len(h.members.names())
+// instances returns the arguments of quota.Hub.SetInstances. One that is about to stop does
+// not count fewer than before, since others may be about to stop too.
+func (h *hubServer) instances() (registered, lately int) {
+	registered = len(h.members.names())
 	h.gateway.WithState(func(_ *affinity.Balancer, q *quota.Limiter, now time.Duration) {
-		if q.Leaving() {
-			n = max(n, q.Instances(now))
+		if lately = q.Instances(now); q.Leaving() {
+			registered = max(registered, lately)
 		}
 	})
-	return n
+	return registered, lately
 }
 
 // hasReporters reports whether an instance reports to this one, as to its zone's aggregator if
--- a/internal/quota/hub.go
+++ b/internal/quota/hub.go
@@ -10,7 +10,9 @@
 // Hub keeps the token buckets of the whole fleet, scaled down to the fraction of the
 // instances that report to it. It is not safe for concurrent use.
 type Hub struct {
-	instances  int // all that share the quotas, reporting or not
+	instances  int           // all that share the quotas, reporting or not
+	lately     int           // the same with those that were registered lately
+	begunAt    time.Duration // arrival of the first report after a silence
 	workspaces map[string]*config.Workspace
 	buckets    map[string]*fleetBucket
 	reporters  reporters
@@ -50,8 +52,20 @@
 	}
 }
 
-// SetInstances sets the number of instances that share the quotas.
-func (h *Hub) SetInstances(n int) { h.instances = max(n, 1) }
+// SetInstances sets the number of registered instances, and the number by which the hub's own
+// instance sets its equal share. Some of the latter may be about to stop and not be registered
+// any more. They count until they have had the time to report (see Report.Fleet).
+func (h *Hub) SetInstances(registered, lately int) {
+	h.instances, h.lately = max(registered, 1), max(registered, lately, 1)
+}
+
+// fleet returns the number of instances that share the quotas.
+func (h *Hub) fleet(now time.Duration) int {
+	if now-h.begunAt < reporterTTL {
+		return h.reporters.fleet(h.lately, now)
+	}
+	return h.reporters.fleet(h.instances, now)
+}
 
 // SetGeneration sets Levels.Generation.
 func (h *Hub) SetGeneration(started uint64) { h.generation = started }
@@ -68,8 +82,11 @@
 // its share of that one's levels; one that leaves, or is sent away because this hub is
 // about to stop, takes its share along.
 func (h *Hub) Handle(r Report, now time.Duration) Levels {
+	if !h.reporters.heard(now) {
+		h.begunAt = now
+	}
 	before := h.reporters.members(now)
-	shareBefore := min(float64(before)/float64(h.reporters.fleet(h.instances, now)), 1)
+	shareBefore := min(float64(before)/float64(h.fleet(now)), 1)
 	for name, w := range h.workspaces {
 		if h.buckets[name] == nil && w.Rate > 0 {
 			h.refill(w, shareBefore, now)
@@ -81,7 +98,7 @@
 		from.members = 0
 	}
 	members := h.reporters.members(now)
-	fleet := h.reporters.fleet(h.instances, now)
+	fleet := h.fleet(now)
 	share := min(float64(members)/float64(fleet), 1)
 	newRequests := 0.0
 	for _, u := range r.Usages {
--- a/internal/quota/lost_test.go
+++ b/internal/quota/lost_test.go
@@ -267,7 +267,7 @@
 		if to.leaving { // others may be leaving too
 			instances = max(instances, to.limiter.Instances(f.now))
 		}
-		to.hub.SetInstances(instances)
+		to.hub.SetInstances(instances, to.limiter.Instances(f.now))
 		to.hub.SetLeaving(to.leaving && to.listed() > 1)
 		l := to.hub.Handle(r, f.now)
 		return l, !to.hub.leaving || l.Released
@@ -646,6 +646,12 @@
 	playRandomSchedule(t, 7, 1338)
 }
 
+// All instances are about to stop but one, which becomes the hub and hears of the others only
+// when they report to it.
+func TestNoQuotaIsExceededByANewHubWhileAllOthersStop(t *testing.T) {
+	playRandomSchedule(t, 7, 2789)
+}
+
 // playRandomSchedule plays six random faults in 20 s.
 func playRandomSchedule(t *testing.T, instances int, seed uint64) {
 	t.Helper()
--- a/internal/quota/pledge_test.go
+++ b/internal/quota/pledge_test.go
@@ -28,7 +28,7 @@
 func newTestHub(generation uint64, w *config.Workspace, instances int) *Hub {
 	h := NewHub()
 	h.SetGeneration(generation)
-	h.SetInstances(instances)
+	h.SetInstances(instances, instances)
 	h.SetWorkspaces(map[string]*config.Workspace{w.Name: w})
 	return h
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -57,7 +57,7 @@
 		t: t, workspace: &config.Workspace{Name: "w", Rate: rate, Burst: int(rate)}, hub: NewHub(),
 		disconnected: make([]bool, n), random: rand.New(rand.NewPCG(seed, 1)),
 	}
-	f.hub.SetInstances(n)
+	f.hub.SetInstances(n, n)
 	f.hub.SetWorkspaces(map[string]*config.Workspace{"w": f.workspace})
 	for i := range n {
 		s := New(fmt.Sprint("i", i), 1, 4*time.Second)
@@ -259,7 +259,7 @@
 	f.run(8*60, 10*time.Second)
 	old := f.hub
 	f.hub = NewHub()
-	f.hub.SetInstances(7)
+	f.hub.SetInstances(7, 7)
 	f.hub.SetWorkspaces(old.workspaces)
 	f.run(8*60, 10*time.Second)
 	f.checkWindows()
@@ -270,7 +270,7 @@
 func TestHubChargesNothingFromBeforeItKnewTheWorkspace(t *testing.T) {
 	for _, n := range []int{7, 25, 118, 300} {
 		h := NewHub()
-		h.SetInstances(n)
+		h.SetInstances(n, n)
 		w := &config.Workspace{Name: "w", Rate: 50, Burst: 50}
 		report := func(admitted uint64) (left float64) {
 			for i := range n {
@@ -305,7 +305,7 @@
 
 func TestRestartedInstanceIsNotCountedTwice(t *testing.T) {
 	h := NewHub()
-	h.SetInstances(1)
+	h.SetInstances(1, 1)
 	w := &config.Workspace{Name: "w", Rate: 10, Burst: 10}
 	h.SetWorkspaces(map[string]*config.Workspace{"w": w})
 	report := func(started, admitted uint64) float64 {
