quota: shares that leave a hub by silence take their part of its levels

Cause: when instances were cut off from a hub, they brought their part of its levels to another hub, and the former one kept all tokens, up to its lower limit. The same tokens were given out by both.

Change: when the right to shares lapses, the hub's buckets, if above 0, lose the part of these shares, as at a release. Reporters that carry no levels (older versions, and those by way of an aggregator at present) are as before.

Measured in virtual time: TestLapsedSharesTakeTheirPartOfTheLevels failed with 401 tokens instead of 200 and passes.

--- a/internal/quota/hub.go
+++ b/internal/quota/hub.go
@@ -13,6 +13,7 @@
 	instances  int           // all that share the quotas, reporting or not
 	lately     int           // the same with those that were registered lately
 	begunAt    time.Duration // arrival of the first report after a silence
+	carried    int           // shares given out after the last report, of reporters that carry levels
 	workspaces map[string]*config.Workspace
 	buckets    map[string]*fleetBucket
 	reporters  reporters
@@ -86,6 +87,7 @@
 		h.begunAt = now
 	}
 	before := h.reporters.members(now)
+	h.takeLapsed(h.carried-h.reporters.carried(now), before)
 	shareBefore := min(float64(before)/float64(h.fleet(now)), 1)
 	for name, w := range h.workspaces {
 		if h.buckets[name] == nil && w.Rate > 0 {
@@ -98,6 +100,10 @@
 		from.members = 0
 	}
 	members := h.reporters.members(now)
+	if had > 0 && from.members == 0 && r.Carries {
+		h.takeLapsed(had, members)
+	}
+	defer func() { h.carried = h.reporters.carried(now) }()
 	fleet := h.fleet(now)
 	share := min(float64(members)/float64(fleet), 1)
 	newRequests := 0.0
@@ -147,6 +153,19 @@
 	return out
 }
 
+// takeLapsed takes from the buckets what belongs to shares whose right has lapsed, since their
+// reporters bring it to another hub. rest are the shares that are left.
+func (h *Hub) takeLapsed(lapsed, rest int) {
+	if lapsed <= 0 {
+		return
+	}
+	for _, b := range h.buckets {
+		if b.left > 0 {
+			b.left *= float64(rest) / float64(rest+lapsed)
+		}
+	}
+}
+
 // add adds to the buckets what the levels that a reporter held with its former hub leave
 // to n instances, and what has been refilled since.
 func (h *Hub) add(r Report, n int, share float64, now time.Duration) {
--- a/internal/quota/lapsed_test.go
+++ b/internal/quota/lapsed_test.go
@@ -81,3 +81,33 @@
 		t.Errorf("%g tokens, %g before", left, before)
 	}
 }
+
+// Reporters that have fallen silent bring their part of the levels to another hub. The former one
+// must not give it out as well.
+func TestLapsedSharesTakeTheirPartOfTheLevels(t *testing.T) {
+	for name, carries := range map[string]bool{"carried": true, "of an older version": false} {
+		w := &config.Workspace{Name: "w", Rate: 1, Burst: 1000}
+		h, now := newTestHub(7, w, 4), 10*time.Second
+		sentAt := map[string]time.Duration{}
+		report := func(instances ...string) {
+			for _, i := range instances {
+				sentAt[i] = h.Handle(Report{Instance: i, Started: 1, Carries: carries, Echo: sentAt[i]}, now).SentAt
+			}
+			now += 10 * time.Millisecond
+		}
+		report("a", "b", "c", "d")
+		report("a", "b", "c", "d")
+		h.buckets["w"].left = 400
+		for range 5 {
+			now += reporterTTL / 4
+			report("a", "b")
+		}
+		want := 400.0
+		if carries {
+			want = 200
+		}
+		if left := h.buckets["w"].left; math.Abs(left-want) > 2 {
+			t.Errorf("%s: %.0f tokens are left after half of the shares have lapsed, want %.0f", name, left, want)
+		}
+	}
+}
--- a/internal/quota/reporter.go
+++ b/internal/quota/reporter.go
@@ -23,6 +23,7 @@
 type reporter struct {
 	started      uint64        // Report.Started
 	members      int           // instances whose shares the hub gives out for it
+	carries      bool          // Report.Carries
 	fleet        int           // Report.Fleet
 	lastReportAt time.Duration // Report.Echo, or when a report without one arrived
 	releasedAt   time.Duration // when the share was handed back; reports from before don't count
@@ -60,7 +61,7 @@
 	if r.Echo > 0 {
 		from.lastReportAt = min(r.Echo, now)
 	}
-	from.fleet = r.Fleet
+	from.fleet, from.carries = r.Fleet, r.Carries
 	lapsed := now-from.lastReportAt >= reporterTTL
 	if r.Guest || r.Carries && (r.Echo == 0 || r.Echo < from.releasedAt || lapsed) {
 		from.members = 0
@@ -83,6 +84,16 @@
 	return heard
 }
 
+// carried returns the same of the reporters that bring their shares of the levels along.
+func (rs reporters) carried(now time.Duration) (n int) {
+	for _, r := range rs {
+		if r.carries && now-r.lastReportAt < reporterTTL {
+			n += r.members
+		}
+	}
+	return n
+}
+
 // fleet returns the number of instances that share the quotas, if n are registered.
 func (rs reporters) fleet(n int, now time.Duration) int {
 	for _, r := range rs {
