quota: a hub that hears only one reporter counts instances that were registered lately

Cause: an instance that was its own hub was cut off while all others were about to stop. When these were not registered any more, it took its own share for the whole quotas, while the others went on with theirs.

Change: a hub that hears only one reporter divides by the larger of the registered instances and the number by which its own instance sets its equal share.

--- a/internal/quota/aggregator.go
+++ b/internal/quota/aggregator.go
@@ -47,7 +47,7 @@
 func (s *Aggregator) SetLeaving(leaving bool) { s.leaving = leaving }
 
 // HasReporters reports whether any instance has reported within reporterTTL.
-func (s *Aggregator) HasReporters(now time.Duration) bool { return s.reporters.heard(now) }
+func (s *Aggregator) HasReporters(now time.Duration) bool { return s.reporters.heard(now) > 0 }
 
 // Report returns the next report to the hub.
 func (s *Aggregator) Report(now time.Duration) Report {
--- a/internal/quota/hub.go
+++ b/internal/quota/hub.go
@@ -55,14 +55,15 @@
 
 // SetInstances sets the number of registered instances, and the number by which the hub's own
 // instance sets its equal share. Some of the latter may be about to stop and not be registered
-// any more. They count until they have had the time to report (see Report.Fleet).
+// any more. They count until they have had the time to report (see Report.Fleet), and as long
+// as only one reporter is heard, since the hub may be cut off from the others.
 func (h *Hub) SetInstances(registered, lately int) {
 	h.instances, h.lately = max(registered, 1), max(registered, lately, 1)
 }
 
 // fleet returns the number of instances that share the quotas.
 func (h *Hub) fleet(now time.Duration) int {
-	if now-h.begunAt < reporterTTL {
+	if now-h.begunAt < reporterTTL || h.reporters.heard(now) < 2 {
 		return h.reporters.fleet(h.lately, now)
 	}
 	return h.reporters.fleet(h.instances, now)
@@ -76,14 +77,14 @@
 func (h *Hub) SetLeaving(leaving bool) { h.leaving = leaving }
 
 // HasReporters reports whether any instance or aggregator has reported within reporterTTL.
-func (h *Hub) HasReporters(now time.Duration) bool { return h.reporters.heard(now) }
+func (h *Hub) HasReporters(now time.Duration) bool { return h.reporters.heard(now) > 0 }
 
 // Handle takes the tokens for the newly admitted requests of a report and returns the
 // levels of all buckets that are not full. A reporter that comes from another hub brings
 // its share of that one's levels; one that leaves, or is sent away because this hub is
 // about to stop, takes its share along.
 func (h *Hub) Handle(r Report, now time.Duration) Levels {
-	if !h.reporters.heard(now) {
+	if h.reporters.heard(now) == 0 {
 		h.begunAt = now
 	}
 	before := h.reporters.members(now)
--- a/internal/quota/lost_test.go
+++ b/internal/quota/lost_test.go
@@ -652,6 +652,11 @@
 	playRandomSchedule(t, 7, 2789)
 }
 
+// An instance is cut off and its own hub, while all others are about to stop.
+func TestNoQuotaIsExceededByAHubThatIsCutOffWhileAllOthersStop(t *testing.T) {
+	playRandomSchedule(t, 7, 5063)
+}
+
 // playRandomSchedule plays six random faults in 20 s.
 func playRandomSchedule(t *testing.T, instances int, seed uint64) {
 	t.Helper()
--- a/internal/quota/reporter.go
+++ b/internal/quota/reporter.go
@@ -104,14 +104,14 @@
 	return n
 }
 
-// heard reports whether any reporter has reported within reporterTTL.
-func (rs reporters) heard(now time.Duration) bool {
+// heard returns the number of reporters that have reported within reporterTTL.
+func (rs reporters) heard(now time.Duration) (n int) {
 	for _, r := range rs {
 		if now-r.lastReportAt < reporterTTL {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // membersOf returns the number of instances whose shares are given out for a reporter.
