quota: two random schedules in which the bound is exceeded, as a known failing test

Cause: of 2,560 random schedules played in virtual time (trials; seeds from 2000 and 5000), two are over the bound. The cause of these two is not traced.

--- a/internal/quota/lost_test.go
+++ b/internal/quota/lost_test.go
@@ -657,6 +657,13 @@
 	playRandomSchedule(t, 7, 5063)
 }
 
+// Hubs are lost or cut off one right after the other, at many times the load.
+func TestNoQuotaIsExceededWhileHubsAreLostOneAfterAnother(t *testing.T) {
+	for _, seed := range []uint64{5226, 5987} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playRandomSchedule(t, 7, seed) })
+	}
+}
+
 // playRandomSchedule plays six random faults in 20 s.
 func playRandomSchedule(t *testing.T, instances int, seed uint64) {
 	t.Helper()
