quota: the simulation tells a refused report from a process that has ended

Cause: where an instance that is about to stop refused a report, the simulation took its process for ended, and so the share for free. The product does so only if the machine refuses the connection.

Change: the simulation does as the product.

--- a/internal/quota/lost_test.go
+++ b/internal/quota/lost_test.go
@@ -298,7 +298,7 @@
 		r, sentAt := report(), f.now
 		r.Release = release
 		route.pledge.Prepare(&r, id(to), ttl, f.now)
-		n.call(to, limit, func(to *unstableNode) (Levels, bool) { return handle(to, r) }, func(l Levels, ok, gone bool) {
+		n.call(to, limit, func(to *unstableNode) (Levels, bool) { return handle(to, r) }, func(l Levels, ok, gone, ended bool) {
 			if n.started != started || !n.up {
 				return
 			}
@@ -314,7 +314,7 @@
 				if !l.NoLevels {
 					onLevels(r, l, sentAt)
 				}
-			case gone:
+			case ended:
 				route.pledge.Gone(id(to))
 			}
 			result(l, ok, gone)
@@ -372,7 +372,7 @@
 					return
 				}
 				trial := pick(rank)
-				n.call(trial, TrialTimeout, func(to *unstableNode) (Levels, bool) { return Levels{}, !to.leaving || !n.view[to.index] }, func(_ Levels, ok, gone bool) {
+				n.call(trial, TrialTimeout, func(to *unstableNode) (Levels, bool) { return Levels{}, !to.leaving || !n.view[to.index] }, func(_ Levels, ok, gone, _ bool) {
 					switch {
 					case n.started != started || !n.up:
 					case ok:
@@ -391,8 +391,9 @@
 // empty reports whether an aggregator had no levels to respond with.
 func empty(l Levels) bool { return l.SentAt == 0 }
 
-// call calls another instance, and tells the result or that it failed.
-func (n *unstableNode) call(to *unstableNode, limit time.Duration, handle func(*unstableNode) (Levels, bool), result func(l Levels, ok, gone bool)) {
+// call calls another instance, and tells the result or that it failed: gone if that is known
+// at once, ended if the other one's process has ended.
+func (n *unstableNode) call(to *unstableNode, limit time.Duration, handle func(*unstableNode) (Levels, bool), result func(l Levels, ok, gone, ended bool)) {
 	f, delay := n.fleet, oneWayDelay
 	if n.zone == to.zone {
 		delay = zoneDelay
@@ -400,15 +401,15 @@
 	f.after(delay, func() {
 		switch {
 		case to != n && (to.cutOff || n.cutOff || to.suspended):
-			f.after(limit-delay, func() { result(Levels{}, false, false) })
+			f.after(limit-delay, func() { result(Levels{}, false, false, false) })
 		case to.up:
 			l, ok := handle(to)
 			gone := !ok
-			f.after(delay, func() { result(l, ok && !n.suspended, gone) })
+			f.after(delay, func() { result(l, ok && !n.suspended, gone, false) })
 		case to.silent:
-			f.after(limit-delay, func() { result(Levels{}, false, false) })
+			f.after(limit-delay, func() { result(Levels{}, false, false, false) })
 		default:
-			f.after(delay, func() { result(Levels{}, false, true) })
+			f.after(delay, func() { result(Levels{}, false, true, true) })
 		}
 	})
 }
