quota: what a guest has admitted stays unsettled until a hub has charged it

Cause: an instance took its requests for settled once any hub had responded to their report. A hub that had the instance as a guest notes them to charge them with the share; if it was lost before the share came, nobody charged them.

Change: requests are settled by a response only if the responding hub has, or hands back, the instance's share. Responses of older versions settle as before.

--- a/internal/quota/pledge_test.go
+++ b/internal/quota/pledge_test.go
@@ -110,3 +110,46 @@
 		t.Error("a report that was on its way lends the share again")
 	}
 }
+
+// What a guest has admitted is charged by the hub that gets its share, also if the hub that
+// counted it first is lost meanwhile.
+func TestRequestsCountedByALostHubAreCharged(t *testing.T) {
+	const n = 4
+	w := &config.Workspace{Name: "w", Rate: 0.001, Burst: 100} // next to no refill
+	former, lost, next := newTestHub(1, w, n), newTestHub(2, w, n), newTestHub(3, w, n)
+	var reporters []*testReporter
+	for i := range n {
+		r := &testReporter{limiter: New(fmt.Sprint("i", i), 1, time.Second)}
+		r.limiter.SetInstances(n, 0)
+		reporters = append(reporters, r)
+	}
+	now := time.Second
+	report := func(h *Hub, name string) {
+		for _, r := range reporters {
+			r.report(h, name, false, now)
+		}
+	}
+	report(former, "former")
+	report(former, "former")
+	former.buckets["w"].left = 100
+	report(former, "former")
+	taken := 0
+	for verdict := Admitted; verdict == Admitted; taken++ {
+		verdict, _ = reporters[0].limiter.Take(w, now)
+	}
+	taken-- // the last one was not admitted
+	now += 100 * time.Millisecond
+	report(lost, "lost")
+	if lost.reporters.members(now) > 0 {
+		t.Fatal("shares count at two hubs")
+	}
+	now += FlatTTL
+	report(next, "next")
+	report(next, "next")
+	if members := next.reporters.members(now); members != n {
+		t.Fatalf("%d shares count at the next hub, want %d", members, n)
+	}
+	if left, want := next.buckets["w"].left, 100-float64(taken); taken < 10 || math.Abs(left-want) > 1 {
+		t.Errorf("%.0f tokens are left after %d requests, want %.0f", left, taken, want)
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -401,8 +401,9 @@
 // older than the stored one. Levels of a hub that does not give out this instance's share
 // yet, and knows little of the fleet, do not replace recent ones.
 func (s *Limiter) SetLevels(r Report, l Levels, sentAt time.Duration) {
+	charged := l.Joined || l.Released || l.SentAt == 0 // the latter by older versions
 	for _, u := range r.Usages {
-		if b := s.buckets[u.Workspace]; b != nil && u.Admitted >= b.settled {
+		if b := s.buckets[u.Workspace]; charged && b != nil && u.Admitted >= b.settled {
 			b.byShare -= min(u.Settled-min(b.settled, u.Settled), b.byShare)
 			b.settled = u.Admitted
 		}
