quota: an instance whose share has grown does not learn the former number of instances

A hub that hears one reporter, as in a large fleet of one availability zone, divides by the number by which its own instance sets its equal share, and that instance learns the number of the hub's levels. When its share grew after instances had stopped, levels that were under way told it the former number again, which the hub then took from it for another growDelay, and so on. Levels as of a time before the last increase now do not lower the share. TestHubOfOneZoneForgetsStoppedInstances fails before (100 instances instead of 60, 0.60 of the quotas given out, 5 s after the stop) and passes now.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -148,6 +148,7 @@
 	growDelay      time.Duration
 	pendingShare   float64 // share from pendingShareAt on; 0 if no increase is pending
 	pendingShareAt time.Duration
+	grownAt        time.Duration // when an increase last took effect
 	leaving        bool          // the share does not grow any more
 	joiningUntil   time.Duration // until then, the number of instances is not known; see Join
 
@@ -213,9 +214,10 @@
 }
 
 // learnFleet shrinks the share for a time if the hub counts more instances: some may be
-// about to stop, which a process that has just started can't know.
-func (s *Limiter) learnFleet(n int, now time.Duration) {
-	if n == 0 || 1/float64(n) >= s.currentShare(now) {
+// about to stop, which a process that has just started can't know. What the hub counted, as of
+// a time, before the last increase does not count: the hub may have it from this instance.
+func (s *Limiter) learnFleet(n int, asOf, now time.Duration) {
+	if n == 0 || 1/float64(n) >= s.currentShare(now) || asOf < s.grownAt {
 		return
 	}
 	if s.pendingShare == 0 {
@@ -246,7 +248,7 @@
 // currentShare returns the equal share, after putting a due increase into effect.
 func (s *Limiter) currentShare(now time.Duration) float64 {
 	if s.pendingShare > 0 && now >= s.pendingShareAt {
-		s.share, s.pendingShare = s.pendingShare, 0
+		s.share, s.pendingShare, s.grownAt = s.pendingShare, 0, now
 	}
 	return s.share
 }
@@ -410,7 +412,7 @@
 	}
 	at := sentAt
 	sentAt -= l.Age
-	s.learnFleet(l.Fleet, at)
+	s.learnFleet(l.Fleet, sentAt, at)
 	if l.Share >= completeShare && l.Members != 1 {
 		s.joiningUntil = min(s.joiningUntil, at)
 	}
