--- a/internal/edge/hub.go
+++ b/internal/edge/hub.go
@@ -109,9 +109,9 @@
 // fleet's hub, and returns the resulting quota levels.
 func (h *hubServer) handle(r quota.Report, zone bool) (quota.Levels, error) {
 	leaving := h.members.hands(zone)
-	instances := 0
+	registered, lately := 0, 0
 	if !zone {
-		instances = h.instances()
+		registered, lately = h.instances()
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -133,7 +133,7 @@
 		}
 		return levels, nil
 	}
-	h.hub.SetInstances(instances)
+	h.hub.SetInstances(registered, lately)
 	if t != nil {
 		h.hub.SetWorkspaces(t.Workspaces)
 	}
@@ -145,16 +145,27 @@
 	return levels, nil
 }
 
-// instances returns the number of instances that share the quotas. One that is about to
-// stop does not count fewer than before, since others may be about to stop too.
-func (h *hubServer) instances() int {
-	n := len(h.members.names())
+// instances returns the arguments of quota.Hub.SetInstances. One that is about to stop does
+// not count fewer than before, since others may be about to stop too.
+func (h *hubServer) instances() (registered, lately int) {
+	registered = len(h.members.names())
 	h.gateway.WithState(func(_ *affinity.Balancer, q *quota.Limiter, now time.Duration) {
-		if q.Leaving() {
-			n = max(n, q.Instances(now))
+		if lately = q.Instances(now); q.Leaving() {
+			registered = max(registered, lately)
 		}
 	})
-	return n
+	return registered, lately
+}
+
+// hasReporters reports whether an instance reports to this one, as to its zone's aggregator if
+// zone is true, otherwise as to the fleet's hub.
+func (h *hubServer) hasReporters(zone bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if zone {
+		return h.aggregator.HasReporters(now())
+	}
+	return h.hub.HasReporters(now())
 }
 
 // zoneReport returns the zone's total usage for the fleet's hub. The second result is
@@ -335,15 +346,23 @@
 	}
 }
 
-// next returns the receiver of a rank, without one that is about to stop.
+// next returns the receiver of a rank, without one that is about to stop. An instance that
+// has just started knows nothing to tell itself until others report to it.
 func (r *reporter) next(rank int) member {
 	to := r.receiver(rank)
-	if to.Name == r.left && r.members.isRegistered(to.Name) {
+	leaving := to.Name == r.left && r.members.isRegistered(to.Name)
+	if leaving || to.Name == r.Name && r.joining() && !r.hub.hasReporters(r.zone) {
 		return r.receiver(rank + 1)
 	}
 	return to
 }
 
+// joining reports whether this instance does not know yet how many share the quotas.
+func (r *reporter) joining() (joining bool) {
+	r.gateway.WithState(func(_ *affinity.Balancer, q *quota.Limiter, now time.Duration) { joining = q.Joining(now) })
+	return joining
+}
+
 // key returns the name of a receiver in the pledge.
 func (r *reporter) key(to member) string { return r.logKey + " " + to.Name }
 
--- a/internal/quota/hub.go
+++ b/internal/quota/hub.go
@@ -10,7 +10,10 @@
 // Hub keeps the token buckets of the whole fleet, scaled down to the fraction of the
 // instances that report to it. It is not safe for concurrent use.
 type Hub struct {
-	instances  int // all that share the quotas, reporting or not
+	instances  int           // all that share the quotas, reporting or not
+	lately     int           // the same with those that were registered lately
+	begunAt    time.Duration // arrival of the first report after a silence
+	carried    int           // shares given out after the last report, of reporters that carry levels
 	workspaces map[string]*config.Workspace
 	buckets    map[string]*fleetBucket
 	reporters  reporters
@@ -50,8 +53,21 @@
 	}
 }
 
-// SetInstances sets the number of instances that share the quotas.
-func (h *Hub) SetInstances(n int) { h.instances = max(n, 1) }
+// SetInstances sets the number of registered instances, and the number by which the hub's own
+// instance sets its equal share. Some of the latter may be about to stop and not be registered
+// any more. They count until they have had the time to report (see Report.Fleet), and as long
+// as only one reporter is heard, since the hub may be cut off from the others.
+func (h *Hub) SetInstances(registered, lately int) {
+	h.instances, h.lately = max(registered, 1), max(registered, lately, 1)
+}
+
+// fleet returns the number of instances that share the quotas.
+func (h *Hub) fleet(now time.Duration) int {
+	if now-h.begunAt < reporterTTL || h.reporters.heard(now) < 2 {
+		return h.reporters.fleet(h.lately, now)
+	}
+	return h.reporters.fleet(h.instances, now)
+}
 
 // SetGeneration sets Levels.Generation.
 func (h *Hub) SetGeneration(started uint64) { h.generation = started }
@@ -60,13 +76,20 @@
 // reporters, each at its next report.
 func (h *Hub) SetLeaving(leaving bool) { h.leaving = leaving }
 
+// HasReporters reports whether any instance or aggregator has reported within reporterTTL.
+func (h *Hub) HasReporters(now time.Duration) bool { return h.reporters.heard(now) > 0 }
+
 // Handle takes the tokens for the newly admitted requests of a report and returns the
 // levels of all buckets that are not full. A reporter that comes from another hub brings
 // its share of that one's levels; one that leaves, or is sent away because this hub is
 // about to stop, takes its share along.
 func (h *Hub) Handle(r Report, now time.Duration) Levels {
+	if h.reporters.heard(now) == 0 {
+		h.begunAt = now
+	}
 	before := h.reporters.members(now)
-	shareBefore := min(float64(before)/float64(h.reporters.fleet(h.instances, now)), 1)
+	h.takeLapsed(h.carried-h.reporters.carried(now), before)
+	shareBefore := min(float64(before)/float64(h.fleet(now)), 1)
 	for name, w := range h.workspaces {
 		if h.buckets[name] == nil && w.Rate > 0 {
 			h.refill(w, shareBefore, now)
@@ -78,7 +101,11 @@
 		from.members = 0
 	}
 	members := h.reporters.members(now)
-	fleet := h.reporters.fleet(h.instances, now)
+	if had > 0 && from.members == 0 && r.Carries {
+		h.takeLapsed(had, members)
+	}
+	defer func() { h.carried = h.reporters.carried(now) }()
+	fleet := h.fleet(now)
 	share := min(float64(members)/float64(fleet), 1)
 	newRequests := 0.0
 	for _, u := range r.Usages {
@@ -127,6 +154,19 @@
 	return out
 }
 
+// takeLapsed takes from the buckets what belongs to shares whose right has lapsed, since their
+// reporters bring it to another hub. rest are the shares that are left.
+func (h *Hub) takeLapsed(lapsed, rest int) {
+	if lapsed <= 0 {
+		return
+	}
+	for _, b := range h.buckets {
+		if b.left > 0 {
+			b.left *= float64(rest) / float64(rest+lapsed)
+		}
+	}
+}
+
 // add adds to the buckets what the levels that a reporter held with its former hub leave
 // to n instances, and what has been refilled since.
 func (h *Hub) add(r Report, n int, share float64, now time.Duration) {
--- a/internal/quota/lost_test.go
+++ b/internal/quota/lost_test.go
@@ -209,6 +209,9 @@
 	}
 	n.limiter = New(name, n.started, 4*time.Second)
 	n.limiter.SetInstances(n.listed(), n.fleet.now)
+	if len(n.fleet.nodes) > 1 {
+		n.limiter.Join(n.fleet.now)
+	}
 	n.aggregator, n.hub = NewAggregator("zone of "+name, n.started), NewHub()
 	n.aggregator.SetWorkspaces(n.workspacesByName)
 	n.hub.SetWorkspaces(n.workspacesByName)
@@ -264,7 +267,7 @@
 		if to.leaving { // others may be leaving too
 			instances = max(instances, to.limiter.Instances(f.now))
 		}
-		to.hub.SetInstances(instances)
+		to.hub.SetInstances(instances, to.limiter.Instances(f.now))
 		to.hub.SetLeaving(to.leaving && to.listed() > 1)
 		l := to.hub.Handle(r, f.now)
 		return l, !to.hub.leaving || l.Released
@@ -295,7 +298,7 @@
 		r, sentAt := report(), f.now
 		r.Release = release
 		route.pledge.Prepare(&r, id(to), ttl, f.now)
-		n.call(to, limit, func(to *unstableNode) (Levels, bool) { return handle(to, r) }, func(l Levels, ok, gone bool) {
+		n.call(to, limit, func(to *unstableNode) (Levels, bool) { return handle(to, r) }, func(l Levels, ok, gone, ended bool) {
 			if n.started != started || !n.up {
 				return
 			}
@@ -311,7 +314,7 @@
 				if !l.NoLevels {
 					onLevels(r, l, sentAt)
 				}
-			case gone:
+			case ended:
 				route.pledge.Gone(id(to))
 			}
 			result(l, ok, gone)
@@ -319,7 +322,11 @@
 	}
 	pick := func(rank int) *unstableNode {
 		to := member(rank)
-		if to == route.avoid && n.view[to.index] {
+		heard := n.hub.HasReporters(f.now)
+		if ttl == ZoneTTL {
+			heard = n.aggregator.HasReporters(f.now)
+		}
+		if to == route.avoid && n.view[to.index] || to == n && n.limiter.Joining(f.now) && !heard {
 			return member(rank + 1)
 		}
 		return to
@@ -365,7 +372,7 @@
 					return
 				}
 				trial := pick(rank)
-				n.call(trial, TrialTimeout, func(to *unstableNode) (Levels, bool) { return Levels{}, !to.leaving || !n.view[to.index] }, func(_ Levels, ok, gone bool) {
+				n.call(trial, TrialTimeout, func(to *unstableNode) (Levels, bool) { return Levels{}, !to.leaving || !n.view[to.index] }, func(_ Levels, ok, gone, _ bool) {
 					switch {
 					case n.started != started || !n.up:
 					case ok:
@@ -384,8 +391,9 @@
 // empty reports whether an aggregator had no levels to respond with.
 func empty(l Levels) bool { return l.SentAt == 0 }
 
-// call calls another instance, and tells the result or that it failed.
-func (n *unstableNode) call(to *unstableNode, limit time.Duration, handle func(*unstableNode) (Levels, bool), result func(l Levels, ok, gone bool)) {
+// call calls another instance, and tells the result or that it failed: gone if that is known
+// at once, ended if the other one's process has ended.
+func (n *unstableNode) call(to *unstableNode, limit time.Duration, handle func(*unstableNode) (Levels, bool), result func(l Levels, ok, gone, ended bool)) {
 	f, delay := n.fleet, oneWayDelay
 	if n.zone == to.zone {
 		delay = zoneDelay
@@ -393,15 +401,15 @@
 	f.after(delay, func() {
 		switch {
 		case to != n && (to.cutOff || n.cutOff || to.suspended):
-			f.after(limit-delay, func() { result(Levels{}, false, false) })
+			f.after(limit-delay, func() { result(Levels{}, false, false, false) })
 		case to.up:
 			l, ok := handle(to)
 			gone := !ok
-			f.after(delay, func() { result(l, ok && !n.suspended, gone) })
+			f.after(delay, func() { result(l, ok && !n.suspended, gone, false) })
 		case to.silent:
-			f.after(limit-delay, func() { result(Levels{}, false, false) })
+			f.after(limit-delay, func() { result(Levels{}, false, false, false) })
 		default:
-			f.after(delay, func() { result(Levels{}, false, true) })
+			f.after(delay, func() { result(Levels{}, false, true, true) })
 		}
 	})
 }
@@ -639,6 +647,24 @@
 	playRandomSchedule(t, 7, 1338)
 }
 
+// All instances are about to stop but one, which becomes the hub and hears of the others only
+// when they report to it.
+func TestNoQuotaIsExceededByANewHubWhileAllOthersStop(t *testing.T) {
+	playRandomSchedule(t, 7, 2789)
+}
+
+// An instance is cut off and its own hub, while all others are about to stop.
+func TestNoQuotaIsExceededByAHubThatIsCutOffWhileAllOthersStop(t *testing.T) {
+	playRandomSchedule(t, 7, 5063)
+}
+
+// Hubs are lost or cut off one right after the other, at many times the load.
+func TestNoQuotaIsExceededWhileHubsAreLostOneAfterAnother(t *testing.T) {
+	for _, seed := range []uint64{5226, 5987} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playRandomSchedule(t, 7, seed) })
+	}
+}
+
 // playRandomSchedule plays six random faults in 20 s.
 func playRandomSchedule(t *testing.T, instances int, seed uint64) {
 	t.Helper()
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -148,7 +148,9 @@
 	growDelay      time.Duration
 	pendingShare   float64 // share from pendingShareAt on; 0 if no increase is pending
 	pendingShareAt time.Duration
-	leaving        bool // the share does not grow any more
+	grownAt        time.Duration // when an increase last took effect
+	leaving        bool          // the share does not grow any more
+	joiningUntil   time.Duration // until then, the number of instances is not known; see Join
 
 	levels    map[string]float64 // tokens left, by workspace; buckets not listed are full
 	levelsAt  time.Duration      // when the report that the levels respond to was sent, less Levels.Age
@@ -212,9 +214,10 @@
 }
 
 // learnFleet shrinks the share for a time if the hub counts more instances: some may be
-// about to stop, which a process that has just started can't know.
-func (s *Limiter) learnFleet(n int, now time.Duration) {
-	if n == 0 || 1/float64(n) >= s.currentShare(now) {
+// about to stop, which a process that has just started can't know. What the hub counted, as of
+// a time, before the last increase does not count: the hub may have it from this instance.
+func (s *Limiter) learnFleet(n int, asOf, now time.Duration) {
+	if n == 0 || 1/float64(n) >= s.currentShare(now) || asOf < s.grownAt {
 		return
 	}
 	if s.pendingShare == 0 {
@@ -223,6 +226,15 @@
 	s.share, s.pendingShareAt = 1/float64(n), now+s.growDelay
 }
 
+// Join says that this instance has just started, and that others may have served before. Some
+// may be about to stop and not be registered any more, so their number is not known until a hub
+// that others report to tells it, or until they have certainly stopped, growDelay after now. The
+// equal share grants one request of each workspace meanwhile.
+func (s *Limiter) Join(now time.Duration) { s.joiningUntil = now + s.growDelay }
+
+// Joining reports whether the number of instances is still unknown; see Join.
+func (s *Limiter) Joining(now time.Duration) bool { return now < s.joiningUntil }
+
 // Leave keeps the share from growing, because this instance is about to stop: others may
 // be about to stop as well, and not be counted any more.
 func (s *Limiter) Leave() { s.leaving, s.pendingShare = true, 0 }
@@ -236,7 +248,7 @@
 // currentShare returns the equal share, after putting a due increase into effect.
 func (s *Limiter) currentShare(now time.Duration) float64 {
 	if s.pendingShare > 0 && now >= s.pendingShareAt {
-		s.share, s.pendingShare = s.pendingShare, 0
+		s.share, s.pendingShare, s.grownAt = s.pendingShare, 0, now
 	}
 	return s.share
 }
@@ -254,10 +266,15 @@
 	rate, burst := w.Rate*share, max(float64(w.Burst)*share, 1)
 	b := s.buckets[w.Name]
 	if b == nil {
-		b = &bucket{tokens: max(burst*initialFill, 1), refilledAt: now}
+		b = &bucket{tokens: 1, refilledAt: now}
+		if !s.Joining(now) {
+			b.tokens = max(burst*initialFill, 1)
+		}
 		s.buckets[w.Name] = b
 	}
-	b.tokens = min(b.tokens+rate*(now-b.refilledAt).Seconds(), burst)
+	if !s.Joining(now) {
+		b.tokens = min(b.tokens+rate*(now-max(b.refilledAt, s.joiningUntil)).Seconds(), burst)
+	}
 	b.refilledAt = now
 	if s.HasRecentLevels(now) && s.hubShare >= minReportingInstances*share {
 		if verdict := s.takeFromLevel(b, w, share, now); verdict != Admitted {
@@ -386,15 +403,19 @@
 // older than the stored one. Levels of a hub that does not give out this instance's share
 // yet, and knows little of the fleet, do not replace recent ones.
 func (s *Limiter) SetLevels(r Report, l Levels, sentAt time.Duration) {
+	charged := l.Joined || l.Released || l.SentAt == 0 // the latter by older versions
 	for _, u := range r.Usages {
-		if b := s.buckets[u.Workspace]; b != nil && u.Admitted >= b.settled {
+		if b := s.buckets[u.Workspace]; charged && b != nil && u.Admitted >= b.settled {
 			b.byShare -= min(u.Settled-min(b.settled, u.Settled), b.byShare)
 			b.settled = u.Admitted
 		}
 	}
 	at := sentAt
 	sentAt -= l.Age
-	s.learnFleet(l.Fleet, at)
+	s.learnFleet(l.Fleet, sentAt, at)
+	if l.Share >= completeShare && l.Members != 1 {
+		s.joiningUntil = min(s.joiningUntil, at)
+	}
 	if s.hasLevels && sentAt < s.levelsAt {
 		return
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -57,7 +57,7 @@
 		t: t, workspace: &config.Workspace{Name: "w", Rate: rate, Burst: int(rate)}, hub: NewHub(),
 		disconnected: make([]bool, n), random: rand.New(rand.NewPCG(seed, 1)),
 	}
-	f.hub.SetInstances(n)
+	f.hub.SetInstances(n, n)
 	f.hub.SetWorkspaces(map[string]*config.Workspace{"w": f.workspace})
 	for i := range n {
 		s := New(fmt.Sprint("i", i), 1, 4*time.Second)
@@ -259,7 +259,7 @@
 	f.run(8*60, 10*time.Second)
 	old := f.hub
 	f.hub = NewHub()
-	f.hub.SetInstances(7)
+	f.hub.SetInstances(7, 7)
 	f.hub.SetWorkspaces(old.workspaces)
 	f.run(8*60, 10*time.Second)
 	f.checkWindows()
@@ -270,7 +270,7 @@
 func TestHubChargesNothingFromBeforeItKnewTheWorkspace(t *testing.T) {
 	for _, n := range []int{7, 25, 118, 300} {
 		h := NewHub()
-		h.SetInstances(n)
+		h.SetInstances(n, n)
 		w := &config.Workspace{Name: "w", Rate: 50, Burst: 50}
 		report := func(admitted uint64) (left float64) {
 			for i := range n {
@@ -305,7 +305,7 @@
 
 func TestRestartedInstanceIsNotCountedTwice(t *testing.T) {
 	h := NewHub()
-	h.SetInstances(1)
+	h.SetInstances(1, 1)
 	w := &config.Workspace{Name: "w", Rate: 10, Burst: 10}
 	h.SetWorkspaces(map[string]*config.Workspace{"w": w})
 	report := func(started, admitted uint64) float64 {
@@ -352,3 +352,42 @@
 		t.Errorf("reported %v, want no usage", r.Usages)
 	}
 }
+
+// A started instance that only the store tells of others must not use their quota.
+func TestJoiningInstanceGrantsNothingUntilItKnowsTheFleet(t *testing.T) {
+	const growDelay = 4 * time.Second
+	w := &config.Workspace{Name: "w", Rate: 100, Burst: 100}
+	admitted := func(s *Limiter, now time.Duration) (n int) {
+		for range 1000 {
+			if verdict, wait := s.Take(w, now); verdict != Admitted && wait > time.Second {
+				t.Fatalf("a token is expected after %v", wait)
+			} else if verdict == Admitted {
+				n++
+			}
+		}
+		return n
+	}
+	start := func() *Limiter {
+		s := New("a", 1, growDelay)
+		s.SetInstances(1, 0)
+		s.Join(0)
+		return s
+	}
+	alone := start()
+	alone.SetLevels(Report{}, Levels{Share: 1, Members: 1, Joined: true, Fleet: 1}, time.Second)
+	if n := admitted(alone, 0) + admitted(alone, 2*time.Second) + admitted(alone, growDelay-1); n > 1 {
+		t.Errorf("%d requests admitted before others have certainly stopped, want 1 at most", n)
+	}
+	if n := admitted(alone, growDelay+time.Second); n != 100 {
+		t.Errorf("%d requests admitted a second after that, want 100", n)
+	}
+	told := start()
+	told.SetLevels(Report{}, Levels{Share: 1, Part: 1, Members: 4, Joined: true, Fleet: 4}, 0)
+	if n := admitted(told, 0); n < 100 {
+		t.Errorf("%d requests admitted by a hub's levels, want 100 at least", n)
+	}
+	told.SetInstances(4, 0)
+	if told.Joining(0) || told.Instances(0) != 4 {
+		t.Errorf("joining: %v, %d instances, want 4", told.Joining(0), told.Instances(0))
+	}
+}
