--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -225,43 +225,57 @@
 }
 
 func TestTooLittleRoomCostsTheLowestPriorityFirstAndStarvesNobody(t *testing.T) {
-	for _, fleet := range []struct{ instances, targets int }{{1, 8}, {7, 8}, {26, 8}, {61, 8}, {118, 8}, {400, 8}} {
+	for _, instances := range []int{1, 7, 26, 61, 118, 400} {
 		for seed := range uint64(3) {
-			before, after := newPlay(seed, false, fleet.instances, fleet.targets, 6), newPlay(seed, true, fleet.instances, fleet.targets, 6)
-			before.run(competing, 20*time.Second)
-			after.run(competing, 20*time.Second)
-			name := fmt.Sprintf("%d instances, seed %d", fleet.instances, seed)
-			var all, base counts
-			for _, k := range competing {
-				b, a := before.results[k.name], after.results[k.name]
-				t.Logf("%s: %s in time %.2f, before %.2f; late %.2f, before %.2f", name, k.name, a.served(), b.served(),
-					float64(a.late)/float64(a.asked), float64(b.late)/float64(b.asked))
-				all.asked, all.inTime = all.asked+a.asked, all.inTime+a.inTime
-				base.asked, base.inTime = base.asked+b.asked, base.inTime+b.inTime
-			}
-			t.Logf("%s: all in time %.3f, before %.3f", name, all.served(), base.served())
-			for i, higher := range competing[:len(competing)-1] {
-				lower := competing[i+1]
-				if h, l := after.results[higher.name].sent(), after.results[lower.name].sent(); h < l-maxLag {
-					t.Errorf("%s: %s are served %.2f of the time, %s %.2f", name, higher.name, h, lower.name, l)
-				}
-			}
-			if h, b := after.results["payments"].served(), before.results["payments"].served(); h < 2*b || h < 0.75*all.served() {
-				t.Errorf("%s: payments in time %.2f, %.2f in the order before, of all %.2f", name, h, b, all.served())
-			}
-			if all.served() < base.served() {
-				t.Errorf("%s: of all %.2f in time, %.2f in the order before", name, all.served(), base.served())
-			}
-			for _, k := range competing {
-				if served := after.results[k.name].served(); served < minFairShare*all.served()*0.8 {
-					t.Errorf("%s: %.2f of %s in time, of all %.2f", name, served, k.name, all.served())
-				}
-			}
-			for _, k := range competing {
-				if held := after.maxHeld[k.name]; held > k.objective {
-					t.Errorf("%s: a refused request of %s was held for %v", name, k.name, held)
-				}
-			}
+			playTooLittleRoom(t, instances, 8, seed)
+		}
+	}
+}
+
+// Seeds with which one instance sends the second priority less often than the third.
+func TestTooLittleRoomAtOneInstanceFromTheStart(t *testing.T) {
+	for _, seed := range []uint64{21, 50, 61, 81, 82} {
+		playTooLittleRoom(t, 1, 8, seed)
+	}
+}
+
+// playTooLittleRoom plays twice the load that the targets can run, for 20 s, in the order of
+// arrival and as lines decide.
+func playTooLittleRoom(t *testing.T, instances, targets int, seed uint64) {
+	t.Helper()
+	before, after := newPlay(seed, false, instances, targets, 6), newPlay(seed, true, instances, targets, 6)
+	before.run(competing, 20*time.Second)
+	after.run(competing, 20*time.Second)
+	name := fmt.Sprintf("%d instances, seed %d", instances, seed)
+	var all, base counts
+	for _, k := range competing {
+		b, a := before.results[k.name], after.results[k.name]
+		t.Logf("%s: %s in time %.2f, before %.2f; late %.2f, before %.2f", name, k.name, a.served(), b.served(),
+			float64(a.late)/float64(a.asked), float64(b.late)/float64(b.asked))
+		all.asked, all.inTime = all.asked+a.asked, all.inTime+a.inTime
+		base.asked, base.inTime = base.asked+b.asked, base.inTime+b.inTime
+	}
+	t.Logf("%s: all in time %.3f, before %.3f", name, all.served(), base.served())
+	for i, higher := range competing[:len(competing)-1] {
+		lower := competing[i+1]
+		if h, l := after.results[higher.name].sent(), after.results[lower.name].sent(); h < l-maxLag {
+			t.Errorf("%s: %s are served %.2f of the time, %s %.2f", name, higher.name, h, lower.name, l)
+		}
+	}
+	if h, b := after.results["payments"].served(), before.results["payments"].served(); h < 2*b || h < 0.75*all.served() {
+		t.Errorf("%s: payments in time %.2f, %.2f in the order before, of all %.2f", name, h, b, all.served())
+	}
+	if all.served() < base.served() {
+		t.Errorf("%s: of all %.2f in time, %.2f in the order before", name, all.served(), base.served())
+	}
+	for _, k := range competing {
+		if served := after.results[k.name].served(); served < minFairShare*all.served()*0.8 {
+			t.Errorf("%s: %.2f of %s in time, of all %.2f", name, served, k.name, all.served())
+		}
+	}
+	for _, k := range competing {
+		if held := after.maxHeld[k.name]; held > k.objective {
+			t.Errorf("%s: a refused request of %s was held for %v", name, k.name, held)
 		}
 	}
 }
