callerserver: an optional hold is checked and counted at once

A request that runs ahead checked whether its connection may hold more, and counted it afterwards, under two takings of the server's lock. Requests of several connections that asked at once could all pass the check, by which the bytes held for callers went beyond their bound. Now both are done under one taking; what overlaps with bytes that are counted for the request already is given back.

Test: one piece of room and 16 connections that ask for it at once, 20,000 times.

--- a/internal/callerserver/ahead.go
+++ b/internal/callerserver/ahead.go
@@ -58,11 +58,13 @@
 func (a *aheadConn) tryHold(n int64) bool {
 	a.conn.mu.Lock()
 	defer a.conn.mu.Unlock()
-	if a.dropped || !a.conn.allowed(n) {
+	if a.dropped || !a.conn.reserve(n) {
 		return false
 	}
 	a.handler += n
-	a.count()
+	a.held += n
+	a.counted += n
+	a.count() // gives back what overlaps
 	return true
 }
 
--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -867,3 +867,35 @@
 		c.expect("/safe/1")
 	}
 }
+
+// Each round has room for one piece, which many requests ask for at once.
+func TestTryHoldKeepsToTheBoundOfAllCallers(t *testing.T) {
+	const piece, callers, rounds = 8 << 10, 16, 20000
+	s := New(Options{Metrics: metrics.New(), MemoryBytes: memoryShare * 2 * piece})
+	requests := make([]*aheadConn, callers)
+	for i := range requests {
+		requests[i] = &aheadConn{conn: newConn(nil, s)}
+		requests[i].conn.piping = true
+	}
+	for range rounds {
+		var trying sync.WaitGroup
+		begin := make(chan struct{})
+		for _, a := range requests {
+			trying.Go(func() {
+				<-begin
+				a.tryHold(piece)
+			})
+		}
+		close(begin)
+		trying.Wait()
+		if held := s.held(); held != piece {
+			t.Fatalf("%d bytes are held, want %d", held, piece)
+		}
+		for _, a := range requests {
+			a.holdFor(-a.handler)
+		}
+	}
+	if held := s.held(); held != 0 {
+		t.Errorf("%d bytes are held at the end", held)
+	}
+}
