callerserver: empty lines do not end an idle connection

net/http waits for the first four bytes of a further request without the deadline of its head, and skips empty lines behind a body. A connection that it had let go of while idle was served as a new one at its next bytes, also if these were only an empty line, and was then closed after ReadHeaderTimeout. Now the wait for the next request skips empty lines itself, and the connection stays as it is; the skipping by the first read is not needed any more.

Test: empty lines of 2, 1 and 400 bytes, each followed by thrice the header timeout, then a request. Before the change, the connection was closed after the first.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -84,7 +84,6 @@
 	interrupted bool // whether the read of an idle connection was made to return
 	parking     bool // whether net/http is to let go of the connection, or has
 	letGo       bool // whether net/http has, which closes it
-	resumed     bool // whether no byte has been read since it was parked
 }
 
 func newConn(c net.Conn, s *Server) *conn {
--- a/internal/callerserver/park.go
+++ b/internal/callerserver/park.go
@@ -1,6 +1,7 @@
 package callerserver
 
 import (
+	"bytes"
 	"net/http"
 	"syscall"
 	"time"
@@ -70,34 +71,21 @@
 // readOn is the read of a connection that nothing reads ahead. It returns parked if net/http
 // is to let go of the connection. The caller holds the lock.
 func (c *conn) readOn(p []byte) (n int, parked bool, err error) {
-	for {
-		c.mu.Unlock()
-		n, err = c.Conn.Read(p)
-		c.mu.Lock()
-		if c.interrupted {
-			c.interrupted = false
-			_ = c.Conn.SetReadDeadline(c.deadline) // as above
-			if n == 0 && c.idle && !c.closed && isTimeout(err) {
-				c.parking, c.idle = true, false
-				return 0, true, nil
-			}
-		}
-		if n > 0 {
-			c.idle = false
-		}
-		if !c.resumed || n == 0 {
-			return n, false, err
-		}
-		// net/http skips empty lines behind a request, which it does not know of any more.
-		begin := 0
-		for begin < n && (p[begin] == '\r' || p[begin] == '\n') {
-			begin++
-		}
-		n = copy(p, p[begin:n])
-		if c.resumed = n == 0; n > 0 || err != nil {
-			return n, false, err
+	c.mu.Unlock()
+	n, err = c.Conn.Read(p)
+	c.mu.Lock()
+	if c.interrupted {
+		c.interrupted = false
+		_ = c.Conn.SetReadDeadline(c.deadline) // as above
+		if n == 0 && c.idle && !c.closed && isTimeout(err) {
+			c.parking, c.idle = true, false
+			return 0, true, nil
 		}
 	}
+	if n > 0 {
+		c.idle = false
+	}
+	return n, false, err
 }
 
 func isTimeout(err error) bool {
@@ -142,7 +130,9 @@
 	return c.parking && !c.closed
 }
 
-// awaitBytes waits for the connection's next bytes. It returns false if it has ended.
+// awaitBytes waits for the beginning of the connection's next request. It skips empty lines
+// before it: net/http does so behind a body, but begins to wait for a head with them once it
+// does not know of earlier requests. It returns false if the connection has ended.
 func (c *conn) awaitBytes() bool {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
@@ -150,13 +140,26 @@
 	}
 	readable := false
 	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		if err == unix.EAGAIN || err == unix.EINTR {
-			return false
+		var b [64]byte
+		for {
+			n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			switch {
+			case err == unix.EINTR:
+				continue
+			case err == unix.EAGAIN:
+				return false
+			case err != nil || n <= 0:
+				return true
+			}
+			empty := n - len(bytes.TrimLeft(b[:n], "\r\n"))
+			if empty == 0 {
+				readable = true
+				return true
+			}
+			if _, _, err := unix.Recvfrom(int(fd), b[:empty], unix.MSG_DONTWAIT); err != nil && err != unix.EINTR {
+				return true
+			}
 		}
-		readable = err == nil && n > 0
-		return true
 	})
 	return err == nil && readable
 }
@@ -165,7 +168,7 @@
 func (c *conn) resume() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.parking, c.letGo, c.resumed = false, false, true
+	c.parking, c.letGo = false, false
 	c.idle, c.serving, c.request, c.framer, c.order = false, false, nil, newFramer(), order{}
 	return !c.closed
 }
--- a/internal/callerserver/park_test.go
+++ b/internal/callerserver/park_test.go
@@ -224,3 +224,23 @@
 	c.expectEnd()
 	ended(3)
 }
+
+func TestEmptyLinesLeaveConnectionsParked(t *testing.T) {
+	const headerTimeout = 100 * time.Millisecond
+	s := newTestServer(t, func(o *Options) { o.ReadHeaderTimeout = headerTimeout })
+	s.release("*")
+	c := s.dial()
+	c.send("POST /once/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+	if status, body, err := c.response(); status != 200 || body != "/once/1 x" || err != nil {
+		t.Fatal(status, body, err)
+	}
+	s.waitParked(1)
+	for _, lines := range []string{"\r\n", "\n", strings.Repeat("\r\n", 200)} {
+		c.send(lines)
+		time.Sleep(3 * headerTimeout)
+		s.waitParked(1)
+	}
+	c.send("\r\n" + get("/safe/2"))
+	c.expect("/safe/2")
+	s.waitParked(1)
+}
