callerserver: a resumed connection that is not served is told as closed

A shutdown between a parked connection's next bytes and their being served closed the connection without telling ConnState, so that it stayed in the sets that are kept by it. It is now closed as one whose wait ended is.

Test: 16 resumed connections queued before the end; before the change the end of those that were not taken up was not told.

--- a/internal/callerserver/park.go
+++ b/internal/callerserver/park.go
@@ -115,14 +115,19 @@
 				time.Sleep(time.Millisecond) // too many are waiting to be served
 			}
 		}
-		c.mu.Lock()
-		_ = c.finish() // nobody can be told of an error
-		c.mu.Unlock()
-		s.track(c, http.StateClosed)
-		c.tellState(http.StateClosed)
+		c.closeUnserved()
 	}()
 }
 
+// closeUnserved closes a connection that net/http has let go of and does not serve again.
+func (c *conn) closeUnserved() {
+	c.mu.Lock()
+	_ = c.finish() // nobody can be told of an error
+	c.mu.Unlock()
+	c.server.track(c, http.StateClosed)
+	c.tellState(http.StateClosed)
+}
+
 // mayPark reports whether net/http has let go of the connection only for the time being.
 func (c *conn) mayPark() bool {
 	c.mu.Lock()
--- a/internal/callerserver/park_test.go
+++ b/internal/callerserver/park_test.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/turmericfield/turmericfield/internal/metrics"
 )
 
 // parkedConns returns the number of parked connections.
@@ -244,3 +246,34 @@
 	c.expect("/safe/2")
 	s.waitParked(1)
 }
+
+// Shutdown may come between a parked connection's next bytes and their being served.
+func TestResumedConnectionsThatAreNotServedAreToldAsClosed(t *testing.T) {
+	const conns = 16
+	open := map[net.Conn]bool{}
+	s := New(Options{Metrics: metrics.New(), ConnState: func(c net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			delete(open, c)
+		}
+	}})
+	for range conns {
+		near, far := net.Pipe()
+		defer func() { _ = far.Close() }()
+		c := newConn(near, s)
+		open[c] = true
+		if !c.resume() || !s.ahead.start(c) {
+			t.Fatal("the connection is not resumed")
+		}
+	}
+	_ = s.ahead.Close()
+	for {
+		c, err := s.ahead.Accept()
+		if err != nil {
+			break
+		}
+		delete(open, c) // served
+	}
+	for c := range open {
+		t.Errorf("the end of a connection was not told, closed: %v", c.(*conn).closed)
+	}
+}
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -425,6 +425,10 @@
 	for {
 		select {
 		case c := <-l.started:
+			if resumed, ok := c.(*conn); ok {
+				resumed.closeUnserved()
+				continue
+			}
 			_ = c.Close() // never fails
 		default:
 			return nil, net.ErrClosed
