edge: an instance of a later version with a larger capacity stays visible

An entry whose capacity was above the most that this version knows was refused as a whole, so that raising the limit would have hidden the new instances from the old ones during an upgrade. It now counts as the largest known capacity.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -96,8 +96,8 @@
 		return m, errors.New("weight is missing")
 	case *entry.Weight < 0 || *entry.Weight > 1:
 		return m, errors.Newf("weight %g is not between 0 and 1", *entry.Weight)
-	case m.Capacity < 0 || m.Capacity > lookup.MaxCapacity:
-		return m, errors.Newf("capacity %g is not between 0 and %g", m.Capacity, lookup.MaxCapacity)
+	case m.Capacity < 0:
+		return m, errors.Newf("capacity %g is negative", m.Capacity)
 	}
 	for _, address := range []string{m.Address, m.PeerAddress} {
 		if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
@@ -105,6 +105,7 @@
 		}
 	}
 	m.Weight = *entry.Weight
+	m.Capacity = min(m.Capacity, lookup.MaxCapacity) // a later version may allow more
 	return m, nil
 }
 
