soak: clients that read long answers slowly, late or not at all

One of five clients, of which one sends requests ahead, asks for an answer of 8 MiB in one of twenty requests. It reads that in up to five pieces with waits of up to 4 s in all, or leaves after the wait. What holds for all answers holds for these: a whole one is exactly the target's, others are cut visibly or say that the request was not run, and no request that may not be repeated runs twice. The random draws of these clients have changed.

The checker's test has a long answer with a part missing.

--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -330,5 +330,18 @@
 	c.servedCount, c.sentCount = 0, 0
 }
 
+// longID begins the ids of requests with long answers.
+const longID = "f"
+
+// longSize is the least length of a long answer, in bytes. It is more than the buffers of
+// connections take.
+const longSize = 8 << 20
+
 // answerBody returns the body with which targets answer a request.
-func answerBody(id string) string { return "answer to " + id }
+func answerBody(id string) string {
+	body := "answer to " + id
+	if strings.HasPrefix(id, longID) {
+		return strings.Repeat(body, longSize/len(body)+1)
+	}
+	return body
+}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -18,6 +18,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/turmericfield/turmericfield/platform/standin"
 )
 
@@ -291,6 +293,9 @@
 // It keeps its connections as long as the instances do.
 func (f *fleet) runClient(n int, random *rand.Rand) {
 	c := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableCompression: true}}
+	if n%slowClients == 0 {
+		c.Timeout += maxStall
+	}
 	for {
 		select {
 		case <-f.stop:
@@ -298,7 +303,7 @@
 		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
 		}
 		in := f.instances[(n+random.IntN(2))%len(f.instances)]
-		f.send(c, in.address, f.randomRequest(n, in, random))
+		f.send(c, in.address, f.randomRequest(n, in, random), random)
 	}
 }
 
@@ -309,6 +314,9 @@
 		id: fmt.Sprintf("%016x", f.requestCount.Add(1)), method: http.MethodGet, uri: fmt.Sprintf("/%s/%d?n=%d", route, random.IntN(30), n),
 		route: route, workspace: fmt.Sprint("w", w), key: fmt.Sprint("key-", w), instance: in.name, sent: time.Now(),
 	}
+	if n%slowClients == 0 && random.IntN(20) == 0 {
+		r.id = longID + r.id[1:]
+	}
 	if !repeatable(route) {
 		r.method, r.body = http.MethodPost, "body of "+r.id
 	}
@@ -359,12 +367,13 @@
 			continue
 		}
 		for _, r := range batch {
+			_ = conn.SetDeadline(time.Now().Add(3*time.Second + maxStall))
 			answer, err := http.ReadResponse(reader, nil)
 			if err != nil {
 				drop()
 				break
 			}
-			body, err := io.ReadAll(answer.Body)
+			body, err := f.readBody(r, answer.Body, random)
 			f.checks.recordAnswer(r.id, answer.StatusCode, string(body), answer.Header.Get("Response-Seal"), err == nil)
 			if err != nil || answer.Close {
 				drop()
@@ -389,7 +398,7 @@
 			id: fmt.Sprintf("%016x", f.requestCount.Add(1)), method: http.MethodGet, uri: fmt.Sprintf("/version-%d/", version),
 			route: versionRoute, instance: in.name, sent: time.Now(), version: version,
 		}
-		f.send(c, in.address, r)
+		f.send(c, in.address, r, nil)
 	}
 }
 
@@ -408,13 +417,40 @@
 }
 
 // send sends a request and records the answer.
-func (f *fleet) send(c *http.Client, address string, r request) {
+func (f *fleet) send(c *http.Client, address string, r request, random *rand.Rand) {
 	f.checks.recordSent(r)
 	answer, err := c.Do(f.newRequest(address, r))
 	if err != nil {
 		return // a closed connection does not say whether the request ran
 	}
 	defer func() { _ = answer.Body.Close() }()
-	body, err := io.ReadAll(answer.Body)
+	body, err := f.readBody(r, answer.Body, random)
 	f.checks.recordAnswer(r.id, answer.StatusCode, string(body), answer.Header.Get("Response-Seal"), err == nil)
 }
+
+// errNotRead says that a client has left in the middle of an answer.
+var errNotRead = errors.New("answer not read")
+
+// readBody reads an answer's body. Before the quiet period a long one is read in pieces,
+// with waits before each, or not at all after such a wait.
+func (f *fleet) readBody(r request, body io.Reader, random *rand.Rand) ([]byte, error) {
+	if !strings.HasPrefix(r.id, longID) || f.quiet.Load() {
+		return io.ReadAll(body)
+	}
+	var read bytes.Buffer
+	pieces, stall := 1+random.IntN(5), time.Duration(random.Int64N(int64(maxStall)))
+	leaves := random.IntN(4) == 0
+	for range pieces {
+		time.Sleep(stall / time.Duration(pieces))
+		if leaves {
+			return nil, errNotRead
+		}
+		if _, err := io.CopyN(&read, body, int64(longSize/pieces)); errors.Is(err, io.EOF) {
+			return read.Bytes(), nil
+		} else if err != nil {
+			return nil, err
+		}
+	}
+	_, err := io.Copy(&read, body)
+	return read.Bytes(), err
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -32,6 +32,11 @@
 	host               = "host.example" // hostname of all routes
 	// pipeliningClients is the number of clients of which one sends requests ahead.
 	pipeliningClients = 4
+	// slowClients is the number of clients of which one gets long answers at times, and
+	// reads these slowly, late or not at all.
+	slowClients = 5
+	// maxStall is the longest time for which such a client puts off reading an answer.
+	maxStall = 4 * time.Second
 	// quietPeriod is the time without faults at the end of a run. In its second half
 	// nearly every request must be served again.
 	quietPeriod = 6 * time.Second
@@ -195,14 +200,18 @@
 // violates one guarantee as a faulty instance would.
 func TestCheckerReportsEveryViolation(t *testing.T) {
 	for name, violate := range map[string]func(c *checker){
-		"twice":                                func(c *checker) { runRequest(c); runRequest(c) },
-		"not sent":                             func(c *checker) { c.recordRun("2", "POST", "/", "", "w0", "") },
-		"changed":                              func(c *checker) { c.recordRun("1", "POST", "/reserve/2", "b", "w0", "") },
-		"other workspace":                      func(c *checker) { c.recordRun("1", "POST", "/reserve/1", "b", "forged", "") },
-		"key passed on":                        func(c *checker) { c.recordRun("1", "POST", "/reserve/1", "b", "w0", "k") },
-		"refused, ran":                         func(c *checker) { runRequest(c); c.recordAnswer("1", 503, "", "", true) },
-		"ran after 429":                        func(c *checker) { c.recordAnswer("1", 429, "", "", true); runRequest(c) },
-		"mixed":                                func(c *checker) { runRequest(c); c.recordAnswer("1", 200, answerBody("9"), "s", true) },
+		"twice":           func(c *checker) { runRequest(c); runRequest(c) },
+		"not sent":        func(c *checker) { c.recordRun("2", "POST", "/", "", "w0", "") },
+		"changed":         func(c *checker) { c.recordRun("1", "POST", "/reserve/2", "b", "w0", "") },
+		"other workspace": func(c *checker) { c.recordRun("1", "POST", "/reserve/1", "b", "forged", "") },
+		"key passed on":   func(c *checker) { c.recordRun("1", "POST", "/reserve/1", "b", "w0", "k") },
+		"refused, ran":    func(c *checker) { runRequest(c); c.recordAnswer("1", 503, "", "", true) },
+		"ran after 429":   func(c *checker) { c.recordAnswer("1", 429, "", "", true); runRequest(c) },
+		"mixed":           func(c *checker) { runRequest(c); c.recordAnswer("1", 200, answerBody("9"), "s", true) },
+		"long, a part missing": func(c *checker) {
+			sendRequest(c, longID+"1", epoch)
+			c.recordAnswer(longID+"1", 200, answerBody(longID + "1")[:longSize/2], "s", true)
+		},
 		"no seal":                              func(c *checker) { runRequest(c); c.recordAnswer("1", 200, answerBody("1"), "", true) },
 		"withdrawn":                            func(c *checker) { c.recordWithdrawal("k", epoch.Add(-2*keyBound)); runRequest(c) },
 		"outside the home region":              func(c *checker) { c.recordArrival("1", "t0/1", "oriente", epoch) },
@@ -246,7 +255,15 @@
 	}
 	for name, run := range map[string]func(c *checker){
 		"one run, one answer": func(c *checker) { runRequest(c); c.recordAnswer("1", 200, answerBody("1"), "s", true) },
-		"the home region":     func(c *checker) { c.recordArrival("1", "t0/1", "sierra", epoch) },
+		"long": func(c *checker) {
+			sendRequest(c, longID+"1", epoch)
+			c.recordAnswer(longID+"1", 200, answerBody(longID+"1"), "s", true)
+		},
+		"long, cut visibly": func(c *checker) {
+			sendRequest(c, longID+"1", epoch)
+			c.recordAnswer(longID+"1", 200, answerBody(longID + "1")[:longSize/2], "s", false)
+		},
+		"the home region": func(c *checker) { c.recordArrival("1", "t0/1", "sierra", epoch) },
 		"the home region before, sent soon after": func(c *checker) {
 			c.configurations = append(c.configurations, configuration{begun: epoch, confirmed: epoch, homes: map[string][]string{"reserve": {"oriente"}}})
 			sendRequest(c, "2", epoch.Add(configurationBound))
