--- a/internal/callerserver/park_test.go
+++ b/internal/callerserver/park_test.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/turmericfield/turmericfield/internal/metrics"
 )
 
 // parkedConns returns the number of parked connections.
@@ -224,3 +226,54 @@
 	c.expectEnd()
 	ended(3)
 }
+
+func TestEmptyLinesLeaveConnectionsParked(t *testing.T) {
+	const headerTimeout = 100 * time.Millisecond
+	s := newTestServer(t, func(o *Options) { o.ReadHeaderTimeout = headerTimeout })
+	s.release("*")
+	c := s.dial()
+	c.send("POST /once/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+	if status, body, err := c.response(); status != 200 || body != "/once/1 x" || err != nil {
+		t.Fatal(status, body, err)
+	}
+	s.waitParked(1)
+	for _, lines := range []string{"\r\n", "\n", strings.Repeat("\r\n", 200)} {
+		c.send(lines)
+		time.Sleep(3 * headerTimeout)
+		s.waitParked(1)
+	}
+	c.send("\r\n" + get("/safe/2"))
+	c.expect("/safe/2")
+	s.waitParked(1)
+}
+
+// Shutdown may come between a parked connection's next bytes and their being served.
+func TestResumedConnectionsThatAreNotServedAreToldAsClosed(t *testing.T) {
+	const conns = 16
+	open := map[net.Conn]bool{}
+	s := New(Options{Metrics: metrics.New(), ConnState: func(c net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			delete(open, c)
+		}
+	}})
+	for range conns {
+		near, far := net.Pipe()
+		defer func() { _ = far.Close() }()
+		c := newConn(near, s)
+		open[c] = true
+		if !c.resume() || !s.ahead.start(c) {
+			t.Fatal("the connection is not resumed")
+		}
+	}
+	_ = s.ahead.Close()
+	for {
+		c, err := s.ahead.Accept()
+		if err != nil {
+			break
+		}
+		delete(open, c) // served
+	}
+	for c := range open {
+		t.Errorf("the end of a connection was not told, closed: %v", c.(*conn).closed)
+	}
+}
