--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -23,12 +23,11 @@
 // cases are the cases by name. Each gets whether the disruption is played, and returns
 // whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
-	"stop-behind-answer": stopBehindAnswer,
-	"cut-answer":         cutAnswer,
-	"late-heartbeat":     lateHeartbeat,
-	"quota-crowd":        quotaCrowd,
-	"cold-again":         coldAgain,
-	"turned-away":        turnedAway,
+	"cut-answer":     cutAnswer,
+	"late-heartbeat": lateHeartbeat,
+	"quota-crowd":    quotaCrowd,
+	"cold-again":     coldAgain,
+	"turned-away":    turnedAway,
 }
 
 func main() { os.Exit(run()) }
