review/10: FAILBACK broken by a second cold start within one heartbeat

Cause: edge.sameTarget takes a coldRemainingS that is not above the one stored before for no change, whatever time has passed, so the end of the cold start isn't moved.

It takes the place of the case that was dropped.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/turmericfield ] && [ -x ../../target/review-harness-2 ] || { echo "build the product and run review/build-2.sh first"; exit 2; }
-exec ../../target/review-harness-2 quota-crowd ../../target/turmericfield record.txt
+exec ../../target/review-harness-2 cold-again ../../target/turmericfield record.txt
