gateway: a rejection without a length holds whatever ends its connection

Callers got 502 for a request that a target had rejected, and the request was not sent to another target, if the rejection had no length and its connection was reset.

Cause: the body of each rejection is read so that the connection can be reused. For one without a length the connection's end is the body's end, a reset is an error, and the exchange counted as broken although its head states that the request was not run.

Change: the body of such a rejection isn't read. Its connection can't be reused anyway, and the statement is in the head, which proves whose it is as before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -123,6 +123,9 @@
 	case answered:
 		return x, x.readBody(maxBufferedResponse)
 	case rejected:
+		if x.endsWithConnection() {
+			return x, nil // the head proves the rejection, and the connection can't be reused
+		}
 		return x, x.readBody(maxRefusalBody)
 	}
 	return x, nil
@@ -207,6 +210,12 @@
 	return x.response.Request != nil && x.response.Request.Method == http.MethodHead
 }
 
+// endsWithConnection reports whether only the end of the connection ends the response, which
+// has no length.
+func (x *exchange) endsWithConnection() bool {
+	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
+}
+
 // readBody reads a response body of up to limit bytes completely. Of a longer one
 // it reads nothing if its length is known, else the beginning.
 func (x *exchange) readBody(limit int64) error {
@@ -256,7 +265,7 @@
 			x.abortRequestBody()
 		}
 	}
-	if !x.stopCloseOnCancel() || x.notReusable || x.response.Close || x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0 {
+	if !x.stopCloseOnCancel() || x.notReusable || x.response.Close || x.endsWithConnection() {
 		_ = x.conn.Close()
 		return
 	}
--- a/internal/gateway/faulty_target_test.go
+++ b/internal/gateway/faulty_target_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -271,21 +270,27 @@
 	for name, c := range map[string]struct {
 		kept   bool // the request is sent on a kept connection
 		answer string
+		ending string // of the connection; empty if it stays open
 	}{
-		"with id, kept connection":               {true, rejection("b")},
-		"with id, new connection":                {false, rejection("b")},
-		"421 without Not-Run, kept connection":   {true, "HTTP/1.1 421 X\r\nId: b\r\nContent-Length: 0\r\n\r\n"},
-		"without id, first on a new connection":  {false, rejection("")},
-		"with id, after one to another request":  {true, rejection("a") + rejection("b")},
-		"without length, its connection ends it": {true, "HTTP/1.1 503 X\r\nId: b\r\nNot-Run: 1\r\n\r\nfull"},
+		"with id, kept connection":               {true, rejection("b"), ""},
+		"with id, new connection":                {false, rejection("b"), ""},
+		"421 without Not-Run, kept connection":   {true, "HTTP/1.1 421 X\r\nId: b\r\nContent-Length: 0\r\n\r\n", ""},
+		"without id, first on a new connection":  {false, rejection(""), ""},
+		"with id, after one to another request":  {true, rejection("a") + rejection("b"), ""},
+		"without length, its connection ends it": {true, "HTTP/1.1 503 X\r\nId: b\r\nNot-Run: 1\r\n\r\nfull", "closed"},
+		"without length, reset":                  {true, "HTTP/1.1 503 X\r\nId: b\r\nNot-Run: 1\r\n\r\nfull", "reset"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			call := newCaller(t, newRawTarget(t, func(conn *net.TCPConn, r received) bool {
-				if r.id == "b" {
-					return write(conn, c.answer) && strings.Contains(c.answer, "Length")
+				if r.id != "b" {
+					return write(conn, success(r.id, "ok"))
 				}
-				return write(conn, success(r.id, "ok"))
+				written := write(conn, c.answer)
+				if end, ok := endings[c.ending]; ok {
+					return end(conn)
+				}
+				return written
 			}))
 			if c.kept {
 				if status, _, err := call.do(http.MethodPost, "/once/1", "a"); status != 200 || err != nil {
