gateway: an answer without a length that is reset during an upload is cut

Callers got a part of an answer as the complete one: a target answered a long upload at once, without a length, sent part of the body and reset the connection while the request was still being written.

Cause: the kernel reports a reset once. The goroutine that writes the request's body took it (ECONNRESET); the read that followed got a plain end of file, which ends a body without a length.

Change: the connection's Read, from which heads and bodies of all framings are read, returns io.EOF only if the whole request has been written without an error, so that no write can have taken one, or if the kernel's state of the connection (TCP_INFO) shows that the target has closed its side and no reset came. Any other end counts as an unexpected one. So a target that ends its answer in order before it has read the body, and reads that afterwards, is believed as before. One that closes without reading it sends a reset, and an answer without a length is then cut, whatever its status; with a length it is whole.

The fuzz test of responses marks its request as written, which it is.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -49,13 +49,14 @@
 }
 
 // writeStreamedBody copies the streamed body to a target, in chunked encoding
-// if its length is unknown.
-func (c *call) writeStreamedBody(to io.Writer) {
+// if its length is unknown. The error is set unless all of it was read and written.
+func (c *call) writeStreamedBody(to io.Writer) error {
 	if c.request.ContentLength >= 0 {
-		if _, err := io.Copy(to, c.streamedBody); err == nil {
+		_, err := io.Copy(to, c.streamedBody)
+		if err == nil {
 			c.bodyComplete.Store(true)
 		}
-		return
+		return err
 	}
 	buffer := make([]byte, 16<<10)
 	for {
@@ -64,15 +65,16 @@
 			chunk := append(strconv.AppendInt(nil, int64(n), 16), "\r\n"...)
 			chunk = append(append(chunk, buffer[:n]...), "\r\n"...)
 			if _, err := to.Write(chunk); err != nil {
-				return
+				return err
 			}
 		}
+		if err == io.EOF {
+			c.bodyComplete.Store(true)
+			_, err := io.WriteString(to, "0\r\n\r\n")
+			return err
+		}
 		if err != nil {
-			if err == io.EOF {
-				c.bodyComplete.Store(true)
-				_, _ = io.WriteString(to, "0\r\n\r\n") // an error shows when the response is read
-			}
-			return
+			return err
 		}
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -133,8 +133,10 @@
 
 // write writes the request. A long body is written in the background.
 func (x *exchange) write(c *call, head []byte) error {
+	x.conn.requestWritten.Store(false)
 	if c.streamedBody == nil && len(c.bufferedBody) <= maxInlineRequestBody {
 		_, err := x.conn.Write(append(head, c.bufferedBody...))
+		x.conn.requestWritten.Store(err == nil)
 		return err
 	}
 	if _, err := x.conn.Write(head); err != nil {
@@ -146,11 +148,13 @@
 	}
 	go func() {
 		defer close(x.requestBodyDone)
+		var err error // shows when the response is read
 		if c.streamedBody == nil {
-			_, _ = io.Copy(x.conn, bytes.NewReader(c.bufferedBody)) // an error shows when the response is read
-			return
+			_, err = io.Copy(x.conn, bytes.NewReader(c.bufferedBody))
+		} else {
+			err = c.writeStreamedBody(x.conn)
 		}
-		c.writeStreamedBody(x.conn)
+		x.conn.requestWritten.Store(err == nil)
 	}()
 	return nil
 }
--- a/internal/gateway/faulty_target_test.go
+++ b/internal/gateway/faulty_target_test.go
@@ -28,6 +28,7 @@
 	// seen holds how often the connection carried each id, this request included.
 	seen map[string]int
 	at   time.Time // when the target had read the request's head
+	body io.Reader // what the target has yet to read of the request's body
 }
 
 // rawTarget is a target whose answers are arbitrary bytes.
@@ -35,17 +36,29 @@
 	listener net.Listener
 	// answer writes the bytes that answer a request and returns false to have the
 	// connection closed.
-	answer      func(c *net.TCPConn, r received) bool
+	answer func(c *net.TCPConn, r received) bool
+	// headOnly has requests answered once their head has been read.
+	headOnly    bool
 	requests    atomic.Int32
 	connections atomic.Int32
 }
 
 func newRawTarget(tb testing.TB, answer func(c *net.TCPConn, r received) bool) *rawTarget {
+	return startRawTarget(tb, &rawTarget{answer: answer})
+}
+
+// newHeadTarget returns a target that answers when it has read the head of a request. The
+// answer must read the body or have the connection closed.
+func newHeadTarget(tb testing.TB, answer func(c *net.TCPConn, r received) bool) *rawTarget {
+	return startRawTarget(tb, &rawTarget{answer: answer, headOnly: true})
+}
+
+func startRawTarget(tb testing.TB, target *rawTarget) *rawTarget {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
 	}
-	target := &rawTarget{listener: l, answer: answer}
+	target.listener = l
 	var connections sync.WaitGroup
 	connections.Go(func() {
 		for {
@@ -70,13 +83,15 @@
 			return
 		}
 		at := time.Now()
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
+		if !target.headOnly {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
 		}
 		target.requests.Add(1)
 		id := r.Header.Get(testHeaders.RequestID)
 		seen[id]++
-		if !target.answer(c, received{id, r.URL.Path, n, seen, at}) {
+		if !target.answer(c, received{id, r.URL.Path, n, seen, at, r.Body}) {
 			return
 		}
 	}
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -49,6 +49,7 @@
 	f.Fuzz(func(t *testing.T, answer []byte) {
 		conn := newTargetConn(bytesConn{Reader: bytes.NewReader(answer)}, affinity.Target{ID: "t"})
 		conn.carried = []uint64{1}
+		conn.requestWritten.Store(true)
 		x := &exchange{conn: conn}
 		if x.readHead(r, testHeaders, "a") != nil {
 			return
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"hash/maphash"
+	"io"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,6 +44,11 @@
 	writeBufferSize = 2 << 10
 )
 
+// errLostWhileWriting is the error of reading from a connection that was lost before the
+// request was written. It counts as an unexpected end of file, as its reader can't know how
+// much of the response is missing.
+var errLostWhileWriting = errors.Wrap(io.ErrUnexpectedEOF, "connection lost while the request was written")
+
 // targetConn is a connection to a target.
 type targetConn struct {
 	net.Conn
@@ -57,6 +64,9 @@
 	// idleLimit is the idle time that the target allows, by its last response;
 	// 0 if it named none.
 	idleLimit time.Duration
+	// requestWritten is set once the latest request has been written, all of it without an
+	// error.
+	requestWritten atomic.Bool
 }
 
 // pool keeps idle connections to targets for reuse. It is safe for concurrent
@@ -130,16 +140,42 @@
 // what is buffered already.
 func (c *targetConn) limit(n int64) { c.unread = n }
 
-// Read implements io.Reader for the buffered reader.
+// Read implements io.Reader for the buffered reader. It returns io.EOF only if the target has
+// ended the connection in order. The kernel reports a reset once: if that goes to a write of
+// the request, the read gets an end of file like that of a closed connection, which would
+// end a response without a length.
 func (c *targetConn) Read(p []byte) (int, error) {
 	if c.unread <= 0 {
 		return 0, errTooManyBytes
 	}
 	n, err := c.Conn.Read(p[:min(int64(len(p)), c.unread)])
 	c.unread -= int64(n)
+	if err == io.EOF && !c.requestWritten.Load() && !c.closedByTarget() {
+		err = errLostWhileWriting
+	}
 	return n, err
 }
 
+// closedByTarget reports whether the target has closed its side of the connection, without
+// a reset before or since.
+func (c *targetConn) closedByTarget() bool {
+	state := uint8(0)
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
+	})
+	return err == nil && state == unix.BPF_TCP_CLOSE_WAIT
+}
+
 // takeIdle removes and returns the idle connection to a target that was used
 // last and has not carried the request, or nil.
 func (p *pool) takeIdle(id string, request uint64) *targetConn {
