gateway: a connection that has carried a part of a request is not used again

The request after an upload got 502, or was taken by the target for the rest of that upload: a body in chunks exceeded the limit of bodies after a part of it had been written, and the target answered it nevertheless, with a length.

Cause: a connection was kept for reuse once the goroutine that writes the body had ended, also if it had ended with an error. Found by asking what else depends on whether a request has been written in full.

Change: a connection is kept only if the whole request has been written.

TestConnectionWithAnUnfinishedRequestIsNotUsedAgain: before, a request afterwards got 502 in 20 of 20 runs; now none in 20. All tests of the package pass.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -269,7 +269,9 @@
 			x.abortRequestBody()
 		}
 	}
-	if !x.stopCloseOnCancel() || x.notReusable || x.response.Close || x.endsWithConnection() {
+	// After a part of a request, the target takes what comes next for the rest of it.
+	written := x.conn.requestWritten.Load()
+	if !x.stopCloseOnCancel() || x.notReusable || !written || x.response.Close || x.endsWithConnection() {
 		_ = x.conn.Close()
 		return
 	}
--- a/internal/gateway/upload_test.go
+++ b/internal/gateway/upload_test.go
@@ -187,3 +187,39 @@
 		})
 	}
 }
+
+// A body exceeds the limit after a part of it was sent, and its target answers nevertheless.
+// The target takes what comes next on the connection for the rest of the body.
+func TestConnectionWithAnUnfinishedRequestIsNotUsedAgain(t *testing.T) {
+	t.Parallel()
+	const limit = 2 * maxBufferedRequestBody
+	call := newCaller(t, newHeadTarget(t, func(conn *net.TCPConn, r received) bool {
+		if r.id != "a" {
+			return write(conn, success(r.id, r.path))
+		}
+		if _, err := io.CopyN(io.Discard, r.body, limit); err != nil {
+			t.Error(err)
+			return false
+		}
+		time.Sleep(50 * time.Millisecond)
+		if !write(conn, success(r.id, "early")) {
+			return false
+		}
+		rest, err := io.ReadAll(r.body)
+		if err == nil || len(rest) > 0 {
+			t.Errorf("%d bytes of the rest of the body have come, %v", len(rest), err)
+		}
+		return false
+	}))
+	limited := *call.gateway.Table()
+	limited.Limits.BodyBytes = limit
+	call.gateway.SetTable(&limited)
+	if status, got, err := call.doBody(http.MethodPost, "/once/1", "a", uploads["chunked"](2*limit)); status != 200 || got != "early" || err != nil {
+		t.Errorf("got %d %q, %v", status, got, err)
+	}
+	for i := range 4 {
+		if status, got, err := call.do(http.MethodPost, "/once/2", fmt.Sprint("b", i)); status != 200 || got != "/once/2" || err != nil {
+			t.Errorf("a request afterwards got %d %q, %v", status, got, err)
+		}
+	}
+}
