responsehead: rename statusline, which is to judge whole heads

Field names of responses need the same treatment as status lines: one rule for all readers, and tests of the gateway and of serve that play the same list. The package statusline and the stand-in statuslines are named after heads now, and the tests' body can play any list of beginnings. No behaviour changes; the tests of status lines pass as before.

--- a/internal/entry/status_line_test.go
+++ b/internal/entry/response_head_test.go
@@ -12,20 +12,22 @@
 	"time"
 
 	"github.com/turmericfield/turmericfield/internal/attempt"
-	"github.com/turmericfield/turmericfield/internal/standin/statuslines"
+	"github.com/turmericfield/turmericfield/internal/standin/responseheads"
 )
 
-// TestInvalidStatusLine checks that a response that is no valid HTTP is none. The body of
-// the response would be an answer to the request, and its connection is kept by the target.
-func TestInvalidStatusLine(t *testing.T) {
-	for _, line := range statuslines.Lines() {
+func TestInvalidStatusLine(t *testing.T) { testBeginnings(t, responseheads.StatusLines()) }
+
+// testBeginnings checks that a response that is no valid HTTP is none. The body of the
+// response would be an answer to the request, and its connection is kept by the target.
+func testBeginnings(t *testing.T, beginnings []responseheads.Beginning) {
+	for _, beginning := range beginnings {
 		for _, path := range []string{"/reads/1", "/writes/1", "/reads/empty", "/writes/empty"} {
-			t.Run(line.Name+path, func(t *testing.T) {
+			t.Run(beginning.Name+path, func(t *testing.T) {
 				t.Parallel()
 				var runs atomic.Int64
 				var used sync.Map // connections that have carried the response
 				s := newWireSystem(t, 5*time.Second, func(conn net.Conn, r *http.Request, _ int) bool {
-					if _, ok := used.Load(conn); ok && !line.Valid {
+					if _, ok := used.Load(conn); ok && !beginning.Valid {
 						t.Error("the connection is used again")
 					}
 					if r.URL.Path != path {
@@ -34,9 +36,9 @@
 					}
 					runs.Add(1)
 					used.Store(conn, true)
-					if line.Repeated {
+					if beginning.Repeated {
 						for range 100_000 {
-							if _, err := io.WriteString(conn, line.Text+"\r\n\r\n"); err != nil {
+							if _, err := io.WriteString(conn, beginning.Text+"\r\n\r\n"); err != nil {
 								return false
 							}
 						}
@@ -47,7 +49,7 @@
 						hidden = wireResponse(r, true, "200 OK", "", "hidden")
 					}
 					_, rest, _ := strings.Cut(wireResponse(r, true, "200 OK", "", hidden), "\r\n")
-					_, err := fmt.Fprintf(conn, "%s\r\n%s", line.Text, rest)
+					_, err := fmt.Fprintf(conn, "%s\r\n%s", beginning.Text, rest)
 					return err == nil
 				})
 				method := http.MethodPost
@@ -56,7 +58,7 @@
 				}
 				got := sendRequest(t, s.addresses[0], method, path)
 				want, status := attempt.Unknown, http.StatusBadGateway
-				if line.Valid {
+				if beginning.Valid {
 					want, status = attempt.Answered, http.StatusOK
 				}
 				if got.outcome != want || got.status != status {
--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/turmericfield/turmericfield/internal/attempt"
-	"github.com/turmericfield/turmericfield/internal/statusline"
+	"github.com/turmericfield/turmericfield/internal/responsehead"
 )
 
 const (
@@ -82,7 +82,7 @@
 		err = errors.Mark(err, errHeaderTimeout)
 	}
 	if err == nil {
-		if _, err := statusline.Final(response); err != nil {
+		if _, err := responsehead.Final(response); err != nil {
 			_ = response.Body.Close()
 			return nil, e, err
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,7 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/turmericfield/turmericfield/internal/statusline"
+	"github.com/turmericfield/turmericfield/internal/responsehead"
 )
 
 const (
@@ -202,7 +202,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if final, err := statusline.Final(response); err != nil || final {
+		if final, err := responsehead.Final(response); err != nil || final {
 			return response, err
 		}
 	}
--- a/internal/gateway/status_line_test.go
+++ b/internal/gateway/response_head_test.go
@@ -10,17 +10,21 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/turmericfield/turmericfield/internal/standin/statuslines"
+	"github.com/turmericfield/turmericfield/internal/standin/responseheads"
 )
 
-// A response that is no valid HTTP is none: the caller of a request that may not run
-// twice gets 502, another one the answer of the next target. The body of the response
-// would be an answer to the request, and its connection is kept by the target.
 func TestResponseWithoutAValidStatusLineIsNoAnswer(t *testing.T) {
 	t.Parallel()
-	for _, line := range statuslines.Lines() {
+	testBeginnings(t, responseheads.StatusLines())
+}
+
+// testBeginnings checks that a response that is no valid HTTP is none: the caller of a request
+// that may not run twice gets 502, another one the answer of the next target. The body of the
+// response would be an answer to the request, and its connection is kept by the target.
+func testBeginnings(t *testing.T, beginnings []responseheads.Beginning) {
+	for _, beginning := range beginnings {
 		for i, path := range []string{"/once/1", "/safe/1", "/once/empty", "/safe/empty"} {
-			t.Run(line.Name+path, func(t *testing.T) {
+			t.Run(beginning.Name+path, func(t *testing.T) {
 				t.Parallel()
 				safe, hidden := i%2 == 1, ""
 				if i < 2 {
@@ -29,23 +33,23 @@
 				var runs atomic.Int32
 				var used sync.Map // connections that have carried the response
 				answer := func(c *net.TCPConn, r received) bool {
-					if _, ok := used.Load(c); ok && !line.Valid {
+					if _, ok := used.Load(c); ok && !beginning.Valid {
 						t.Error("the connection is used again")
 					}
 					if r.id != "a" || runs.Add(1) > 1 {
 						return write(c, success(r.id, "next"))
 					}
 					used.Store(c, true)
-					if line.Repeated {
-						flood(c, "", line.Text+"\r\n\r\n")
+					if beginning.Repeated {
+						flood(c, "", beginning.Text+"\r\n\r\n")
 						return true
 					}
-					return write(c, fmt.Sprintf("%s\r\nId: a\r\nProof: p\r\nContent-Length: %d\r\n\r\n%s", line.Text, len(hidden), hidden))
+					return write(c, fmt.Sprintf("%s\r\nId: a\r\nProof: p\r\nContent-Length: %d\r\n\r\n%s", beginning.Text, len(hidden), hidden))
 				}
 				call := newCaller(t, newRawTarget(t, answer), newRawTarget(t, answer))
 				wantStatus, wantBody, wantRuns, wantFailed := http.StatusBadGateway, "", int32(1), 1
 				switch {
-				case line.Valid:
+				case beginning.Valid:
 					wantStatus, wantBody, wantFailed = http.StatusOK, hidden, 0
 				case safe:
 					wantStatus, wantBody, wantRuns = http.StatusOK, "next", 2
--- a/internal/statusline/statusline.go
+++ b/internal/responsehead/responsehead.go
@@ -1,9 +1,9 @@
-// Package statusline judges the status line of a target's response, beyond what net/http
+// Package responsehead judges the head of a target's response, beyond what net/http
 // checks: that accepts each status of three characters that make a number, and all
 // versions of HTTP. A response that is no valid HTTP must not be passed on, since the
 // caller's library would fail or take it for something else, and nothing is known of where
 // it ends.
-package statusline
+package responsehead
 
 import (
 	"net/http"
--- a/internal/standin/statuslines/statuslines.go
+++ b/internal/standin/responseheads/responseheads.go
@@ -1,20 +1,20 @@
-// Package statuslines lists first lines of responses, valid and not, with which targets
-// are played in tests.
-package statuslines
+// Package responseheads lists beginnings of responses, valid and not, with which targets are
+// played in tests.
+package responseheads
 
-// Line is the first line of a response, without its end.
-type Line struct {
+// Beginning is the first line of a response, or several, without the end of the last one.
+type Beginning struct {
 	Name, Text string
 	// Valid says that callers get the response, with status 200.
 	Valid bool
-	// Repeated says that the line comes again and again, as the head of a response
+	// Repeated says that the text comes again and again, as the head of a response
 	// without headers, before another one.
 	Repeated bool
 }
 
-// Lines returns the lines.
-func Lines() []Line {
-	return []Line{
+// StatusLines returns beginnings whose status line may be invalid.
+func StatusLines() []Beginning {
+	return []Beginning{
 		{Name: "three zeros", Text: "HTTP/1.1 000 X"},
 		{Name: "three zeros, no reason", Text: "HTTP/1.1 000"},
 		{Name: "one", Text: "HTTP/1.1 001 X"},
