responsehead: a field whose name holds a blank makes a response invalid

Callers got an answer of 200 without one of its lines if a target had sent a field whose name held a blank ("Foo Bar: x", "Content-Length : 3"). Where the line tells where the body ends, the body that they got was not the target's.

Cause: net/http's reader keeps such a field under its name as it came, so that nothing finds it, and http.Transport and the gateway read on. Control bytes in names and values were refused before.

Change: the rule that judges status lines judges the names of all fields as well, also those of informational responses. The gateway calls it behind its reader; serve sends its requests through responsehead.Transport, which applies it behind http.Transport. Their connection is closed, and the request counts as one that may have run.

--- a/internal/entry/response_head_test.go
+++ b/internal/entry/response_head_test.go
@@ -17,6 +17,8 @@
 
 func TestInvalidStatusLine(t *testing.T) { testBeginnings(t, responseheads.StatusLines()) }
 
+func TestInvalidField(t *testing.T) { testBeginnings(t, responseheads.Fields()) }
+
 // testBeginnings checks that a response that is no valid HTTP is none. The body of the
 // response would be an answer to the request, and its connection is kept by the target.
 func testBeginnings(t *testing.T, beginnings []responseheads.Beginning) {
--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -77,15 +77,11 @@
 			t.pooled.CloseIdleConnections()
 		}
 	}
-	response, err := transport.RoundTrip(r)
+	response, err := responsehead.Transport{Base: transport}.RoundTrip(r)
 	if err != nil && errors.Is(context.Cause(ctx), errHeaderTimeout) {
 		err = errors.Mark(err, errHeaderTimeout)
 	}
 	if err == nil {
-		if _, err := responsehead.Final(response); err != nil {
-			_ = response.Body.Close()
-			return nil, e, err
-		}
 		e.repeatsTryID = response.Header.Get(TryHeader) == r.Header.Get(TryHeader)
 		if e.repeatsTryID {
 			t.withoutTryID.Delete(r.URL.Host)
--- a/internal/gateway/response_head_test.go
+++ b/internal/gateway/response_head_test.go
@@ -18,6 +18,11 @@
 	testBeginnings(t, responseheads.StatusLines())
 }
 
+func TestResponseWithAnInvalidFieldIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	testBeginnings(t, responseheads.Fields())
+}
+
 // testBeginnings checks that a response that is no valid HTTP is none: the caller of a request
 // that may not run twice gets 502, another one the answer of the next target. The body of the
 // response would be an answer to the request, and its connection is kept by the target.
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -1,14 +1,15 @@
-// Package responsehead judges the head of a target's response, beyond what net/http
-// checks: that accepts each status of three characters that make a number, and all
-// versions of HTTP. A response that is no valid HTTP must not be passed on, since the
-// caller's library would fail or take it for something else, and nothing is known of where
-// it ends.
+// Package responsehead judges the head of a response, beyond what net/http checks: that
+// accepts each status of three characters that make a number, all versions of HTTP, and
+// blanks in the names of fields. A response that is no valid HTTP must not be passed on, since
+// the caller's library would fail or take it for something else, and nothing is known of where
+// it ends: a field that decides that may be the one that can't be read.
 package responsehead
 
 import (
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -17,11 +18,12 @@
 )
 
 var (
-	errVersion = errors.New("target responded in another version of HTTP")
-	errStatus  = errors.New("target responded with a status that is none")
+	errVersion = errors.New("response in another version of HTTP")
+	errStatus  = errors.New("response with a status that is none")
+	errField   = errors.New("response with a field whose name is none")
 	// errSwitchedProtocols is returned for status 101: no request asks for another
 	// protocol, as Upgrade headers are not forwarded.
-	errSwitchedProtocols = errors.New("target switched to another protocol")
+	errSwitchedProtocols = errors.New("response that switches to another protocol")
 )
 
 // Final reports whether a response that net/http has read is the final one of its
@@ -36,5 +38,15 @@
 	case r.StatusCode == http.StatusSwitchingProtocols:
 		return false, errSwitchedProtocols
 	}
-	return r.StatusCode >= http.StatusOK, nil
+	return r.StatusCode >= http.StatusOK, checkFields(r.Header)
+}
+
+// checkFields returns an error if the name of a field is not valid.
+func checkFields(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(errField, "%q", name)
+		}
+	}
+	return nil
 }
--- a/internal/standin/responseheads/responseheads.go
+++ b/internal/standin/responseheads/responseheads.go
@@ -61,3 +61,52 @@
 		{Name: "103 before it", Text: "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 X", Valid: true},
 	}
 }
+
+// Fields returns beginnings whose fields may be invalid.
+func Fields() []Beginning {
+	const status = "HTTP/1.1 200 X\r\n"
+	return []Beginning{
+		{Name: "blank in a name", Text: status + "Foo Bar: x"},
+		{Name: "blank before the colon", Text: status + "Foo : x"},
+		{Name: "blanks before the colon", Text: status + "Foo  : x"},
+		{Name: "blank before the colon of the length", Text: status + "Content-Length : 3"},
+		{Name: "blank before the colon of the framing", Text: status + "Transfer-Encoding : chunked"},
+		{Name: "blank for the hyphen of the length", Text: status + "Content Length: 3"},
+		{Name: "blank before the colon, after other lines", Text: status + "A: b\r\nC: d\r\nFoo : x"},
+		{Name: "blank before the colon, no value", Text: status + "Foo :"},
+		{Name: "blank before the first name", Text: status + " Foo: x"},
+		{Name: "blank for the first name", Text: status + " : x"},
+		{Name: "blank in a name of a 103", Text: "HTTP/1.1 103 X\r\nFoo Bar: x\r\n\r\nHTTP/1.1 200 X"},
+		{Name: "blank before the colon of a 100", Text: "HTTP/1.1 100 X\r\nContent-Length : 3\r\n\r\nHTTP/1.1 200 X"},
+		{Name: "blank in a name, line feeds only", Text: "HTTP/1.1 200 X\nFoo Bar: x"},
+		{Name: "tab in a name", Text: status + "Foo\tBar: x"},
+		{Name: "tab before the colon", Text: status + "Foo\t: x"},
+		{Name: "zero byte in a name", Text: status + "Foo\x00Bar: x"},
+		{Name: "control byte in a name", Text: status + "Foo\x01Bar: x"},
+		{Name: "control byte before the colon", Text: status + "Content-Length\x1f: 3"},
+		{Name: "control byte at the start of a name", Text: status + "\x08Foo: x"},
+		{Name: "delete in a name", Text: status + "Foo\x7f: x"},
+		{Name: "carriage return in a name", Text: status + "Foo\rBar: x"},
+		{Name: "carriage return before the colon", Text: status + "Foo\r: x"},
+		{Name: "control byte in a name of a 103", Text: "HTTP/1.1 103 X\r\nFoo\x01: x\r\n\r\nHTTP/1.1 200 X"},
+		{Name: "byte above 127 in a name", Text: status + "Foo\xe9: x"},
+		{Name: "no-break space in a name", Text: status + "Foo\u00a0Bar: x"},
+		{Name: "separator in a name", Text: status + "Foo(Bar): x"},
+		{Name: "no name", Text: status + ": x"},
+		{Name: "no colon", Text: status + "Foo"},
+		{Name: "name on two lines", Text: status + "Foo\r\n Bar: x"},
+		{Name: "name and colon on two lines", Text: status + "Foo\r\n : x"},
+		{Name: "zero byte in a value", Text: status + "Foo: a\x00b"},
+		{Name: "control byte in a value", Text: status + "Foo: a\x0bb"},
+		{Name: "delete in a value", Text: status + "Foo: a\x7f"},
+		{Name: "carriage return in a value", Text: status + "Foo: a\rContent-Length: 3"},
+		{Name: "control byte in a folded line", Text: status + "Foo: a\r\n b\x01"},
+
+		{Name: "all bytes of a name", Text: status + "aZ09!#$%&'*+-.^_`|~: x", Valid: true},
+		{Name: "no blank before a value", Text: status + "Foo:x", Valid: true},
+		{Name: "blanks and tabs around a value", Text: status + "Foo: \t x \t ", Valid: true},
+		{Name: "no value", Text: status + "Foo:", Valid: true},
+		{Name: "blanks and colons in a value", Text: status + "Foo: a b : c", Valid: true},
+		{Name: "folded line with a colon", Text: status + "Foo: a\r\n Bar Baz: b", Valid: true},
+	}
+}
