load, command, server: a response with an invalid head is no answer

The load generator counted a response with status 000 or with a blank in the name of a field as answered, and used such a look-up. The operators' commands and their look-up believed a blank in the name of a field; with status 000 they told "000 X" where they should say that there was no answer. A target's poll with status 000 counted as one of a target with nothing to do and no slots.

Cause: these clients read with http.Transport alone.

Change: they send through responsehead.Transport.

The clients between instances use gRPC and are not changed. The demo's client, which calls only its own instances, is not changed either.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/turmericfield/turmericfield/internal/operator"
+	"github.com/turmericfield/turmericfield/internal/responsehead"
 	"github.com/turmericfield/turmericfield/internal/settings"
 	"github.com/turmericfield/turmericfield/internal/tlsconfig"
 )
@@ -71,12 +72,14 @@
 	if err != nil {
 		return "", nil, errors.Mark(errors.Wrap(err, "--tls-ca"), errUsage)
 	}
-	client := &http.Client{Timeout: clientTimeout}
 	if tlsConfig == nil {
-		return "http://" + address, client, nil
+		return "http://" + address, newHTTPClient(http.DefaultTransport), nil
 	}
-	client.Transport = &http.Transport{TLSClientConfig: tlsConfig}
-	return "https://" + address, client, nil
+	return "https://" + address, newHTTPClient(&http.Transport{TLSClientConfig: tlsConfig}), nil
+}
+
+func newHTTPClient(base http.RoundTripper) *http.Client {
+	return &http.Client{Timeout: clientTimeout, Transport: responsehead.Transport{Base: base}}
 }
 
 // print writes a value in the output's format: as JSON, or by calling the function
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/turmericfield/turmericfield/internal/responsehead"
 )
 
 // errConnect marks a connection that could not be made: nothing was sent.
@@ -162,7 +164,7 @@
 // newCallers returns the callers of a run, which share their connections.
 func newCallers(o Options) []*caller {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: responsehead.Transport{Base: &http.Transport{
 		TLSClientConfig:     o.TLS,
 		MaxIdleConnsPerHost: maxIdleConnsPerInstance,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -172,7 +174,7 @@
 			}
 			return conn, nil
 		},
-	}}
+	}}}
 	scheme := "http"
 	if o.TLS != nil {
 		scheme = "https"
--- a/internal/server/placement.go
+++ b/internal/server/placement.go
@@ -16,6 +16,7 @@
 	"github.com/turmericfield/turmericfield/internal/membership"
 	"github.com/turmericfield/turmericfield/internal/notice"
 	"github.com/turmericfield/turmericfield/internal/placement"
+	"github.com/turmericfield/turmericfield/internal/responsehead"
 	"github.com/turmericfield/turmericfield/internal/seat"
 )
 
@@ -76,9 +77,7 @@
 
 // runTargetPollLoop polls those targets that this instance has to poll.
 func (s *Server) runTargetPollLoop(ctx context.Context) {
-	client := &http.Client{Timeout: pollTimeout, Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: maxPollHeaderBytes,
-	}}
+	client := newPollClient()
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		zone := s.liveZoneInstances()
@@ -89,6 +88,13 @@
 	}
 }
 
+// newPollClient returns the client that polls targets.
+func newPollClient() *http.Client {
+	return &http.Client{Timeout: pollTimeout, Transport: responsehead.Transport{Base: &http.Transport{
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: maxPollHeaderBytes,
+	}}}
+}
+
 // liveZoneInstances returns the names of the live instances of this instance's own
 // availability zone.
 func (s *Server) liveZoneInstances() []string {
--- a/internal/server/placement_test.go
+++ b/internal/server/placement_test.go
@@ -1,11 +1,13 @@
 package server
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"github.com/turmericfield/turmericfield/internal/standin/responseheads"
 	"github.com/turmericfield/turmericfield/internal/standin/target"
 )
 
@@ -23,3 +25,22 @@
 		}
 	}
 }
+
+// A response that is no valid HTTP says nothing of a target's load.
+func TestPollIgnoresAResponseWithAnInvalidHead(t *testing.T) {
+	t.Parallel()
+	for _, beginning := range responseheads.All() {
+		t.Run(beginning.Name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = l.Close() })
+			go beginning.Serve(l, func(string) string { return `{"in_flight":1,"slots":3}` })
+			if report, err := pollTarget(t.Context(), newPollClient(), l.Addr().String()); (err == nil) != beginning.Valid {
+				t.Errorf("got %+v, %v", report, err)
+			}
+		})
+	}
+}
--- a/internal/standin/responseheads/responseheads.go
+++ b/internal/standin/responseheads/responseheads.go
@@ -2,6 +2,18 @@
 // played in tests.
 package responseheads
 
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+)
+
+// repetitions is how often Respond sends a beginning that comes again and again.
+const repetitions = 100_000
+
 // Beginning is the first line of a response, or several, without the end of the last one.
 type Beginning struct {
 	Name, Text string
@@ -12,6 +24,43 @@
 	Repeated bool
 }
 
+// Respond sends a response with a body and its length.
+func (b Beginning) Respond(to io.Writer, body string) error {
+	if b.Repeated {
+		_, err := io.WriteString(to, strings.Repeat(b.Text+"\r\n\r\n", repetitions))
+		return err
+	}
+	_, err := fmt.Fprintf(to, "%s\r\nContent-Length: %d\r\n\r\n%s", b.Text, len(body), body)
+	return err
+}
+
+// Serve responds to each request on the listener's connections until the listener is closed.
+// The body depends on the request's path.
+func (b Beginning) Serve(l net.Listener, body func(path string) string) {
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		for reader := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil || b.Respond(c, body(r.URL.Path)) != nil {
+				return
+			}
+		}
+	}
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go serve(c)
+	}
+}
+
+// All returns all beginnings.
+func All() []Beginning { return append(StatusLines(), Fields()...) }
+
 // StatusLines returns beginnings whose status line may be invalid.
 func StatusLines() []Beginning {
 	return []Beginning{
