entry: test of an answer that is reset during an upload

The fault of the gateway that let a cut answer without a length look complete can't act in serve: it passes on no response whose end can't be told from a reset.

--- a/internal/entry/truncated_test.go
+++ b/internal/entry/truncated_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -54,3 +56,48 @@
 		})
 	}
 }
+
+// TestResponseResetDuringUpload guards against a part of a response without a length that
+// looks complete: the target sends it when it has read the head of a long upload, and resets
+// the connection. The transport may get the reset as the end of the response.
+func TestResponseResetDuringUpload(t *testing.T) {
+	const upload, tries = 8 << 20, 12
+	for _, size := range []int{100, 400 << 10} {
+		for _, path := range []string{"/writes/1", "/reads/1"} {
+			for _, length := range []int64{upload, -1} {
+				t.Run(fmt.Sprintf("%d bytes%s/%d", size, path, length), func(t *testing.T) {
+					t.Parallel()
+					s := newConnSystem(t, 5*time.Second, func(conn net.Conn) {
+						defer conn.Close()
+						r, err := http.ReadRequest(bufio.NewReader(conn))
+						if err != nil {
+							return
+						}
+						echo := fmt.Sprintf("X-Request-Id: %s\r\nTurmericfield-Try: %s\r\n", r.Header.Get(RequestIDHeader), r.Header.Get(TryHeader))
+						_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n") // has the body sent
+						time.Sleep(5 * time.Millisecond)
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+echo+"\r\n"+strings.Repeat("y", size))
+						_ = conn.(*net.TCPConn).SetLinger(0)
+					})
+					for range tries {
+						r, err := http.NewRequest(http.MethodPost, "http://"+s.addresses[0]+path, strings.NewReader(strings.Repeat("x", upload)))
+						if err != nil {
+							t.Fatal(err)
+						}
+						r.ContentLength = length
+						r.Header.Set(KeyHeader, testKey)
+						response, err := http.DefaultClient.Do(r)
+						if err != nil {
+							continue
+						}
+						_, err = io.Copy(io.Discard, response.Body)
+						_ = response.Body.Close()
+						if err == nil && response.StatusCode == http.StatusOK {
+							t.Error("a cut response looked complete")
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/entry/wire_test.go
+++ b/internal/entry/wire_test.go
@@ -21,6 +21,13 @@
 // requests that its connection has carried before; it closes the connection when
 // respond returns false.
 func newWireSystem(t *testing.T, deadline time.Duration, respond func(conn net.Conn, r *http.Request, before int) bool) *system {
+	t.Helper()
+	return newConnSystem(t, deadline, func(conn net.Conn) { serveWire(conn, respond) })
+}
+
+// newConnSystem is newWireSystem with a target that serves each connection by a function,
+// which must close it.
+func newConnSystem(t *testing.T, deadline time.Duration, serve func(net.Conn)) *system {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -33,7 +40,7 @@
 			if err != nil {
 				return
 			}
-			go serveWire(conn, respond)
+			go serve(conn)
 		}
 	}()
 	s := newSystem(t, target.Options{Slots: 10}, deadline)
