load: an answer whose end can't be told is counted as broken

The load generator counted a part of an answer without a length as answered if the connection was reset while the request was being written: http.Transport's writer takes the socket's error, and its reader gets an end of file.

Change: such an answer is broken, with the reason "no-length", as serve refuses one from a target. The rule moves from entry to responsehead. Instances always send a length or chunks to callers by HTTP/1.1, so that nothing else changes.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -16,6 +16,7 @@
 	"github.com/turmericfield/turmericfield/internal/invariant"
 	"github.com/turmericfield/turmericfield/internal/metrics"
 	"github.com/turmericfield/turmericfield/internal/placement"
+	"github.com/turmericfield/turmericfield/internal/responsehead"
 )
 
 // call is one admitted request while it is tried on one target or several.
@@ -214,23 +215,12 @@
 		return attempt.WrongRequestID
 	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(OutcomeHeader) == string(attempt.NotRun):
 		return attempt.Shed
-	case !hasDetectableEnd(response):
+	case !responsehead.HasDetectableEnd(response):
 		return attempt.NoDetectableEnd
 	}
 	return attempt.ResponseHeader
 }
 
-// hasDetectableEnd reports whether a truncated response can be recognized: the
-// response has a length, is chunked, or has no body at all. The end of any other
-// is only the end of its connection. A response that switches protocols has no
-// end either.
-func hasDetectableEnd(response *http.Response) bool {
-	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Request.Method == http.MethodHead {
-		return response.StatusCode != http.StatusSwitchingProtocols
-	}
-	return response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
-}
-
 // chooseTarget asks the placer for a grant on a target.
 func (h *Handler) chooseTarget(request placement.Request) (placement.Grant, error) {
 	h.mu.Lock()
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/turmericfield/turmericfield/internal/entry"
+	"github.com/turmericfield/turmericfield/internal/responsehead"
 )
 
 // Outcome is how a caller's request ended.
@@ -175,6 +176,9 @@
 		}
 		return result{outcome: Unknown, reason: body.Reason}
 	}
+	if !responsehead.HasDetectableEnd(response) {
+		return result{outcome: Broken, reason: "no-length"}
+	}
 	bytesRead, err := io.Copy(io.Discard, response.Body)
 	if err != nil || request.AnswerBytes > 0 && bytesRead < int64(request.AnswerBytes) {
 		return result{outcome: Broken, reason: "cut-short"}
--- a/internal/load/response_head_test.go
+++ b/internal/load/response_head_test.go
@@ -1,8 +1,12 @@
 package load
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/turmericfield/turmericfield/internal/standin/responseheads"
 )
@@ -33,3 +37,34 @@
 		})
 	}
 }
+
+// A target's answer that has no length ends with its connection. It is reset while the
+// request is being written, and that may reach the reader as an end.
+func TestAnswerThatIsResetDuringAnUploadIsNotCounted(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+				time.Sleep(2 * time.Millisecond)
+			}
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	c := newCallers(Options{Callers: 1})[0]
+	for range 40 {
+		if got := c.send(t.Context(), l.Addr().String(), Request{Method: "POST", Path: "/x", BodyBytes: 8 << 20}, "key"); got.outcome == Answered {
+			t.Errorf("got %+v", got)
+		}
+	}
+}
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -41,6 +41,17 @@
 	return r.StatusCode >= http.StatusOK, checkFields(r.Header)
 }
 
+// HasDetectableEnd reports whether a truncated response can be recognized by its reader: the
+// response has a length, is chunked, or has no body at all. The end of any other is only the
+// end of its connection, which looks the same after a reset that the kernel has reported to a
+// write of the request. A response that switches protocols has no end either.
+func HasDetectableEnd(r *http.Response) bool {
+	if r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Request.Method == http.MethodHead {
+		return r.StatusCode != http.StatusSwitchingProtocols
+	}
+	return r.StatusCode == http.StatusNoContent || r.StatusCode == http.StatusNotModified
+}
+
 // checkFields returns an error if the name of a field is not valid.
 func checkFields(h http.Header) error {
 	for name := range h {
