standin: responseheads serves beginnings by itself

Three tests started the same listener. Comments of the gateway's reader say what an end in order is (FIN), and what an unknown state counts as. The tests of load, command, server and platform pass as before.

--- a/internal/command/client_test.go
+++ b/internal/command/client_test.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"net"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -17,16 +16,11 @@
 	for _, beginning := range responseheads.All() {
 		t.Run(beginning.Name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = l.Close() })
-			go beginning.Serve(l, func(string) string { return `{"planID":"p"}` })
-			if answer, err := lookup(t.Context(), l.Addr().String(), "127.0.0.1", ""); (err == nil) != beginning.Valid || !beginning.Valid && !errors.Is(err, errUnreachable) {
+			address := beginning.Serve(t, `{"planID":"p"}`)
+			if answer, err := lookup(t.Context(), address, "127.0.0.1", ""); (err == nil) != beginning.Valid || !beginning.Valid && !errors.Is(err, errUnreachable) {
 				t.Errorf("a look-up got %+v, %v", answer, err)
 			}
-			flags := clientFlags{address: l.Addr().String(), token: "t", output: "text"}
+			flags := clientFlags{address: address, token: "t", output: "text"}
 			client, err := flags.client()
 			if err != nil {
 				t.Fatal(err)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -141,8 +141,8 @@
 func (c *targetConn) limit(n int64) { c.unread = n }
 
 // Read implements io.Reader for the buffered reader. It returns io.EOF only if the target has
-// ended the connection in order. The kernel reports a reset once: if that goes to a write of
-// the request, the read gets an end of file like that of a closed connection, which would
+// closed its side of the connection (FIN). The kernel reports a reset once: if a write of the
+// request gets it, the read gets an end of file like that of a closed connection, which would
 // end a response without a length.
 func (c *targetConn) Read(p []byte) (int, error) {
 	if c.unread <= 0 {
@@ -157,7 +157,7 @@
 }
 
 // closedByTarget reports whether the target has closed its side of the connection, without
-// a reset before or since.
+// a reset before or since. It returns false also if that can't be found out.
 func (c *targetConn) closedByTarget() bool {
 	state := uint8(0)
 	conn, ok := c.Conn.(syscall.Conn)
--- a/internal/load/response_head_test.go
+++ b/internal/load/response_head_test.go
@@ -17,21 +17,16 @@
 	for _, beginning := range responseheads.All() {
 		t.Run(beginning.Name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = l.Close() })
-			go beginning.Serve(l, func(string) string { return `{"instances":[{"address":"127.0.0.1:1"}],"ttl_ms":1}` })
+			address := beginning.Serve(t, `{"instances":[{"address":"127.0.0.1:1"}],"ttl_ms":1}`)
 			c := newCallers(Options{Callers: 1})[0]
 			want := Unknown
 			if beginning.Valid {
 				want = Answered
 			}
-			if got := c.send(t.Context(), l.Addr().String(), Request{Method: "GET", Path: "/x"}, "key"); got.outcome != want {
+			if got := c.send(t.Context(), address, Request{Method: "GET", Path: "/x"}, "key"); got.outcome != want {
 				t.Errorf("a request got %+v, want %s", got, want)
 			}
-			if answer, err := c.queryInstance(t.Context(), l.Addr().String()); (err == nil) != beginning.Valid {
+			if answer, err := c.queryInstance(t.Context(), address); (err == nil) != beginning.Valid {
 				t.Errorf("a look-up got %+v, %v", answer, err)
 			}
 		})
--- a/internal/server/placement_test.go
+++ b/internal/server/placement_test.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -32,13 +31,8 @@
 	for _, beginning := range responseheads.All() {
 		t.Run(beginning.Name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = l.Close() })
-			go beginning.Serve(l, func(string) string { return `{"in_flight":1,"slots":3}` })
-			if report, err := pollTarget(t.Context(), newPollClient(), l.Addr().String()); (err == nil) != beginning.Valid {
+			address := beginning.Serve(t, `{"in_flight":1,"slots":3}`)
+			if report, err := pollTarget(t.Context(), newPollClient(), address); (err == nil) != beginning.Valid {
 				t.Errorf("got %+v, %v", report, err)
 			}
 		})
--- a/internal/standin/responseheads/responseheads.go
+++ b/internal/standin/responseheads/responseheads.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"testing"
 )
 
 // repetitions is how often Respond sends a beginning that comes again and again.
@@ -34,9 +35,13 @@
 	return err
 }
 
-// Serve responds to each request on the listener's connections until the listener is closed.
-// The body depends on the request's path.
-func (b Beginning) Serve(l net.Listener, body func(path string) string) {
+// Serve responds to requests on an address (IP:port), which it returns, until the test ends.
+func (b Beginning) Serve(tb testing.TB, body string) (address string) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = l.Close() })
 	serve := func(c net.Conn) {
 		defer func() { _ = c.Close() }()
 		for reader := bufio.NewReader(c); ; {
@@ -44,18 +49,21 @@
 			if err != nil {
 				return
 			}
-			if _, err := io.Copy(io.Discard, r.Body); err != nil || b.Respond(c, body(r.URL.Path)) != nil {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil || b.Respond(c, body) != nil {
 				return
 			}
 		}
 	}
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
 		}
-		go serve(c)
-	}
+	}()
+	return l.Addr().String()
 }
 
 // All returns all beginnings.
