edge: logs tell how large a configuration and a copy of the store are

The logs of the incident could not tell a configuration that was left out from one that is damaged: a follower that got the entry without its value logged 'unexpected end of JSON input'. Nor did they tell how long a copy took and how many bytes it was.

'configuration: in force' has bytes now, 'configuration: cannot be read' bytes and left_out_bytes, 'store: copied' bytes and took_ms.

Measured: go test ./internal/edge ./internal/command passes.

--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -248,6 +248,7 @@
 	if err != nil {
 		return answer{source: name, err: errors.Wrap(err, "copy")}
 	}
+	size, took := len(data), now()-askedAt
 	if header, err := stream.Header(); err == nil && slices.Contains(header.Get(copyEncodingKey), copyGzip) {
 		if data, err = decompressCopy(data); err != nil {
 			return answer{source: name, err: errors.Wrap(err, "copy")}
@@ -258,7 +259,7 @@
 		return answer{source: name, err: errors.Wrap(err, "copy")}
 	}
 	a := answerFromProto(name, r, askedAt)
-	a.isCopy, a.entries = true, make([]platform.Entry, len(r.GetChanges()))
+	a.isCopy, a.size, a.took, a.entries = true, size, took, make([]platform.Entry, len(r.GetChanges()))
 	for i, c := range r.GetChanges() {
 		a.entries[i] = entryFromProto(c)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -443,7 +443,8 @@
 	old := e.gateway.Table()
 	switch {
 	case err != nil:
-		e.log.Error().Err(err).Uint64("revision", platform.RevisionNumber(entry.Revision)).Msg("configuration: cannot be read, the old one stays")
+		e.log.Error().Err(err).Uint64("revision", platform.RevisionNumber(entry.Revision)).
+			Int("bytes", len(entry.Value)).Int("left_out_bytes", entry.OmittedBytes).Msg("configuration: cannot be read, the old one stays")
 		return
 	case old != nil && source.Version < old.Version:
 		e.log.Error().Uint64("version", source.Version).Uint64("in_force", old.Version).Msg("configuration: older than the one in force")
@@ -453,7 +454,7 @@
 	e.gateway.SetTable(table)
 	e.configurationApplied = true
 	e.log.Info().Uint64("version", table.Version).Uint64("revision", platform.RevisionNumber(entry.Revision)).
-		Int("routes", len(source.Routes)).Int("workspaces", len(source.Workspaces)).Msg("configuration: in force")
+		Int("bytes", len(entry.Value)).Int("routes", len(source.Routes)).Int("workspaces", len(source.Workspaces)).Msg("configuration: in force")
 	if old == nil {
 		close(e.configured)
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -162,6 +162,10 @@
 	}
 	a.isCopy = true
 	a.entries, a.revision, a.err = f.store.List(ctx, "")
+	a.took = now() - a.currentAsOf
+	for _, e := range a.entries {
+		a.size += len(e.Key) + len(e.Value)
+	}
 	return a
 }
 
@@ -244,7 +248,7 @@
 	f.noteRevision(a.revision)
 	f.markCurrent(a.source, a.via, a.currentAsOf)
 	f.log.Info().Str("source", sourceName(a.source)).Uint64("revision", platform.RevisionNumber(a.revision)).Int("entries", len(a.entries)).
-		Int64("source_age_ms", (now() - a.currentAsOf).Milliseconds()).Msg("store: copied")
+		Int("bytes", a.size).Int64("took_ms", a.took.Milliseconds()).Int64("source_age_ms", (now() - a.currentAsOf).Milliseconds()).Msg("store: copied")
 	for _, e := range a.entries {
 		f.logOmitted(e)
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -142,6 +142,8 @@
 	source      string // changefeed.StoreSource, or the instance's name
 	err         error
 	isCopy      bool              // entries holds the whole store, and changes nothing
+	size        int               // bytes of a copy as another instance sent it, or of the store's keys and values
+	took        time.Duration     // from the call to the end of its response, for a copy
 	entries     []platform.Entry  // by the revision
 	changes     []platform.Change // since the revision of this instance's copy
 	gaps        []changefeed.Gap  // that the changes lead over
