platform: what the store holds is read up to a bound by memory

Callers saw: once the configuration exceeded 1 MiB, every instance kept the version before for good, handled requests by it (CONFIG), and after 4.3 s refused whatever needs a key. One large change ended the service everywhere.

Cause: MaxValueBytes, which is what the store takes from instances, was also the bound on what is read. The operator's configuration isn't bounded by it, and a value that is left out once is left out by all instances at the same moment.

Change: ReadLimits bound a value, a response and a copy by the instance's memory (1/32, two values and a page, four values and 64 MiB at least); MaxValueBytes binds writes only. The bounds on a response and on a listing had the same fault for large instances.

--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/turmericfield/turmericfield/internal/edge"
+	store "github.com/turmericfield/turmericfield/internal/platform"
 	"github.com/turmericfield/turmericfield/platform"
 )
 
@@ -49,7 +50,7 @@
 			stop, kill := signals(cmd.Context())
 			reload := make(chan edge.Settings)
 			go watchSettings(stop, file, readSettings, reload)
-			return edge.Provision(s, platform.Adapter{}, platform.NewStore(s.StoreAddress, s.WatchWait()), os.Stdout).Run(stop, kill, reload)
+			return edge.Provision(s, platform.Adapter{}, platform.NewStore(s.StoreAddress, s.WatchWait(), store.NewReadLimits(s.MemoryBytes)), os.Stdout).Run(stop, kill, reload)
 		},
 	}
 	flags := cmd.Flags()
--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -30,8 +30,6 @@
 	// sendStallTimeout bounds the time until a part of a copy is taken. The receiver gives
 	// up after copyPartTimeout.
 	sendStallTimeout = 2 * copyPartTimeout
-	// maxCopyBytes bounds a copy in bytes, as maxListBytes bounds a listing of the store.
-	maxCopyBytes = 64 << 20
 )
 
 // errInvalidCopy means that another instance's copy of the store did not arrive as a whole.
@@ -90,19 +88,19 @@
 
 // decompressCopy returns a copy whose entries are compressed and whose state is plain as one
 // whose both parts are plain.
-func decompressCopy(data []byte) ([]byte, error) {
+func decompressCopy(data []byte, maxBytes int) ([]byte, error) {
 	in := bytes.NewReader(data)
 	r, err := gzip.NewReader(in)
 	if err != nil {
 		return nil, errors.CombineErrors(errInvalidCopy, err)
 	}
 	r.Multistream(false) // the state follows
-	plain, err := io.ReadAll(io.LimitReader(r, maxCopyBytes+1))
+	plain, err := io.ReadAll(io.LimitReader(r, int64(maxBytes)+1))
 	switch {
 	case err != nil:
 		return nil, errors.CombineErrors(errInvalidCopy, err)
-	case len(plain) > maxCopyBytes:
-		return nil, errors.Wrapf(errInvalidCopy, "more than %d bytes when decompressed", maxCopyBytes)
+	case len(plain) > maxBytes:
+		return nil, errors.Wrapf(errInvalidCopy, "more than %d bytes when decompressed", maxBytes)
 	}
 	return append(plain, data[len(data)-in.Len():]...), nil
 }
@@ -240,7 +238,7 @@
 	if err != nil {
 		return answer{source: name, err: errors.Wrap(err, "copy")}
 	}
-	data, err := readCopy(func() (*fleetpb.CopyPart, error) {
+	data, err := readCopy(f.limits.CopyBytes, func() (*fleetpb.CopyPart, error) {
 		part, err := stream.Recv()
 		stalled.Reset(copyPartTimeout)
 		return part, err
@@ -250,7 +248,7 @@
 	}
 	size, took := len(data), now()-askedAt
 	if header, err := stream.Header(); err == nil && slices.Contains(header.Get(copyEncodingKey), copyGzip) {
-		if data, err = decompressCopy(data); err != nil {
+		if data, err = decompressCopy(data, f.limits.CopyBytes); err != nil {
 			return answer{source: name, err: errors.Wrap(err, "copy")}
 		}
 	}
@@ -267,14 +265,14 @@
 }
 
 // readCopy puts the parts of a copy together until receive returns io.EOF.
-func readCopy(receive func() (*fleetpb.CopyPart, error)) ([]byte, error) {
+func readCopy(maxBytes int, receive func() (*fleetpb.CopyPart, error)) ([]byte, error) {
 	part, err := receive()
 	if err != nil {
 		return nil, err
 	}
 	size := part.GetSize()
-	if size > maxCopyBytes {
-		return nil, errors.Wrapf(errInvalidCopy, "%d bytes are announced, at most %d are accepted", size, maxCopyBytes)
+	if size > uint64(maxBytes) {
+		return nil, errors.Wrapf(errInvalidCopy, "%d bytes are announced, at most %d are accepted", size, maxBytes)
 	}
 	var data []byte
 	for ; err == nil; part, err = receive() {
--- a/internal/edge/copy_test.go
+++ b/internal/edge/copy_test.go
@@ -20,6 +20,9 @@
 	return data
 }
 
+// maxCopyBytes is the limit of a copy in tests.
+const maxCopyBytes = 64 << 20
+
 // receiveParts returns a function that returns these parts one after another, then an error.
 func receiveParts(end error, parts ...*fleetpb.CopyPart) func() (*fleetpb.CopyPart, error) {
 	return func() (*fleetpb.CopyPart, error) {
@@ -49,7 +52,7 @@
 		"is too large":  {receiveParts(io.EOF, part(maxCopyBytes+1, "abc")), ""},
 		"never reaches": {receiveParts(broken), ""},
 	} {
-		data, err := readCopy(c.receive)
+		data, err := readCopy(maxCopyBytes, c.receive)
 		if string(data) != c.want || (err == nil) != (c.want != "") {
 			t.Errorf("%s: got %q, %v", name, data, err)
 		}
--- a/internal/edge/copygzip_test.go
+++ b/internal/edge/copygzip_test.go
@@ -74,12 +74,12 @@
 	entries := copyData(t, 0)
 	state := copyData(t, 5)
 	whole := append(compressEntries(entries), state...)
-	if data, err := decompressCopy(whole); err != nil || string(data) != string(state) {
+	if data, err := decompressCopy(whole, maxCopyBytes); err != nil || string(data) != string(state) {
 		t.Errorf("whole: %q, %v", data, err)
 	}
 	big := compressEntries(make([]byte, maxCopyBytes+1))
 	for name, data := range map[string][]byte{"empty": nil, "plain": state, "cut": big[:len(big)/2], "too large": big} {
-		if _, err := decompressCopy(data); !errors.Is(err, errInvalidCopy) {
+		if _, err := decompressCopy(data, maxCopyBytes); !errors.Is(err, errInvalidCopy) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -21,6 +21,7 @@
 type follower struct {
 	*Edge
 	timing changefeed.Timing
+	limits platform.ReadLimits
 	peer   peerConn // to the followed instance
 
 	// failedWatches counts the failed watches, other than refused ones, since the last
@@ -51,7 +52,7 @@
 func newFollower(e *Edge) *follower {
 	f := &follower{
 		budget: changefeed.NewBudget(e.MemoryBytes),
-		Edge:   e, timing: changefeed.Timing{WatchWait: e.WatchWait()},
+		Edge:   e, timing: changefeed.Timing{WatchWait: e.WatchWait()}, limits: platform.NewReadLimits(e.MemoryBytes),
 		chooser: changefeed.NewSourceChooser(), feed: changefeed.NewFeed(e.sameEntry), updated: make(chan struct{}),
 		mirror: mirror.New(mirror.Options{
 			LeasedPrefixes: []string{e.storeKeys.TargetPrefix, e.storeKeys.OwnPrefix}, Grace: registrationGrace, OutageThreshold: outageThreshold,
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -11,9 +11,41 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxValueBytes is the largest size of one value in the store.
+// MaxValueBytes is the largest size of a value that an instance writes. The store may hold
+// larger ones of other writers.
 const MaxValueBytes = 1 << 20
 
+// ReadLimits bound what an instance reads of the store, by the memory that it has. What the
+// store holds within them is used.
+type ReadLimits struct {
+	ValueBytes    int // of one value; a larger one is left out
+	ResponseBytes int // of one response, without the values that are left out
+	CopyBytes     int // of the keys and values of all entries
+}
+
+const (
+	// valueShare is the fraction 1/valueShare of an instance's memory that one value may
+	// have. A value is in memory several times while it is read, decoded and passed on.
+	valueShare = 32
+	// pageTextBytes is at least the text of a page of a listing without its last entry: of
+	// about 500 entries or 1 MB of values, in base64.
+	pageTextBytes = 2 << 20
+	// minCopyBytes is the limit of a copy for instances with little memory.
+	minCopyBytes = 64 << 20
+	// defaultMemoryBytes is the memory of an instance whose settings give no limit.
+	defaultMemoryBytes = 512 << 20
+)
+
+// NewReadLimits returns the limits of an instance with this memory limit in bytes; 0 for
+// none. A page of a listing whose last value is at the limit fits into a response.
+func NewReadLimits(memoryBytes int64) ReadLimits {
+	if memoryBytes <= 0 {
+		memoryBytes = defaultMemoryBytes
+	}
+	value := max(int(memoryBytes/valueShare), MaxValueBytes)
+	return ReadLimits{ValueBytes: value, ResponseBytes: 2*value + pageTextBytes, CopyBytes: max(4*value, minCopyBytes)}
+}
+
 // Errors of the store.
 var (
 	// ErrUnavailable means that a read or watch failed, or that the store refused a
@@ -44,8 +76,8 @@
 	Value    []byte
 	Revision uint64 // store revision that wrote it; 0: the key does not exist
 	LeaseID  uint64 // lease whose end deletes the key; 0: none
-	// OmittedBytes is the size of the value if it exceeds MaxValueBytes. Value is empty
-	// then.
+	// OmittedBytes is the size of the value if it exceeds ReadLimits.ValueBytes. Value is
+	// empty then.
 	OmittedBytes int
 }
 
--- a/test/soak/defects_test.go
+++ b/test/soak/defects_test.go
@@ -22,6 +22,7 @@
 	"github.com/turmericfield/turmericfield/internal/config"
 	"github.com/turmericfield/turmericfield/internal/edge"
 	"github.com/turmericfield/turmericfield/internal/gateway"
+	store "github.com/turmericfield/turmericfield/internal/platform"
 	"github.com/turmericfield/turmericfield/platform"
 )
 
@@ -157,7 +158,7 @@
 	if defect == believesEarlierRefusals {
 		err = http.ListenAndServe(s.Listen, naiveProxy(s.Listen))
 	} else {
-		err = edge.Provision(s, &defectiveAdapter{defect: defect, proxies: map[string]string{}}, platform.NewStore(s.StoreAddress, s.WatchWait()), os.Stdout).Run(ctx, ctx, nil)
+		err = edge.Provision(s, &defectiveAdapter{defect: defect, proxies: map[string]string{}}, platform.NewStore(s.StoreAddress, s.WatchWait(), store.NewReadLimits(s.MemoryBytes)), os.Stdout).Run(ctx, ctx, nil)
 	}
 	fmt.Println("turmericfield:", err)
 }
