edge: the question whether the store responds reads a small entry

What callers saw: on links of 10 Mbit/s single instances had a large configuration 3 to 5 s after the others, and handled requests by the version before (CONFIG where the bound is 3 s).

Cause: an instance whose source fails asks the store among others, by a read of the configuration's key. With a configuration of 1.4 MB that is 1.9 MB of text, 1.5 s of such a link, in which no other answer arrives: the search finds nothing, asks the store again, and feeds on itself.

Change: the question reads the instance's own entry, which is small; whether that exists doesn't matter.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -154,11 +154,11 @@
 // askStore asks the store for a listing if the copy cannot be completed otherwise, which
 // includes that the response of a watch could not be read: that another call succeeds does
 // not show that the next watch will. Else it only makes sure that the store responds, as a
-// watch returns changes at once.
+// watch returns changes at once, and reads this instance's own entry for that, which is small.
 func (f *follower) askStore(ctx context.Context) answer {
 	a := answer{source: changefeed.StoreSource, currentAsOf: now()}
 	if !f.needsCopy() {
-		_, a.err = f.store.Get(ctx, f.storeKeys.Configuration)
+		_, a.err = f.store.Get(ctx, f.storeKeys.OwnPrefix+instancePrefix+f.Name)
 		return a
 	}
 	a.isCopy = true
