edge: a connection to another instance gets the time that it is said to get

The queue of a link of 10 Mbit/s needs 125 KB, one larger download, to keep packets for 0.1 s. Every search of an instance behind such a queue failed at all sources at the same moment.

Cause: gRPC bounds an attempt to connect by the first backoff, 0.1 s, unless MinConnectTimeout is set. The timeout that peerConn.client takes bounded the dialing only, which it is part of.

TestConnectionOverABusyLinkGetsItsTimeout (0.2 s) failed before and passes.

--- a/internal/edge/peerconn.go
+++ b/internal/edge/peerconn.go
@@ -44,7 +44,11 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
 		grpc.WithReadBufferSize(peerBufferBytes), grpc.WithWriteBufferSize(peerBufferBytes),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.5, MaxDelay: 500 * time.Millisecond}}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.5, MaxDelay: 500 * time.Millisecond},
+			// Without it an attempt ends with the first backoff.
+			MinConnectTimeout: timeout,
+		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerResponseBytes)),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, "tcp4", address)
