edge: copies of the store are sent one at a time and may be slow

Cause: a source that took longer than 0.25 s was joined by the store and four others, each of which sent its whole copy over the same link at the same time. A copy that had come was refused if its transfer had taken longer than a source may be without proof, so that a slow link got none at all.

Change: one source at a time sends a copy to a search (copySlot); while its parts come, the search asks no further ones (Search.Progress). Whether the source was current is judged when the first part comes. The proof's age still has the whole transfer in it, so keys are trusted no longer than before.

--- a/internal/changefeed/search.go
+++ b/internal/changefeed/search.go
@@ -121,6 +121,15 @@
 	}
 }
 
+// Progress records that a source is sending a whole copy. Further sources are asked once it
+// has sent nothing for a while: their copies would come over the same link.
+func (s *Search) Progress(now time.Duration) {
+	if s.isFound || s.hasFallback {
+		return
+	}
+	s.askedAt, s.askAt = now, max(s.askAt, now+searchInterval)
+}
+
 // Current records that a source that was asked is current.
 func (s *Search) Current(name string, now time.Duration) {
 	delete(s.asked, name)
--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -226,9 +226,46 @@
 	f.serialized = nil
 }
 
+// copySlot lets one source at a time send a whole copy to a search.
+type copySlot struct {
+	taken    chan struct{} // holds an element while a source has the slot
+	progress chan struct{} // holds an element if a part has come since it was last read
+}
+
+func newCopySlot() copySlot {
+	return copySlot{taken: make(chan struct{}, 1), progress: make(chan struct{}, 1)}
+}
+
+// take takes the slot, and reports whether it had to wait for it.
+func (s copySlot) take(ctx context.Context) (waited bool, err error) {
+	select {
+	case s.taken <- struct{}{}:
+		return false, nil
+	default:
+	}
+	select {
+	case s.taken <- struct{}{}:
+		return true, nil
+	case <-ctx.Done():
+		return true, ctx.Err()
+	}
+}
+
+func (s copySlot) release() { <-s.taken }
+
+// noteProgress records that a part of the copy has come.
+func (s copySlot) noteProgress() {
+	select {
+	case s.progress <- struct{}{}:
+	default:
+	}
+}
+
 // askCopy asks another instance for its whole copy. The age that the instance tells is
-// that at the arrival of the call, so that the time of the transfer counts.
-func (f *follower) askCopy(ctx context.Context, client fleetpb.FleetClient, name string) answer {
+// that at the arrival of the call. It decides whether the copy is taken by what it was when
+// the first part came, so that a slow transfer makes no copy useless; the age of the
+// proof has the transfer in it.
+func (f *follower) askCopy(ctx context.Context, client fleetpb.FleetClient, name string, slot copySlot) answer {
 	askedAt := now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -238,9 +275,14 @@
 	if err != nil {
 		return answer{source: name, err: errors.Wrap(err, "copy")}
 	}
+	var begunAt time.Duration
 	data, err := readCopy(f.limits.CopyBytes, func() (*fleetpb.CopyPart, error) {
 		part, err := stream.Recv()
+		if begunAt == 0 {
+			begunAt = now()
+		}
 		stalled.Reset(copyPartTimeout)
+		slot.noteProgress()
 		return part, err
 	})
 	if err != nil {
@@ -257,7 +299,7 @@
 		return answer{source: name, err: errors.Wrap(err, "copy")}
 	}
 	a := answerFromProto(name, r, askedAt)
-	a.isCopy, a.size, a.took, a.entries = true, size, took, make([]platform.Entry, len(r.GetChanges()))
+	a.isCopy, a.size, a.took, a.begunAt, a.entries = true, size, took, begunAt, make([]platform.Entry, len(r.GetChanges()))
 	for i, c := range r.GetChanges() {
 		a.entries[i] = entryFromProto(c)
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -104,6 +104,7 @@
 	}
 	f.mu.Unlock()
 	answers := make(chan answer)
+	copying := newCopySlot()
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		at := now()
@@ -120,7 +121,7 @@
 		}
 		for _, name := range ask {
 			go func() {
-				a := f.ask(calls, name)
+				a := f.ask(calls, name, copying)
 				select {
 				case answers <- a:
 				case <-calls.Done():
@@ -130,6 +131,10 @@
 		select {
 		case a := <-answers:
 			f.noteAnswer(s, a, f.applyAnswer(a))
+		case <-copying.progress:
+			f.mu.Lock()
+			s.Progress(now())
+			f.mu.Unlock()
 		case <-time.After(wait):
 		case <-ctx.Done():
 		}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -144,6 +144,7 @@
 	isCopy      bool              // entries holds the whole store, and changes nothing
 	size        int               // bytes of a copy as another instance sent it, or of the store's keys and values
 	took        time.Duration     // from the call to the end of its response, for a copy
+	begunAt     time.Duration     // time since boot at which the first part of a copy came from another instance
 	entries     []platform.Entry  // by the revision
 	changes     []platform.Change // since the revision of this instance's copy
 	gaps        []changefeed.Gap  // that the changes lead over
@@ -155,8 +156,9 @@
 	settled     bool              // the source's copy is settled in the era of the revision
 }
 
-// ask asks a source during a search.
-func (f *follower) ask(ctx context.Context, name string) answer {
+// ask asks a source during a search. If it has to send its whole copy, it does so once no
+// other source that the search has asked is sending one.
+func (f *follower) ask(ctx context.Context, name string, copying copySlot) answer {
 	if name == changefeed.StoreSource {
 		return f.askStore(ctx)
 	}
@@ -166,18 +168,37 @@
 	if err != nil {
 		return answer{source: name, err: err}
 	}
-	call, cancel := context.WithTimeout(ctx, changefeed.AskTimeout)
-	defer cancel()
-	a := f.askChanges(call, client, name, 0)
+	a := f.askOnce(ctx, client, name)
 	if !errors.Is(a.err, platform.ErrHistoryGone) {
 		return a
 	}
-	if a.err = f.checkCurrent(a); a.err != nil {
-		return a
+	waited, err := copying.take(ctx)
+	if err != nil {
+		return answer{source: name, err: err}
+	}
+	defer copying.release()
+	if waited {
+		if a = f.askOnce(ctx, client, name); !errors.Is(a.err, platform.ErrHistoryGone) {
+			return a
+		}
 	}
 	conn.use.Set(f.meter(traffic.Copy, conn.address))
 	conn.use.AddCall()
-	return f.askCopy(ctx, client, name)
+	return f.askCopy(ctx, client, name, copying)
+}
+
+// askOnce asks another instance for the changes that this copy lacks. The error is
+// platform.ErrHistoryGone if the instance is current and a whole copy is needed.
+func (f *follower) askOnce(ctx context.Context, client fleetpb.FleetClient, name string) answer {
+	call, cancel := context.WithTimeout(ctx, changefeed.AskTimeout)
+	defer cancel()
+	a := f.askChanges(call, client, name, 0)
+	if errors.Is(a.err, platform.ErrHistoryGone) {
+		if err := f.checkCurrent(a); err != nil {
+			a.err = err
+		}
+	}
+	return a
 }
 
 // askChanges asks another instance for the changes that this copy lacks. If it needs a
@@ -250,7 +271,11 @@
 	f.mu.Lock()
 	maxAge := f.timing.MaxAge(f.chooser.Hops())
 	f.mu.Unlock()
-	age := now() - a.currentAsOf
+	told := now()
+	if a.isCopy {
+		told = a.begunAt
+	}
+	age := told - a.currentAsOf
 	if a.lost || slices.Contains(a.via, f.Name) || age > maxAge {
 		return errors.Wrapf(errNotCurrent, "%s, confirmed %v ago, through %q", a.source, age, a.via[1:])
 	}
