edge: large values are passed on as their difference to the value before

A change of one weight in a large configuration moved the whole store to every instance, by new connections and from the same few sources at the same moment.

Cause: a change of over 128 KiB was never logged, so that each follower needed a whole copy; smaller ones were sent whole to each follower.

Change: a value of 4 KiB or more is logged and sent as its difference to the value before (package delta, zstd with the earlier value as dictionary, with a checksum). It names the revision of its base; a follower that has another value there asks for a whole copy. Followers say that they take differences, so that releases mix.

TestLogIsBoundedInBytes had values that are alike, of which a difference is small: it draws them at random now, and counts differences too.

--- a/internal/changefeed/budget.go
+++ b/internal/changefeed/budget.go
@@ -11,9 +11,12 @@
 	answerShare = 8
 	// defaultMemoryBytes is the memory of an instance whose settings give no limit.
 	defaultMemoryBytes = 512 << 20
-	// MaxChangeBytes is the size in bytes of key and value above which a change is not
-	// logged and the changes of one response are not sent: the follower needs a whole copy.
+	// MaxChangeBytes is the size in bytes of key and value, or difference, above which a
+	// change is not logged and the changes of one response are not sent: the follower needs
+	// a whole copy.
 	MaxChangeBytes = 128 << 10
+	// minDifferenceBytes is the size in bytes from which a value is passed on as a difference.
+	minDifferenceBytes = 4 << 10
 	// changeOverheadBytes is what a logged change takes beside its key and value.
 	changeOverheadBytes = 128
 )
--- a/internal/changefeed/budget_test.go
+++ b/internal/changefeed/budget_test.go
@@ -1,7 +1,8 @@
 package changefeed
 
 import (
-	"bytes"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/turmericfield/turmericfield/internal/platform"
@@ -10,6 +11,10 @@
 // Whatever the size of the changes, the log stays within its bytes, and a follower gets
 // all changes since its copy or is told at once that it needs a whole one.
 func TestLogIsBoundedInBytes(t *testing.T) {
+	random := make([]byte, 2<<20) // the parts of it have no useful difference
+	for i := range random {
+		random[i] = byte(rand.Uint32())
+	}
 	for _, valueBytes := range []int{1 << 10, 100 << 10, 1 << 20} {
 		budget := NewBudget(284 << 20)
 		f := NewFeed(sameFirstByte)
@@ -17,13 +22,17 @@
 		f.Replace(nil, 1)
 		const versions = 1000
 		for r := uint64(2); r <= versions+1; r++ {
-			value := bytes.Repeat([]byte{byte(r)}, valueBytes)
+			value := slices.Clone(random[r*997%(1<<20):][:valueBytes])
+			value[0] = byte(r)
 			if !f.Apply([]platform.Change{{Entry: platform.Entry{Key: "c", Value: value, Revision: r}}}, r) {
 				t.Fatalf("%d bytes: nothing to pass on at revision %d", valueBytes, r)
 			}
 			kept := int64(0)
 			for _, c := range f.log {
 				kept += int64(len(c.change.Entry.Value))
+				if c.change.Difference != nil {
+					kept += int64(len(c.change.Difference.Data))
+				}
 			}
 			if kept > budget.Logged() || budget.Logged() > budget.LogLimit() || budget.Held() > budget.Limit() {
 				t.Fatalf("%d bytes: %d in the log, %d counted, limit %d", valueBytes, kept, budget.Logged(), budget.LogLimit())
--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 
+	"github.com/turmericfield/turmericfield/internal/delta"
 	"github.com/turmericfield/turmericfield/internal/platform"
 )
 
@@ -431,3 +433,56 @@
 		t.Errorf("left are %v", entries)
 	}
 }
+
+// numbered returns a value of 600 KB with a number in each record, one of which is the given one.
+func numbered(number int) string {
+	var text strings.Builder
+	for i := range 20000 {
+		fmt.Fprintf(&text, "record %d of many: %x\n", i, i*2654435761)
+	}
+	fmt.Fprintf(&text, "%d", number)
+	return text.String()
+}
+
+// A follower that applies the differences has each value, whichever of the changes it begins
+// with and whether it follows the store or another follower.
+func TestLargeValuesArePassedOnAsDifferences(t *testing.T) {
+	first, second := NewFeed(sameFirstByte), NewFeed(sameFirstByte)
+	for _, f := range []*Feed{first, second} {
+		f.Replace([]platform.Entry{{Key: "c", Value: []byte("a" + numbered(0)), Revision: 3}}, 5)
+	}
+	values := map[uint64]string{3: "a" + numbered(0)}
+	for r := uint64(6); r < 12; r++ {
+		values[r] = string(rune('a'+r)) + numbered(int(r))
+		first.Apply([]platform.Change{put("c", values[r], r)}, r)
+		batch, ok := first.ChangesSince(r - 1)
+		if !ok || len(batch.Changes) != 1 || batch.Changes[0].Difference == nil {
+			t.Fatalf("revision %d: %v, %+v", r, ok, batch)
+		}
+		passed := batch.Changes[0]
+		passed.Entry.Value = []byte(values[r])
+		second.Apply([]platform.Change{passed}, r)
+	}
+	for name, f := range map[string]*Feed{"the first": first, "a follower": second} {
+		for after := uint64(5); after < 11; after++ {
+			held := platform.Entry{Revision: after, Value: []byte(values[after])}
+			if after == 5 {
+				held = platform.Entry{Revision: 3, Value: []byte(values[3])}
+			}
+			batch, ok := f.ChangesSince(after)
+			if !ok || uint64(len(batch.Changes)) != 11-after {
+				t.Fatalf("%s, after %d: %v, %d changes", name, after, ok, len(batch.Changes))
+			}
+			for _, c := range batch.Changes {
+				if c.Difference.Base != held.Revision || len(c.Difference.Data) > 4<<10 || len(c.Entry.Value) > 0 {
+					t.Fatalf("%s, after %d: base %d, want %d, %d bytes beside %d", name, after, c.Difference.Base, held.Revision, len(c.Difference.Data), len(c.Entry.Value))
+				}
+				value, err := delta.Decode(held.Value, c.Difference.Data, 1<<20)
+				if err != nil || string(value) != values[c.Entry.Revision] {
+					t.Errorf("%s, after %d: %d bytes, %v", name, after, len(value), err)
+				}
+				held = platform.Entry{Revision: c.Entry.Revision, Value: value}
+			}
+		}
+	}
+}
--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -16,6 +16,7 @@
 	"slices"
 	"sort"
 
+	"github.com/turmericfield/turmericfield/internal/delta"
 	"github.com/turmericfield/turmericfield/internal/platform"
 )
 
@@ -59,7 +60,11 @@
 }
 
 func (c loggedChange) size() int64 {
-	return int64(len(c.change.Entry.Key)+len(c.change.Entry.Value)) + changeOverheadBytes
+	size := int64(len(c.change.Entry.Key)+len(c.change.Entry.Value)) + changeOverheadBytes
+	if d := c.change.Difference; d != nil {
+		size += int64(len(d.Data))
+	}
+	return size
 }
 
 // NewFeed returns an empty feed.
@@ -79,7 +84,7 @@
 		if f.revision < revision {
 			f.gaps = append(f.gaps, Gap{f.revision, revision})
 		}
-		return f.Apply(f.difference(entries, revision), revision)
+		return f.Apply(f.changesTo(entries, revision), revision)
 	}
 	for _, e := range entries {
 		f.entries[e.Key] = e
@@ -109,10 +114,10 @@
 	}
 }
 
-// difference returns the changes, ordered by revision, that lead from the feed's entries
+// changesTo returns the changes, ordered by revision, that lead from the feed's entries
 // to those of a copy. An entry that the copy lacks was deleted at its revision at the
 // latest, unless it is newer than the copy.
-func (f *Feed) difference(entries []platform.Entry, revision uint64) []platform.Change {
+func (f *Feed) changesTo(entries []platform.Entry, revision uint64) []platform.Change {
 	var changes []platform.Change
 	inCopy := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -154,6 +159,7 @@
 	hasNew, position := false, f.revision
 	for _, c := range changes {
 		position = max(position, c.Entry.Revision)
+		c.Difference = f.difference(c)
 		if f.update(c) {
 			hasNew = true
 			f.appendToLog(loggedChange{position, c})
@@ -163,10 +169,31 @@
 	return hasNew
 }
 
-// appendToLog logs a change. A large one is not kept, so that followers behind it need a
+// difference returns that of a changed value to the one before, unless the value is small
+// or the two have little in common.
+func (f *Feed) difference(c platform.Change) *platform.Difference {
+	old := f.entries[c.Entry.Key]
+	switch {
+	case c.Deleted || len(c.Entry.Value) < minDifferenceBytes || old.Revision >= c.Entry.Revision:
+		return nil
+	case c.Difference != nil && c.Difference.Base == old.Revision:
+		return c.Difference // as the source made it
+	}
+	data := delta.Encode(old.Value, c.Entry.Value)
+	if len(data) == 0 || len(data) > len(c.Entry.Value)/2 {
+		return nil
+	}
+	return &platform.Difference{Base: old.Revision, Data: data}
+}
+
+// appendToLog logs a change, without its value if that is large and there is a difference.
+// A change that is large all the same is not kept, so that followers behind it need a
 // whole copy, and nor are the changes before it, which nobody can use then. Otherwise the
 // oldest changes make room for it.
 func (f *Feed) appendToLog(c loggedChange) {
+	if c.change.Difference != nil && len(c.change.Entry.Value) > MaxChangeBytes {
+		c.change.Entry.Value = nil
+	}
 	if c.size() > MaxChangeBytes {
 		f.log = nil
 		f.budget.log = 0
@@ -211,6 +238,7 @@
 
 // Batch is a set of changes for a follower.
 type Batch struct {
+	// Changes have a value, a difference or both. A large value is there as a difference only.
 	Changes []platform.Change
 	// Revision is the store's revision up to which the follower's copy is
 	// complete once it has applied the changes.
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/turmericfield/turmericfield/api/fleetpb"
 	"github.com/turmericfield/turmericfield/internal/platform"
 )
 
@@ -103,7 +104,7 @@
 		if tell(f); !f.isProven() {
 			t.Errorf("%s: not proven", name)
 		}
-		response, _ := f.response(inEra(t, era, 6), now())
+		response, _ := f.response(&fleetpb.FollowRequest{After: inEra(t, era, 6)}, now())
 		_, state, err := f.openCopy(&followerCall{conn: &followerConn{}}, false)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/turmericfield/turmericfield/api/fleetpb"
 	"github.com/turmericfield/turmericfield/internal/changefeed"
+	"github.com/turmericfield/turmericfield/internal/delta"
 	"github.com/turmericfield/turmericfield/internal/platform"
 	"github.com/turmericfield/turmericfield/internal/traffic"
 )
@@ -43,14 +44,14 @@
 	end := time.NewTimer(time.Duration(r.GetWaitMs()) * time.Millisecond)
 	defer end.Stop()
 	for {
-		response, updated := f.follower.response(r.GetAfter(), arrivedAt)
+		response, updated := f.follower.response(r, arrivedAt)
 		if len(response.GetChanges()) > 0 || response.GetList() || response.GetLost() {
 			return f.follower.reserveResponse(call, response)
 		}
 		select {
 		case <-updated:
 		case <-end.C:
-			response, _ = f.follower.response(r.GetAfter(), arrivedAt)
+			response, _ = f.follower.response(r, arrivedAt)
 			return f.follower.reserveResponse(call, response)
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -58,12 +59,12 @@
 	}
 }
 
-// response returns the changes after a store revision for a follower whose call
-// arrived at a time since boot, and a channel that is closed when there are more.
-func (f *follower) response(after uint64, arrivedAt time.Duration) (*fleetpb.FollowResponse, <-chan struct{}) {
+// response returns the changes that a follower lacks whose call arrived at a time since
+// boot, and a channel that is closed when there are more.
+func (f *follower) response(r *fleetpb.FollowRequest, arrivedAt time.Duration) (*fleetpb.FollowResponse, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	batch, ok := f.feed.ChangesSince(after)
+	batch, ok := f.feed.ChangesSince(r.GetAfter())
 	if !ok {
 		batch.Revision = f.mirror.Revision() // by which a follower ahead of it asks for no copy
 	}
@@ -77,10 +78,17 @@
 	}
 	size := 0
 	for _, c := range batch.Changes {
-		out.Changes = append(out.Changes, &fleetpb.Change{Key: c.Entry.Key, Value: c.Entry.Value, Revision: c.Entry.Revision, Deleted: c.Deleted})
-		size += len(c.Entry.Key) + len(c.Entry.Value)
+		change := &fleetpb.Change{Key: c.Entry.Key, Value: c.Entry.Value, Revision: c.Entry.Revision, Deleted: c.Deleted}
+		switch d := c.Difference; {
+		case d != nil && r.GetDifferences():
+			change.Value, change.Difference, change.Base = nil, d.Data, d.Base
+		case d != nil && len(c.Entry.Value) == 0:
+			out.List = true // the value is too large for a follower that takes no differences
+		}
+		out.Changes = append(out.Changes, change)
+		size += len(change.GetKey()) + len(change.GetValue()) + len(change.GetDifference())
 	}
-	if size > maxFollowBytes {
+	if size > maxFollowBytes || out.GetList() {
 		out.Changes, out.List = nil, true
 	}
 	return out, f.updated
@@ -205,7 +213,7 @@
 // whole copy, the error is platform.ErrHistoryGone.
 func (f *follower) askChanges(ctx context.Context, client fleetpb.FleetClient, name string, wait time.Duration) answer {
 	askedAt, after := now(), f.revision()
-	r, err := client.Follow(ctx, &fleetpb.FollowRequest{After: after, WaitMs: wait.Milliseconds()})
+	r, err := client.Follow(ctx, &fleetpb.FollowRequest{After: after, WaitMs: wait.Milliseconds(), Differences: true})
 	if err != nil {
 		return answer{source: name, err: errors.Wrap(err, "follow")}
 	}
@@ -218,9 +226,10 @@
 		a.err = platform.ErrHistoryGone
 		return a
 	}
-	a.changes = make([]platform.Change, len(r.GetChanges()))
-	for i, c := range r.GetChanges() {
-		a.changes[i] = platform.Change{Entry: entryFromProto(c), Deleted: c.GetDeleted()}
+	if a.changes, err = f.changesFromProto(r.GetChanges()); err != nil {
+		f.metrics.Add("differences_refused_total", 1)
+		a.err = errors.Mark(errors.Wrapf(err, "changes of %s", name), platform.ErrHistoryGone)
+		return a
 	}
 	for _, g := range r.GetGaps() {
 		a.gaps = append(a.gaps, changefeed.Gap{From: g.GetFrom(), To: g.GetTo()})
@@ -239,6 +248,51 @@
 	}
 }
 
+// changesFromProto returns changes with their values, which lead on from this copy. The
+// error is delta.ErrInvalid if a difference is to another value than this copy's.
+func (f *follower) changesFromProto(list []*fleetpb.Change) ([]platform.Change, error) {
+	changes := make([]platform.Change, len(list))
+	before := map[string]platform.Entry{} // entries by key, of earlier changes
+	for i, c := range list {
+		changes[i] = platform.Change{Entry: entryFromProto(c), Deleted: c.GetDeleted()}
+		if len(c.GetDifference()) > 0 {
+			base, known := before[c.GetKey()]
+			if !known {
+				var copied uint64
+				if base, copied = f.held(c.GetKey()); c.GetRevision() <= copied {
+					continue // another source has told of it meanwhile
+				}
+			}
+			switch c.GetBase() {
+			case 0:
+				base = platform.Entry{}
+			case base.Revision:
+			default:
+				return nil, errors.Wrapf(delta.ErrInvalid, "key %q at revision %d, want %d", c.GetKey(), platform.RevisionNumber(base.Revision), platform.RevisionNumber(c.GetBase()))
+			}
+			value, err := delta.Decode(base.Value, c.GetDifference(), f.limits.CopyBytes)
+			if err != nil {
+				return nil, errors.Wrapf(err, "key %q", c.GetKey())
+			}
+			changes[i].Entry.Value = value
+			changes[i].Difference = &platform.Difference{Base: c.GetBase(), Data: c.GetDifference()}
+		}
+		before[c.GetKey()] = changes[i].Entry
+		if c.GetDeleted() {
+			before[c.GetKey()] = platform.Entry{}
+		}
+	}
+	return changes, nil
+}
+
+// held returns this copy's entry of a key, and the copy's revision.
+func (f *follower) held(key string) (platform.Entry, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entry, _ := f.mirror.Get(key)
+	return entry, f.mirror.Revision()
+}
+
 func entryFromProto(c *fleetpb.Change) platform.Entry {
 	return platform.Entry{Key: c.GetKey(), Value: c.GetValue(), Revision: c.GetRevision()}
 }
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -105,6 +105,15 @@
 type Change struct {
 	Entry   Entry // of the key after the change, with the revision that it made
 	Deleted bool
+	// Difference is that of the value to an earlier one, or nil. The store has none;
+	// instances pass large values on by it.
+	Difference *Difference
+}
+
+// Difference is a value as package delta encodes it.
+type Difference struct {
+	Base uint64 // revision at which the key had the base; 0: the base is empty
+	Data []byte
 }
 
 // Store is the key-value store. Each change of a key raises the store's revision.
