edge: an instance that left out the configuration is no source

What callers saw: one instance's bound on what is read decided for all behind it. A follower got the entry at its revision without a value, took it for damaged, and could not get the value any more, as no source sends a revision that it has.

Cause: an entry that is left out advances with its revision, which is right for registrations; the same went on to followers.

Change: an instance whose configuration was left out tells its followers that it is no source (lost), sends them no changes and no copy. They ask others and the store.

TestInstanceThatLeftOutTheConfiguration- IsNoSource failed before (two changes passed on, a copy sent) and passes.

--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -172,6 +172,9 @@
 func (f *follower) openCopy(call *followerCall, compressed bool) (c *serializedCopy, state []byte, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.lacksConfiguration() {
+		return nil, nil, errLeftOut
+	}
 	if !f.budget.ReserveCopy(copyBufferBytes) {
 		return nil, nil, f.refuse(copyBufferBytes)
 	}
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/turmericfield/turmericfield/api/fleetpb"
 	"github.com/turmericfield/turmericfield/internal/affinity"
 	"github.com/turmericfield/turmericfield/internal/changefeed"
 	"github.com/turmericfield/turmericfield/internal/config"
@@ -177,3 +178,21 @@
 		t.Error("an entry that is gone by a later copy is still there")
 	}
 }
+
+func TestInstanceThatLeftOutTheConfigurationIsNoSource(t *testing.T) {
+	source := newTestFollower(t, 5, entryAt("configuration", "1", 4))
+	leftOut := platform.Entry{Key: "configuration", Revision: 6, OmittedBytes: 1 << 30}
+	target := entryAt("targets/t", "s", 7)
+	source.applyCurrent([]platform.Change{{Entry: leftOut}, {Entry: target}}, 7, now(), nil)
+	response, _ := source.response(&fleetpb.FollowRequest{After: 5, Differences: true}, now())
+	if !response.GetLost() || len(response.GetChanges()) > 0 || response.GetRevision() > 5 {
+		t.Errorf("lost %v, %d changes up to revision %d", response.GetLost(), len(response.GetChanges()), response.GetRevision())
+	}
+	if _, _, err := source.openCopy(&followerCall{conn: &followerConn{}}, false); err == nil {
+		t.Error("it sends a copy")
+	}
+	source.applyCurrent([]platform.Change{{Entry: entryAt("configuration", "2", 8)}}, 8, now(), nil)
+	if response, _ := source.response(&fleetpb.FollowRequest{After: 7, Differences: true}, now()); response.GetLost() || len(response.GetChanges()) != 1 {
+		t.Errorf("with a configuration again: lost %v, %d changes", response.GetLost(), len(response.GetChanges()))
+	}
+}
--- a/internal/edge/omitted.go
+++ b/internal/edge/omitted.go
@@ -1,6 +1,21 @@
 package edge
 
-import "github.com/turmericfield/turmericfield/internal/platform"
+import (
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/turmericfield/turmericfield/internal/platform"
+)
+
+// errLeftOut is the answer to a caller that asks for a copy without the configuration.
+var errLeftOut = status.Error(codes.FailedPrecondition, "the configuration exceeds what this instance reads")
+
+// lacksConfiguration reports whether the copy's configuration was left out. Its followers
+// must take it from elsewhere, as they may have room for it. The caller holds the lock.
+func (f *follower) lacksConfiguration() bool {
+	e, _ := f.mirror.Get(f.storeKeys.Configuration)
+	return e.OmittedBytes > 0
+}
 
 // logOmitted logs an entry whose value exceeds the limit of what is read, once for each revision of
 // it. The entry counts as unreadable. The caller holds the lock.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -64,6 +64,9 @@
 func (f *follower) response(r *fleetpb.FollowRequest, arrivedAt time.Duration) (*fleetpb.FollowResponse, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.lacksConfiguration() {
+		return &fleetpb.FollowResponse{Revision: r.GetAfter(), Lost: true, Via: f.via, AgeNs: int64(now() - f.currentAsOf)}, f.updated
+	}
 	batch, ok := f.feed.ChangesSince(r.GetAfter())
 	if !ok {
 		batch.Revision = f.mirror.Revision() // by which a follower ahead of it asks for no copy
