edge: followers wait for a source that is receiving a large response

What callers saw: none of the users' reports; found when the limits on what is read were played with all links at 10 Mbit/s. Each instance read the whole configuration from the store for itself. With 1,600 instances and 1.4 MB, 1.9 MB of text, that is 3 GB of the store's link.

Cause: while the first instance reads a large configuration from the store its proof ages, above what a source may be without one (1.9 s). All who follow it left it for the store, over links as narrow as its own.

Change: the store's client tells of progress in a large response, copies do as well; an instance that is receiving says so to its followers, which wait up to 3 s longer and tell theirs. The proof is passed on as old as it is, changes that come meanwhile do not confirm the copy.

TestSourceThatIsReceivingIsNotWaitedForWithoutEnd is new.

--- a/internal/changefeed/timing.go
+++ b/internal/changefeed/timing.go
@@ -16,6 +16,10 @@
 	slowResponses = 500 * time.Millisecond
 	// AskTimeout bounds a call of a search to another instance that returns at once.
 	AskTimeout = 300 * time.Millisecond
+	// MaxReceiveTime is how long a source that is receiving a large response may be without
+	// proof beyond MaxAge before its followers leave it. On a link as narrow as the source's
+	// they would not have that response sooner.
+	MaxReceiveTime = 3 * time.Second
 	// CallMargin is how much longer a call may take than the receiver may hold it:
 	// several round trips between regions, or a response of a slow store.
 	CallMargin = 300 * time.Millisecond
--- a/internal/edge/copy.go
+++ b/internal/edge/copy.go
@@ -286,6 +286,7 @@
 		}
 		stalled.Reset(copyPartTimeout)
 		slot.noteProgress()
+		f.noteReceiving()
 		return part, err
 	})
 	if err != nil {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -46,6 +46,8 @@
 	restoreEnds time.Duration
 	dropped     int // entries that were not written again by then
 
+	receivedAt atomic.Int64 // time since boot at which a part of a large response came here, or to the source
+
 	heardOf atomic.Int64 // newest store revision that a source has told of, current or not
 }
 
@@ -167,7 +169,7 @@
 		return a
 	}
 	a.isCopy = true
-	a.entries, a.revision, a.err = f.store.List(ctx, "")
+	a.entries, a.revision, a.err = f.store.List(platform.WithProgress(ctx, f.noteReceiving), "")
 	a.took = now() - a.currentAsOf
 	for _, e := range a.entries {
 		a.size += len(e.Key) + len(e.Value)
@@ -188,7 +190,7 @@
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	askedAt := now()
-	err := f.store.Watch(watching, "", f.revision(), func(changes []platform.Change, revision uint64) {
+	err := f.store.Watch(platform.WithProgress(watching, f.noteReceiving), "", f.revision(), func(changes []platform.Change, revision uint64) {
 		f.applyCurrent(changes, revision, askedAt, nil)
 		f.failedWatches = 0
 		if f.betterDue(changefeed.StoreSource) {
@@ -216,6 +218,15 @@
 	return err
 }
 
+// noteReceiving records that a part of a large response has come.
+func (f *follower) noteReceiving() { f.receivedAt.Store(int64(now())) }
+
+// receiving reports whether a large response is coming here, or to the source.
+func (f *follower) receiving() bool {
+	at := f.receivedAt.Load()
+	return at > 0 && now()-time.Duration(at) < receivingTimeout
+}
+
 // betterDue reports whether a source that is preferred to the given one may be tried.
 func (f *follower) betterDue(source string) bool {
 	f.mu.Lock()
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -196,3 +196,29 @@
 		t.Errorf("with a configuration again: lost %v, %d changes", response.GetLost(), len(response.GetChanges()))
 	}
 }
+
+func TestSourceThatIsReceivingIsNotWaitedForWithoutEnd(t *testing.T) {
+	f := newTestFollower(t, 5, entryAt("configuration", "1", 4))
+	maxAge := f.timing.MaxAge(f.chooser.Hops())
+	for name, c := range map[string]struct {
+		a      answer
+		waited bool
+	}{
+		"receiving":          {answer{receiving: true, currentAsOf: now() - maxAge - time.Second}, true},
+		"receiving for long": {answer{receiving: true, currentAsOf: now() - maxAge - changefeed.MaxReceiveTime - time.Millisecond}, false},
+		"not receiving":      {answer{currentAsOf: now() - maxAge - time.Second}, false},
+		"lost":               {answer{receiving: true, lost: true, currentAsOf: now() - maxAge - time.Second}, false},
+		"a circle":           {answer{receiving: true, via: []string{"other", "self"}, currentAsOf: now() - maxAge - time.Second}, false},
+	} {
+		c.a.source, c.a.revision = "other", 5
+		if len(c.a.via) == 0 {
+			c.a.via = []string{"other"}
+		}
+		f.receivedAt.Store(0)
+		before := f.currentAsOf
+		err := f.applyChanges(c.a)
+		if (err == nil) != c.waited || f.receiving() != c.waited || f.currentAsOf != before {
+			t.Errorf("%s: %v, tells followers %v", name, err, f.receiving())
+		}
+	}
+}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -22,6 +22,9 @@
 	// whole copy in parts instead. A response of that size arrives within a call's timeout
 	// also on a narrow link.
 	maxFollowBytes = changefeed.MaxChangeBytes
+	// receivingTimeout is the time without a part of it after which a large response is no
+	// longer coming: a call of a follower, and the decoding of the response.
+	receivingTimeout = time.Second
 	// maxPeerResponseBytes is the maximum size of a response of another instance: a
 	// full log of changes with some large configurations among them.
 	maxPeerResponseBytes = 16 << 20
@@ -75,6 +78,7 @@
 	out := &fleetpb.FollowResponse{
 		Revision: batch.Revision, More: batch.More, List: !ok, Via: f.via, Lost: f.lost || f.currentAsOf == 0,
 		AgeNs: int64(at - f.currentAsOf), HeldNs: int64(at - arrivedAt), Settled: f.mirror.IsSettled(f.currentAsOf),
+		Receiving: f.receiving(),
 	}
 	for _, g := range batch.Gaps {
 		out.Gaps = append(out.Gaps, &fleetpb.Gap{From: g.From, To: g.To})
@@ -127,11 +131,14 @@
 }
 
 // peerWait returns how long a followed instance may hold a call: not longer than until
-// this copy no longer counts as current.
+// this copy no longer counts as current or, while the source is receiving, is given up.
 func (f *follower) peerWait() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	left := f.currentAsOf + f.timing.MaxAge(f.chooser.Hops()) - now()
+	if f.receiving() {
+		left += changefeed.MaxReceiveTime
+	}
 	return min(max(left, minPeerWait), f.timing.PeerWait())
 }
 
@@ -165,6 +172,7 @@
 	via         []string          // instances between this one and the store, nearest first
 	lost        bool              // the source has no current source itself
 	settled     bool              // the source's copy is settled in the era of the revision
+	receiving   bool              // the source is receiving a large response
 }
 
 // ask asks a source during a search. If it has to send its whole copy, it does so once no
@@ -246,7 +254,7 @@
 // it is.
 func answerFromProto(name string, r *fleetpb.FollowResponse, askedAt time.Duration) answer {
 	return answer{
-		source: name, revision: r.GetRevision(), more: r.GetMore(), lost: r.GetLost(), settled: r.GetSettled(), via: append([]string{name}, r.GetVia()...),
+		source: name, revision: r.GetRevision(), more: r.GetMore(), lost: r.GetLost(), settled: r.GetSettled(), receiving: r.GetReceiving(), via: append([]string{name}, r.GetVia()...),
 		currentAsOf: askedAt + time.Duration(r.GetHeldNs()-r.GetAgeNs()),
 	}
 }
@@ -301,7 +309,7 @@
 }
 
 // applyChanges applies the changes that another instance has passed on. The error is set
-// if they do not make this copy current.
+// if they do not make this copy current and the instance is not to be waited for.
 func (f *follower) applyChanges(a answer) error {
 	if own := f.revision(); platform.RevisionEra(a.revision) != platform.RevisionEra(own) {
 		return olderEraError(a.source, a.revision, own) // of a call from before this copy's era
@@ -311,8 +319,16 @@
 		f.applyUnconfirmed(a.changes, a.revision)
 		return nil
 	}
-	if err := f.checkCurrent(a); err != nil {
+	err := f.checkCurrent(a)
+	isWaitedFor := a.receiving && f.isCurrentWithin(a, changefeed.MaxReceiveTime)
+	if isWaitedFor {
+		f.noteReceiving()
+	}
+	if err != nil {
 		f.applyUnconfirmed(a.changes, a.revision)
+		if isWaitedFor {
+			return nil
+		}
 		return err
 	}
 	f.noteSettled(a)
@@ -322,19 +338,25 @@
 
 // checkCurrent returns an error if a source's copy does not count as current.
 func (f *follower) checkCurrent(a answer) error {
-	if a.source == changefeed.StoreSource {
+	if a.source == changefeed.StoreSource || f.isCurrentWithin(a, 0) {
 		return nil
 	}
+	return errors.Wrapf(errNotCurrent, "%s, confirmed %v ago, through %q", a.source, a.age(), a.via[1:])
+}
+
+// isCurrentWithin reports whether another instance's copy counts as current, or would if
+// its proof were younger by more.
+func (f *follower) isCurrentWithin(a answer, more time.Duration) bool {
 	f.mu.Lock()
 	maxAge := f.timing.MaxAge(f.chooser.Hops())
 	f.mu.Unlock()
-	told := now()
+	return !a.lost && !slices.Contains(a.via, f.Name) && a.age() <= maxAge+more
+}
+
+// age returns the age of the source's proof, for a copy when it began to come.
+func (a answer) age() time.Duration {
 	if a.isCopy {
-		told = a.begunAt
+		return a.begunAt - a.currentAsOf
 	}
-	age := told - a.currentAsOf
-	if a.lost || slices.Contains(a.via, f.Name) || age > maxAge {
-		return errors.Wrapf(errNotCurrent, "%s, confirmed %v ago, through %q", a.source, age, a.via[1:])
-	}
-	return nil
+	return now() - a.currentAsOf
 }
