edge: who waits for a source that is receiving asks other instances meanwhile

Change: while its source is receiving and too old, an instance searches beside it (Search with beside): four other instances at a time, neither the source nor the store. It keeps the source if none has more. Only sources above it are waited for in a search.

--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -486,3 +486,34 @@
 		}
 	}
 }
+
+// While its source is receiving, an instance asks others but neither that one nor the store, and
+// keeps it if none has more.
+func TestSearchBesideAReceivingSourceAsksOtherInstancesOnly(t *testing.T) {
+	region := []string{"i0", "i1", "i2", "i3", "i4"}
+	begin := func() (*Search, []string) {
+		c := newChooser("i3", region, []string{"r0", "r1", "r2"})
+		s := c.NewSearchBeside("i0", 0)
+		return s, s.Ask(0)
+	}
+	s, asked := begin()
+	if len(asked) == 0 || slices.Contains(asked, "i0") || slices.Contains(asked, StoreSource) || !slices.Contains(asked, "i1") {
+		t.Errorf("asked %q", asked)
+	}
+	if _, done := s.Result(searchInterval - 1); done {
+		t.Error("over before others may have responded")
+	}
+	if source, done := s.Result(searchInterval); !done || source != "i0" {
+		t.Errorf("without a response: %q, %v", source, done)
+	}
+	s, asked = begin()
+	s.Progress(searchInterval - 1)
+	if _, done := s.Result(searchInterval); done {
+		t.Error("over while a copy is coming")
+	}
+	found := asked[len(asked)-1]
+	s.Current(found, searchInterval)
+	if source, done := s.Result(searchInterval + settleTime); !done || source != found {
+		t.Errorf("got %q, %v, want %q", source, done, found)
+	}
+}
--- a/internal/changefeed/chooser.go
+++ b/internal/changefeed/chooser.go
@@ -162,6 +162,11 @@
 	return len(c.preferred)
 }
 
+// IsAbove reports whether a source is an instance that this one prefers to the store.
+func (c *SourceChooser) IsAbove(name string) bool {
+	return c.preference(name) < c.preference(StoreSource)
+}
+
 // BetterDue reports whether a source that is preferred to the given one may be tried.
 func (c *SourceChooser) BetterDue(current string, now time.Duration) bool {
 	for _, name := range c.preferred[:c.preference(current)] {
--- a/internal/changefeed/search.go
+++ b/internal/changefeed/search.go
@@ -26,10 +26,12 @@
 // It is not safe for concurrent use.
 type Search struct {
 	chooser *SourceChooser
-	// fallback is a source that is current and that the search may only replace by a
-	// preferred one; hasFallback tells whether there is one.
+	// fallback is the source that is kept if the search finds none; hasFallback tells whether
+	// there is one. The search may only replace it by a preferred one, or, beside a source that
+	// is waited for, by any other instance, but not by the store.
 	fallback    string
 	hasFallback bool
+	beside      bool
 
 	asked     map[string]bool // sources that have not responded yet
 	rounds    int
@@ -53,6 +55,14 @@
 	return s
 }
 
+// NewSearchBeside starts a search for an instance that has what the followed one is still
+// receiving.
+func (c *SourceChooser) NewSearchBeside(followed string, now time.Duration) *Search {
+	s := c.NewSearchForBetter(followed, now)
+	s.beside = true
+	return s
+}
+
 // Ask returns the sources to ask now.
 func (s *Search) Ask(now time.Duration) []string {
 	if s.isFound || now < s.askAt || s.hasFallback && s.rounds > 0 {
@@ -73,17 +83,19 @@
 // pick chooses the sources of a round.
 func (s *Search) pick(now time.Duration) []string {
 	c := s.chooser
-	usable := func(name string) bool { return !s.asked[name] && now >= c.failed[name].retryAt }
+	usable := func(name string) bool {
+		return !s.asked[name] && now >= c.failed[name].retryAt && !(s.beside && (name == s.fallback || name == StoreSource))
+	}
 	var names []string
 	for _, name := range c.preferred[:c.limit(s)] {
 		if usable(name) {
 			names = append(names, name)
 		}
-		if len(names) > 0 && len(c.failed) == 0 && s.rounds == 0 {
+		if len(names) > 0 && len(c.failed) == 0 && s.rounds == 0 && !s.beside {
 			return names
 		}
 	}
-	if s.hasFallback {
+	if s.hasFallback && !s.beside {
 		return names
 	}
 	all := len(names) + searchWidth
@@ -102,7 +114,7 @@
 
 // limit returns how many of the preferred sources a search may ask.
 func (c *SourceChooser) limit(s *Search) int {
-	if s.hasFallback {
+	if s.hasFallback && !s.beside {
 		return c.preference(s.fallback)
 	}
 	return len(c.preferred)
@@ -124,10 +136,13 @@
 // Progress records that a source is sending a whole copy. Further sources are asked once it
 // has sent nothing for a while: their copies would come over the same link.
 func (s *Search) Progress(now time.Duration) {
-	if s.isFound || s.hasFallback {
-		return
+	switch {
+	case s.isFound:
+	case s.hasFallback:
+		s.endAt = max(s.endAt, now+searchInterval)
+	default:
+		s.askedAt, s.askAt = now, max(s.askAt, now+searchInterval)
 	}
-	s.askedAt, s.askAt = now, max(s.askAt, now+searchInterval)
 }
 
 // Current records that a source that was asked is current.
--- a/internal/edge/copygzip_test.go
+++ b/internal/edge/copygzip_test.go
@@ -51,7 +51,7 @@
 	started := startBehind(t, address)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
-	started.search(ctx, "", false)
+	started.search(ctx, "", searchAny)
 	if got, revision := started.feed.Entries(); len(got) != len(entries) || revision != 5000 {
 		t.Fatalf("%d entries of revision %d", len(got), revision)
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -78,32 +78,48 @@
 			f.expire()
 		}
 	}()
-	source, current := changefeed.StoreSource, false
+	source, begin := changefeed.StoreSource, searchAny
 	for ctx.Err() == nil {
-		source = f.search(ctx, source, current)
+		source = f.search(ctx, source, begin)
 		var err error
 		if source == changefeed.StoreSource {
 			err = f.watch(ctx)
 		} else {
 			err = f.followPeer(ctx, source)
 		}
-		current = err == nil
-		if err != nil && ctx.Err() == nil {
-			f.noteFailure(source, err)
+		switch {
+		case err == nil:
+			begin = searchBetter
+		case errors.Is(err, errReceiving):
+			begin = searchBeside
+		default:
+			begin = searchAny
+			if ctx.Err() == nil {
+				f.noteFailure(source, err)
+			}
 		}
 	}
 }
 
-// search returns a source that was current a moment ago. If source is current, it
-// returns that one unless it finds a better one.
-func (f *follower) search(ctx context.Context, source string, current bool) string {
+// beginSearch begins a search, given the last source.
+type beginSearch func(c *changefeed.SourceChooser, source string, now time.Duration) *changefeed.Search
+
+// The searches after a source has failed, while it is current, and while it is receiving.
+var (
+	searchAny beginSearch = func(c *changefeed.SourceChooser, _ string, now time.Duration) *changefeed.Search {
+		return c.NewSearch(now)
+	}
+	searchBetter beginSearch = (*changefeed.SourceChooser).NewSearchForBetter
+	searchBeside beginSearch = (*changefeed.SourceChooser).NewSearchBeside
+)
+
+// search returns a source that was current a moment ago, or the last one if the search may
+// keep that and finds no other.
+func (f *follower) search(ctx context.Context, source string, begin beginSearch) string {
 	calls, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
-	s := f.chooser.NewSearch(now())
-	if current {
-		s = f.chooser.NewSearchForBetter(source, now())
-	}
+	s := begin(f.chooser, source, now())
 	f.mu.Unlock()
 	answers := make(chan answer)
 	copying := newCopySlot()
@@ -245,7 +261,18 @@
 	case a.source == changefeed.StoreSource:
 		return nil
 	}
-	return f.applyChanges(a)
+	err := f.applyChanges(a)
+	if err != nil && f.isWaitedFor(a) && f.isAbove(a.source) {
+		return nil
+	}
+	return err
+}
+
+// isAbove reports whether a source is an instance that is preferred to the store.
+func (f *follower) isAbove(source string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chooser.IsAbove(source)
 }
 
 // applyCopy replaces the copy by a whole one, unless that is older.
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -214,11 +214,10 @@
 		if len(c.a.via) == 0 {
 			c.a.via = []string{"other"}
 		}
-		f.receivedAt.Store(0)
 		before := f.currentAsOf
 		err := f.applyChanges(c.a)
-		if (err == nil) != c.waited || f.receiving() != c.waited || f.currentAsOf != before {
-			t.Errorf("%s: %v, tells followers %v", name, err, f.receiving())
+		if err == nil || f.isWaitedFor(c.a) != c.waited || f.currentAsOf != before {
+			t.Errorf("%s: %v, is waited for %v", name, err, f.isWaitedFor(c.a))
 		}
 	}
 }
--- a/internal/edge/narrow_link_test.go
+++ b/internal/edge/narrow_link_test.go
@@ -101,7 +101,7 @@
 	started := startBehind(t, seeds...)
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	started.search(ctx, changefeed.StoreSource, false)
+	started.search(ctx, changefeed.StoreSource, searchAny)
 	if got := started.revision(); got != slowSourceRevision {
 		t.Errorf("the copy is of revision %d, want %d", got, slowSourceRevision)
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -36,6 +36,10 @@
 // errNotCurrent means that the copy of the followed instance is not current.
 var errNotCurrent = errors.New("the followed instance's copy of the store is not current")
 
+// errReceiving means that the followed instance is not current since it is receiving a large
+// response.
+var errReceiving = errors.New("the followed instance is receiving a large response")
+
 // Follow implements fleetpb.FleetServer: it returns the changes after a store revision,
 // and waits for some if there are none yet. It fails if the response exceeds what may be
 // held for followers.
@@ -123,13 +127,27 @@
 			f.peer.close()
 			return a.err
 		}
-		if err := f.applyChanges(a); err != nil {
+		err = f.applyChanges(a)
+		isWaitedFor := f.isWaitedFor(a)
+		if isWaitedFor {
+			f.noteReceiving()
+		}
+		switch {
+		case err != nil && isWaitedFor:
+			return errors.Mark(err, errReceiving)
+		case err != nil:
 			return err
 		}
 	}
 	return nil
 }
 
+// isWaitedFor reports whether a source is not left for the store though its proof may be
+// too old.
+func (f *follower) isWaitedFor(a answer) bool {
+	return a.receiving && f.isCurrentWithin(a, changefeed.MaxReceiveTime)
+}
+
 // peerWait returns how long a followed instance may hold a call: not longer than until
 // this copy no longer counts as current or, while the source is receiving, is given up.
 func (f *follower) peerWait() time.Duration {
@@ -309,7 +327,7 @@
 }
 
 // applyChanges applies the changes that another instance has passed on. The error is set
-// if they do not make this copy current and the instance is not to be waited for.
+// if they do not make this copy current.
 func (f *follower) applyChanges(a answer) error {
 	if own := f.revision(); platform.RevisionEra(a.revision) != platform.RevisionEra(own) {
 		return olderEraError(a.source, a.revision, own) // of a call from before this copy's era
@@ -319,16 +337,8 @@
 		f.applyUnconfirmed(a.changes, a.revision)
 		return nil
 	}
-	err := f.checkCurrent(a)
-	isWaitedFor := a.receiving && f.isCurrentWithin(a, changefeed.MaxReceiveTime)
-	if isWaitedFor {
-		f.noteReceiving()
-	}
-	if err != nil {
+	if err := f.checkCurrent(a); err != nil {
 		f.applyUnconfirmed(a.changes, a.revision)
-		if isWaitedFor {
-			return nil
-		}
 		return err
 	}
 	f.noteSettled(a)
