changefeed: a search that finds the store waits for the others a little

Cause: a search was over as soon as the store responded, which is at once; the answers of the instances asked beside it, which have the changes as a difference of some KB, came too late, and the watch of the store sent 1.9 MB over 10 Mbit/s.

Change: once the store is found, the others that were asked have settleTime, 0.1 s, to respond. Their changes are applied before the watch begins.

TestSearchThatFindsTheStoreWaitsForOthersALittle failed before and passes; the bounds of TestChangeReachesAllInstancesWithinTheBoundWhileSourcesFail hold.

--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -517,3 +517,21 @@
 		t.Errorf("got %q, %v, want %q", source, done, found)
 	}
 }
+
+// The store is alive at once; others that have been asked have what it would send whole.
+func TestSearchThatFindsTheStoreWaitsForOthersALittle(t *testing.T) {
+	c := newChooser("i3", []string{"i0", "i1", "i2", "i3", "i4"}, nil)
+	c.MarkFailed("i0", 0)
+	s := c.NewSearch(0)
+	asked := s.Ask(0)
+	s.Current(StoreSource, 1)
+	if _, done := s.Result(1); done {
+		t.Errorf("over at once, though %q were asked", asked)
+	}
+	for _, name := range asked {
+		s.Failed(name, 2)
+	}
+	if source, done := s.Result(2); !done || source != StoreSource {
+		t.Errorf("got %q, %v once all have failed", source, done)
+	}
+}
--- a/internal/changefeed/search.go
+++ b/internal/changefeed/search.go
@@ -16,8 +16,8 @@
 	// that a fleet without any current instance exchanges few calls.
 	fastSearchTime     = 3 * time.Second
 	slowSearchInterval = time.Second
-	// settleTime is how long a search waits for a source that is preferred to the
-	// current one that it has found.
+	// settleTime is how long a search waits for other sources once it has found a current
+	// one.
 	settleTime = 100 * time.Millisecond
 )
 
@@ -162,7 +162,7 @@
 func (s *Search) Result(now time.Duration) (string, bool) {
 	source := s.fallback
 	switch {
-	case s.isFound && (now >= s.endAt || !s.betterAsked(s.found)):
+	case s.isFound && (now >= s.endAt || !s.awaitsOthers()):
 		source = s.found
 	case !s.isFound && s.hasFallback && s.rounds > 0 && (now >= s.endAt || len(s.asked) == 0):
 	default:
@@ -176,6 +176,16 @@
 	return source, true
 }
 
+// awaitsOthers reports whether sources have yet to respond that are preferred to the found
+// one. Beside the store all are awaited, as they may have the changes as differences, which
+// the store sends whole.
+func (s *Search) awaitsOthers() bool {
+	if s.found == StoreSource {
+		return len(s.asked) > 0
+	}
+	return s.betterAsked(s.found)
+}
+
 // betterAsked reports whether a source that is preferred to the given one has yet to respond.
 func (s *Search) betterAsked(name string) bool {
 	for other := range s.asked {
