--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -121,6 +121,7 @@
 	instances    []*instance
 	version      int           // of the configuration
 	homes        int           // how often the home regions have moved
+	fillers      int           // further routes of the next version, which no request uses; 0 if it is to stay small
 	keys         []string      // valid key of each workspace
 	stop         chan struct{} // closed to end the clients
 	quiet        atomic.Bool   // set once there are no more faults
@@ -154,6 +155,7 @@
 	for i := range targetZones {
 		f.targets = append(f.targets, f.newTarget(i))
 	}
+	f.fillers = *fillerRoutes
 	f.writeConfiguration()
 	for i := range *instanceCount {
 		f.instances = append(f.instances, f.newInstance(i, dir))
@@ -196,11 +198,22 @@
 	resources = append(resources, map[string]any{"resourceKind": "routes", "metadata": map[string]any{"name": versionRoute}, "spec": map[string]any{
 		"hostname": host, "prefix": fmt.Sprintf("/version-%d/", f.version), "routeType": "safe", "service": service, "timeoutS": routeTimeout.Seconds(),
 		"targetLatencyS": 0.5, "maxAttempts": 2, "allowAnonymous": true}})
+	for i := range f.fillers {
+		resources = append(resources, map[string]any{"resourceKind": "routes", "metadata": map[string]any{"name": fmt.Sprint("filler-", i)}, "spec": map[string]any{
+			"hostname": host, "prefix": fmt.Sprintf("/filler-%d/%x/", i, i*2654435761), "routeType": "safe", "service": service, "timeoutS": routeTimeout.Seconds(),
+			"targetLatencyS": 0.5, "maxAttempts": 2, "sessionAffinity": true}})
+	}
+	if f.fillers > 0 {
+		f.fillers += fillersPerVersion
+	}
 	f.checks.recordConfiguration(homes, func() {
 		f.store.Put("op/config", map[string]any{"version": fmt.Sprintf("%08x", f.version), "resources": resources})
 	})
 }
 
+// fillersPerVersion is how many further routes each version adds to a large configuration.
+const fillersPerVersion = 200
+
 // routes are the names of the routes.
 var routes = []string{"browse", "reserve", "archive", "book"}
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -51,6 +51,7 @@
 	duration      = flag.Duration("soak.duration", 6*time.Second, "time with faults for each seed")
 	instanceCount = flag.Int("soak.instances", 4, "instances of each seed")
 	clientCount   = flag.Int("soak.clients", 12, "clients of each seed")
+	fillerRoutes  = flag.Int("soak.routes", 0, "further routes of the first configuration; 4000 are about 1 MB")
 	logDirectory  = flag.String("soak.logs", "", "directory for the instances' logs of failed seeds")
 )
 
