edge: a slow large response of the store is replaced by another instance's copy

Cause: an instance that reads the store itself waited for the response, however long it took, while another one had the version.

Change: once a large response has taken 0.5 s, the instance searches beside the store as its followers do beside it. What it finds is applied, and the watch ends.

--- a/internal/changefeed/timing.go
+++ b/internal/changefeed/timing.go
@@ -20,6 +20,9 @@
 	// proof beyond MaxAge before its followers leave it. On a link as narrow as the source's
 	// they would not have that response sooner.
 	MaxReceiveTime = 3 * time.Second
+	// ReceivePatience is how long a large response of the store may take to arrive before
+	// other instances are asked for what it has, and the pause between such searches.
+	ReceivePatience = 500 * time.Millisecond
 	// CallMargin is how much longer a call may take than the receiver may hold it:
 	// several round trips between regions, or a response of a slow store.
 	CallMargin = 300 * time.Millisecond
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -79,11 +79,16 @@
 		}
 	}()
 	source, begin := changefeed.StoreSource, searchAny
+	isFound := false // the source was found while the one before was followed
 	for ctx.Err() == nil {
-		source = f.search(ctx, source, begin)
+		if !isFound {
+			source = f.search(ctx, source, begin)
+		}
+		isFound = false
 		var err error
 		if source == changefeed.StoreSource {
-			err = f.watch(ctx)
+			source, err = f.watch(ctx)
+			isFound = source != changefeed.StoreSource
 		} else {
 			err = f.followPeer(ctx, source)
 		}
@@ -201,12 +206,28 @@
 }
 
 // watch applies changes from the store until the watch fails or another source is
-// preferred. A response confirms that the copy was current when it was requested.
-func (f *follower) watch(ctx context.Context) error {
+// preferred. A response confirms that the copy was current when it was requested. If an
+// instance was found that has what a large response would bring later, it is returned,
+// otherwise the store.
+func (f *follower) watch(ctx context.Context) (string, error) {
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	askedAt := now()
-	err := f.store.Watch(platform.WithProgress(watching, f.noteReceiving), "", f.revision(), func(changes []platform.Change, revision uint64) {
+	found := make(chan string, 1)
+	endSearch := context.CancelFunc(nil) // of the present response; nil if that is not large
+	progress := func() {
+		f.noteReceiving()
+		if endSearch == nil {
+			var searching context.Context
+			searching, endSearch = context.WithCancel(watching)
+			go f.searchBesideStore(searching, found, cancel)
+		}
+	}
+	err := f.store.Watch(platform.WithProgress(watching, progress), "", f.revision(), func(changes []platform.Change, revision uint64) {
+		if endSearch != nil {
+			endSearch()
+			endSearch = nil
+		}
 		f.applyCurrent(changes, revision, askedAt, nil)
 		f.failedWatches = 0
 		if f.betterDue(changefeed.StoreSource) {
@@ -218,8 +239,13 @@
 		}
 		askedAt = now()
 	})
-	if watching.Err() != nil {
-		return nil // another source is preferred, or the process ends
+	if watching.Err() != nil { // another source is preferred or found, or the process ends
+		select {
+		case source := <-found:
+			return source, nil
+		default:
+			return changefeed.StoreSource, nil
+		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -229,9 +255,26 @@
 	// A store that answers reads of one key may still be too slow for what has changed.
 	f.historyGone = errors.IsAny(err, platform.ErrHistoryGone, platform.ErrUnreadable) || f.failedWatches > 1
 	if errors.Is(err, platform.ErrTooLarge) && f.failedWatches == 1 {
-		return errors.Mark(err, platform.ErrHistoryGone) // the store has not failed
+		return changefeed.StoreSource, errors.Mark(err, platform.ErrHistoryGone) // the store has not failed
+	}
+	return changefeed.StoreSource, err
+}
+
+// searchBesideStore searches for an instance that has what a large response of the store is
+// still bringing, until the context ends. It sends its name and ends the watch.
+func (f *follower) searchBesideStore(ctx context.Context, found chan<- string, endWatch func()) {
+	for {
+		select {
+		case <-time.After(changefeed.ReceivePatience):
+		case <-ctx.Done():
+			return
+		}
+		if source := f.search(ctx, changefeed.StoreSource, searchBeside); source != changefeed.StoreSource && ctx.Err() == nil {
+			found <- source
+			endWatch()
+			return
+		}
 	}
-	return err
 }
 
 // noteReceiving records that a part of a large response has come.
