--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -14,7 +14,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(rec *record, trouble bool){
-	"cold-restart": coldRestart,
+	"broken-downloads": brokenDownloads,
+	"cold-restart":     coldRestart,
 }
 
 func main() {
