--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -83,6 +83,7 @@
 		m.start(seeds)
 	}
 	f.rec.atEnd(func() {
+		f.keepLogs(os.Getenv("KEEP_LOGS"))
 		for _, m := range f.machines {
 			m.kill()
 		}
@@ -282,7 +283,7 @@
 	return resource("limits", "", map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15})
 }
 
-// keepLogs copies the machines' logs beside the record if a file name is set.
+// keepLogs copies the machines' logs to a folder, if one is named.
 func (f *fleet) keepLogs(folder string) {
 	for _, m := range f.machines {
 		if text, err := os.ReadFile(m.log.Name()); err == nil && folder != "" {
