review: directories name a machine that was killed while the store was down

DRAIN: up to 35 answers of machines in touch name it, 9.7 to 11.9 s after it was killed; three are allowed after 6 s. Cause: the late return to the store, and a grace period that begins with it.

--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(rec *record, trouble bool){
 	"broken-downloads": brokenDownloads,
 	"cold-restart":     coldRestart,
+	"dead-machine":     deadMachine,
 	"early-answers":    earlyAnswers,
 	"late-return":      lateReturn,
 }
