--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -14,10 +14,11 @@
 
 // cases are the cases by name.
 var cases = map[string]func(rec *record, trouble bool){
-	"cold-restart":  coldRestart,
-	"dead-machine":  deadMachine,
-	"early-answers": earlyAnswers,
-	"late-return":   lateReturn,
+	"cold-restart":       coldRestart,
+	"dead-machine":       deadMachine,
+	"early-answers":      earlyAnswers,
+	"early-long-answers": earlyLongAnswers,
+	"late-return":        lateReturn,
 }
 
 func main() {
