--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -41,8 +41,6 @@
 	zones    map[string]string // zone -> region
 	machines []*machine
 	backends []*backend
-	// forwarded returns the address by which a machine reaches the store; nil: the store's own.
-	storeAddress func(machine int) string
 }
 
 func (f *fleet) address(n, port int) string { return fmt.Sprintf("127.77.%d.%d:%d", f.block, n, port) }
@@ -100,10 +98,6 @@
 		b, _ := json.Marshal(list)
 		return string(b)
 	}
-	storeAddress := f.store.address
-	if f.storeAddress != nil {
-		storeAddress = f.storeAddress(m.number)
-	}
 	var s strings.Builder
 	fmt.Fprintf(&s, "node = %q\nrole = \"edge\"\nmachineClass = \"front\"\nserves = [\"front\",\"directory\",\"control\"]\nip = \"127.77.%d.%d\"\n", m.name, f.block, m.number)
 	fmt.Fprintf(&s, "zone = %q\nregion = %q\ninternalPortRange = [7560,7575]\nseeds = %s\nbootstrap = true\nincludeInTolerance = false\n", m.zone, f.zones[m.zone], quote(seeds))
@@ -115,7 +109,7 @@
 	fmt.Fprintf(&s, "[listen]\nfront = %q\nready = %q\ncontrol = %q\ndirectory = %q\n", m.front(), f.address(m.number, readyPort), f.address(m.number, controlPort), f.address(m.number, directoryPort))
 	fmt.Fprintf(&s, "[limits]\ncpuShare = 0.96\ncores = 1\nmemoryMb = 804\nmaxFds = 12300\nlinkMbps = 3000.0\ndiskMb = 0\n")
 	fmt.Fprintf(&s, "[faultTolerance]\nmachines = 1\nzones = 1\nregions = 1\n")
-	fmt.Fprintf(&s, "[platform]\naddress = %q\nform = \"kv\"\nwritesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\nvalueBytes = 1048576\nttlMinS = 1\n", storeAddress)
+	fmt.Fprintf(&s, "[platform]\naddress = %q\nform = \"kv\"\nwritesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\nvalueBytes = 1048576\nttlMinS = 1\n", f.store.address)
 	return s.String()
 }
 
@@ -149,9 +143,6 @@
 	m.cmd = nil
 }
 
-// ended reports whether the process has ended.
-func (m *machine) ended() bool { return m.cmd.Process.Signal(syscall.Signal(0)) != nil }
-
 func (m *machine) signal(s os.Signal) { _ = m.cmd.Process.Signal(s) }
 
 func (m *machine) ready() bool {
